Design, package interfaces and base package

Cause: the project starts. docs/design.md fixes the ownership protocol, the state and who owns it, the messages and the behaviour under each failure; the headers fix the interfaces, so that the packages can be written side by side. Before: nothing.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,109 @@
+# Targets: all, check, demo, lint, format, format-check, clean.
+# The packages and what each of them uses; see README.md for their jobs.
+PACKAGES := base state lease place route config wire net daemon ctl standins
+
+base_deps :=
+state_deps := base
+lease_deps := state base
+place_deps := state base
+route_deps := state base
+config_deps := base
+wire_deps := state base
+net_deps := wire state base
+daemon_deps := net config wire lease place route state base
+ctl_deps := net config wire state base
+standins_deps := net config wire place state base
+
+# SAN=1 builds with AddressSanitizer and UndefinedBehaviorSanitizer.
+SAN ?= 0
+ifeq ($(SAN),1)
+BUILD := build/san
+SANFLAGS := -fsanitize=address,undefined -fno-sanitize-recover=undefined
+else
+BUILD := build/rel
+SANFLAGS :=
+endif
+
+CC := gcc
+CSTD := -std=gnu11
+WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes
+OPT := -O2 -g -fno-omit-frame-pointer
+TIRPC := -I/usr/include/tirpc
+CFLAGS := $(CSTD) $(WARN) $(OPT) $(SANFLAGS) $(TIRPC) -D_GNU_SOURCE
+LIBS := -lwebsockets -ltirpc -lcyaml -lyaml -ljansson -lxxhash -lm
+
+SRC_DIR = packages/$(1)/src
+srcs = $(wildcard packages/$(1)/src/*.c packages/$(1)/src/gen/*.c)
+objs = $(patsubst %.c,$(BUILD)/obj/%.o,$(call srcs,$(1)))
+incs = $(foreach p,$(1) $($(1)_deps),-Ipackages/$(p)/src -Ipackages/$(p)/src/gen)
+libs = $(foreach p,$(1) $($(1)_deps),$(BUILD)/lib$(p).a)
+
+# A source file named main_NAME.c is the main file of the program NAME.
+mains = $(wildcard packages/*/src/main_*.c)
+PROGRAMS := $(patsubst main_%.c,$(BUILD)/bin/%,$(notdir $(mains)))
+TESTS := $(foreach p,$(PACKAGES),$(patsubst packages/$(p)/tests/%.c,$(BUILD)/tests/$(p)/%,$(wildcard packages/$(p)/tests/test_*.c)))
+
+.PHONY: all setup check demo lint lint-file format format-check clean tests
+all: $(PROGRAMS)
+
+define package_rules
+$(BUILD)/obj/packages/$(1)/src/gen/%.o: packages/$(1)/src/gen/%.c
+	@mkdir -p $$(@D)
+	$(CC) $(CFLAGS) -Wno-unused-variable -Wno-cast-function-type -MMD -MP $(call incs,$(1)) -c $$< -o $$@
+
+$(BUILD)/obj/packages/$(1)/src/%.o: packages/$(1)/src/%.c
+	@mkdir -p $$(@D)
+	$(CC) $(CFLAGS) -MMD -MP $(call incs,$(1)) -c $$< -o $$@
+
+$(BUILD)/lib$(1).a: $(filter-out $(BUILD)/obj/packages/$(1)/src/main_%,$(call objs,$(1)))
+	@mkdir -p $$(@D)
+	@rm -f $$@
+	ar rcs $$@ $$^
+
+$(BUILD)/bin/%: $(BUILD)/obj/packages/$(1)/src/main_%.o $(call libs,$(1))
+	@mkdir -p $$(@D)
+	$(CC) $(CFLAGS) $$< $(call libs,$(1)) -o $$@ $(LIBS)
+
+# Helpers shared by the tests of a package: every tests/*.c not named test_*.
+$(BUILD)/tests/$(1)/%: packages/$(1)/tests/%.c $(filter-out packages/$(1)/tests/test_%,$(wildcard packages/$(1)/tests/*.c)) $(call libs,$(1))
+	@mkdir -p $$(@D)
+	$(CC) $(CFLAGS) -MMD -MP -MF $$@.d $(call incs,$(1)) -Ipackages/$(1)/tests $$(filter %.c,$$^) $(call libs,$(1)) -o $$@ $(LIBS) -lcmocka
+endef
+$(foreach p,$(PACKAGES),$(eval $(call package_rules,$(p))))
+
+tests: $(TESTS) $(PROGRAMS)
+
+setup:
+	tools/install.sh
+
+check: setup
+	$(MAKE) SAN=1 tests
+	$(MAKE) SAN=0 all
+	tools/run_tests.sh build/san
+
+demo: setup
+	$(MAKE) all
+	tools/demo.sh $(BUILD)/bin
+
+C_FILES := $(wildcard packages/*/src/*.[ch] packages/*/tests/*.[ch])
+
+format:
+	clang-format -i $(C_FILES)
+
+format-check:
+	clang-format --dry-run --Werror $(C_FILES)
+
+lint:
+	tools/lint.sh $(PACKAGES)
+
+# lint-NAME runs the linter over one package, lint-file over one file of it.
+lint-%:
+	tools/lint.sh $*
+
+lint-file:
+	clang-tidy --quiet $(FILE) -- $(CSTD) $(TIRPC) -D_GNU_SOURCE $(call incs,$(PACKAGE))
+
+clean:
+	rm -rf build
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/packages/base/src/log.c
@@ -0,0 +1,150 @@
+#include "log.h"
+
+#include <stdarg.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#define LINE_MAX_BYTES 1024
+
+struct event_info {
+	int number;
+	const char *name;
+	enum log_level level;
+	const char *text;
+};
+
+static const struct event_info events[LOG_EVENTS] = {
+#define EVENT(number, name, level, text, action) \
+	{ number, #name, LOG_LEVEL_##level, text },
+#include "log_events.def"
+#undef EVENT
+};
+
+struct event_rate {
+	uint64_t second;
+	unsigned int lines;
+	unsigned int suppressed;
+};
+
+static struct event_rate rates[LOG_EVENTS];
+static enum log_level lowest = LOG_LEVEL_INFO;
+static int out_fd = STDERR_FILENO;
+
+static const char *const level_names[] = { "debug", "info", "warn", "error" };
+
+/* Sets the lowest level that is written. */
+void log_set_level(enum log_level level)
+{
+	lowest = level;
+}
+
+/* Sets the file descriptor of the log. */
+void log_set_fd(int fd)
+{
+	out_fd = fd;
+}
+
+/* Looks up the number of an event. */
+int log_event_number(enum log_event event)
+{
+	return events[event].number;
+}
+
+/* Writes the time and the fixed part of a line; returns its length. */
+static size_t write_head(char *line, size_t size, enum log_event event,
+			 uint64_t now_ms)
+{
+	const struct event_info *info = &events[event];
+	time_t seconds = (time_t)(now_ms / MS_PER_S);
+	struct tm tm;
+	size_t n;
+
+	gmtime_r(&seconds, &tm);
+	n = strftime(line, size, "%Y-%m-%dT%H:%M:%S", &tm);
+	n += (size_t)snprintf(line + n, size - n, ".%03uZ %s %d %s \"%s\"",
+			      (unsigned int)(now_ms % MS_PER_S),
+			      level_names[info->level], info->number,
+			      info->name, info->text);
+	return n;
+}
+
+/* Ends the line and hands it to the system in one call. */
+static void flush_line(char *line, size_t n, size_t size)
+{
+	ssize_t written;
+
+	if (n > size - 2)
+		n = size - 2;
+	line[n++] = '\n';
+	written = write(out_fd, line, n);
+	(void)written;
+}
+
+/* Writes how many lines of an event were left out in the second before. */
+static void report_suppressed(enum log_event event, unsigned int count,
+			      uint64_t now_ms)
+{
+	char line[LINE_MAX_BYTES];
+	size_t n =
+		write_head(line, sizeof(line), LOG_EVENTS_SUPPRESSED, now_ms);
+
+	n += (size_t)snprintf(line + n, sizeof(line) - n, " event=%d count=%u",
+			      events[event].number, count);
+	flush_line(line, n, sizeof(line));
+}
+
+/* Counts a line against the rate of its event; false if it is left out. */
+static bool take_rate(enum log_event event, uint64_t now_ms)
+{
+	struct event_rate *r = &rates[event];
+	uint64_t second = now_ms / MS_PER_S;
+
+	if (r->second != second) {
+		if (r->suppressed)
+			report_suppressed(event, r->suppressed, now_ms);
+		r->second = second;
+		r->lines = 0;
+		r->suppressed = 0;
+	}
+	if (r->lines >= LOG_EVENT_RATE) {
+		r->suppressed++;
+		return false;
+	}
+	r->lines++;
+	return true;
+}
+
+/* Replaces control characters, so that a value cannot forge a line. */
+static void clean(char *s)
+{
+	for (; *s; s++) {
+		if ((unsigned char)*s < ' ' || *s == '\x7f')
+			*s = '?';
+	}
+}
+
+/* Formats one line; the part over the size of the buffer is cut off. */
+void log_emit(enum log_event event, const char *fmt, ...)
+{
+	uint64_t now_ms = clk_wall_ms(clk_system());
+	char line[LINE_MAX_BYTES];
+	va_list args;
+	size_t n;
+	int added;
+
+	if (events[event].level < lowest || !take_rate(event, now_ms))
+		return;
+	n = write_head(line, sizeof(line), event, now_ms);
+	if (fmt[0]) {
+		line[n++] = ' ';
+		va_start(args, fmt);
+		added = vsnprintf(line + n, sizeof(line) - n, fmt, args);
+		va_end(args);
+		clean(line + n);
+		n += added > 0 ? strlen(line + n) : 0;
+	}
+	flush_line(line, n, sizeof(line));
+}
--- /dev/null
+++ b/packages/base/tests/test_cht.c
@@ -0,0 +1,100 @@
+/* Guards against a state chart that is incomplete, unreachable or misspelt. */
+
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <setjmp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#include "cht.h"
+
+static const char *const states[] = { "off", "on", NULL };
+static const char *const events[] = { "press", "reset", NULL };
+
+static void count_up(void *arg)
+{
+	(*(int *)arg)++;
+}
+
+static const struct cht_action actions[] = { { "count", count_up } };
+
+static struct cht *load(const char *text, struct err *err)
+{
+	char path[] = "/tmp/cht_XXXXXX";
+	int fd = mkstemp(path);
+	struct cht *c;
+
+	assert_true(fd >= 0);
+	assert_int_equal(write(fd, text, strlen(text)), strlen(text));
+	close(fd);
+	c = cht_load(path, states, events, actions, 1, err);
+	unlink(path);
+	return c;
+}
+
+#define HEAD "initial: off\nevents: [press, reset]\nstates:\n"
+#define OFF "  off: { press: { to: on, do: [count] }, reset: { to: off } }\n"
+#define ON "  on: { press: { to: off }, reset: { to: off } }\n"
+
+static void valid_chart_runs_its_actions(void **state)
+{
+	struct err err = { 0 };
+	struct cht *c = load(HEAD OFF ON, &err);
+	int count = 0;
+
+	(void)state;
+	assert_non_null(c);
+	assert_int_equal(cht_fire(c, cht_initial(c), 0, &count), 1);
+	assert_int_equal(count, 1);
+	assert_int_equal(cht_fire(c, 1, 1, &count), 0);
+	assert_string_equal(cht_state_name(c, 1), "on");
+	cht_destroy(c);
+}
+
+struct bad {
+	const char *text;
+	int code;
+	const char *line;
+};
+
+static void bad_chart_is_refused_with_line_and_reason(void **state)
+{
+	static const struct bad bads[] = {
+		{ HEAD OFF "  on: { press: { to: off } }\n", CHT_MISSING_EVENT,
+		  ":5:" },
+		{ HEAD "  off: { press: { to: off }, reset: { to: off } }\n" ON,
+		  CHT_UNREACHABLE, "on" },
+		{ HEAD
+		  "  off: { press: { to: on, do: [jump] }, reset: { to: off } }\n" ON,
+		  CHT_UNKNOWN_NAME, "jump" },
+		{ HEAD OFF "  onn: { press: { to: off } }\n", CHT_UNKNOWN_NAME,
+		  "onn" },
+		{ HEAD OFF "  on: { press: { to: of }, reset: { to: off } }\n",
+		  CHT_UNKNOWN_NAME, ":5:" },
+		{ "initial: [", CHT_SYNTAX, ":" },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(bads) / sizeof(bads[0]); i++) {
+		struct err err = { 0 };
+
+		assert_null(load(bads[i].text, &err));
+		assert_int_equal(err.layer, ERR_CHART);
+		assert_int_equal(err.code, bads[i].code);
+		assert_non_null(strstr(err.text, bads[i].line));
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(valid_chart_runs_its_actions),
+		cmocka_unit_test(bad_chart_is_refused_with_line_and_reason),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/packages/base/tests/test_tmr.c
@@ -0,0 +1,124 @@
+/* Guards against timers that run early, twice, out of order or after cancel. */
+
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <setjmp.h>
+#include <cmocka.h>
+
+#include "tab.h"
+#include "tmr.h"
+
+struct record {
+	struct tmr *timers;
+	uint32_t to_cancel;
+	int runs;
+	uint64_t last_us;
+};
+
+static void record_run(void *arg, uint64_t now_us)
+{
+	struct record *r = arg;
+
+	r->runs++;
+	r->last_us = now_us;
+}
+
+static void cancel_other(void *arg, uint64_t now_us)
+{
+	struct record *r = arg;
+
+	(void)now_us;
+	tmr_cancel(r->timers, r->to_cancel);
+}
+
+static void timer_runs_once_when_due(void **state)
+{
+	struct tmr *t = tmr_create();
+	struct record r = { 0 };
+
+	(void)state;
+	assert_int_not_equal(tmr_at(t, 100, record_run, &r), 0);
+	assert_int_equal(tmr_next(t), 100);
+	tmr_run(t, 99);
+	assert_int_equal(r.runs, 0);
+	tmr_run(t, 100);
+	tmr_run(t, 200);
+	assert_int_equal(r.runs, 1);
+	assert_true(tmr_next(t) == TMR_NEVER);
+	tmr_destroy(t);
+}
+
+static void repeated_timer_does_not_make_up_for_lost_time(void **state)
+{
+	struct tmr *t = tmr_create();
+	struct record r = { 0 };
+
+	(void)state;
+	tmr_every(t, 10, 10, record_run, &r);
+	tmr_run(t, 1000);
+	assert_int_equal(r.runs, 1);
+	assert_int_equal(tmr_next(t), 1010);
+	tmr_destroy(t);
+}
+
+static void timer_cancels_another_that_is_due(void **state)
+{
+	struct tmr *t = tmr_create();
+	struct record r = { .timers = t };
+
+	(void)state;
+	tmr_at(t, 5, cancel_other, &r);
+	r.to_cancel = tmr_at(t, 6, record_run, &r);
+	tmr_run(t, 10);
+	assert_int_equal(r.runs, 0);
+	tmr_destroy(t);
+}
+
+static void many_timers_run_in_order(void **state)
+{
+	struct tmr *t = tmr_create();
+	struct record r = { 0 };
+	uint32_t handles[200];
+
+	(void)state;
+	for (uint32_t i = 0; i < 200; i++)
+		handles[i] = tmr_at(t, (i * 37) % 200 + 1, record_run, &r);
+	for (uint32_t i = 0; i < 200; i += 2)
+		tmr_cancel(t, handles[i]);
+	for (uint64_t now = 1; now <= 200; now++) {
+		tmr_run(t, now);
+		assert_true(tmr_next(t) > now);
+	}
+	assert_int_equal(r.runs, 100);
+	tmr_destroy(t);
+}
+
+static void stale_handle_finds_nothing(void **state)
+{
+	struct tab *t = tab_create(4);
+	int a = 1, b = 2;
+	uint32_t first = tab_add(t, &a);
+	uint32_t second;
+
+	(void)state;
+	tab_remove(t, first);
+	second = tab_add(t, &b);
+	assert_int_not_equal(first, second);
+	assert_null(tab_get(t, first));
+	assert_ptr_equal(tab_get(t, second), &b);
+	tab_destroy(t);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(timer_runs_once_when_due),
+		cmocka_unit_test(repeated_timer_does_not_make_up_for_lost_time),
+		cmocka_unit_test(timer_cancels_another_that_is_due),
+		cmocka_unit_test(many_timers_run_in_order),
+		cmocka_unit_test(stale_handle_finds_nothing),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/packages/net/src/lop.c
@@ -0,0 +1,207 @@
+#include "lop.h"
+
+#include <errno.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+/* The loop wakes at least this often even when no timer is due. */
+#define IDLE_WAKE_US (1 * US_PER_S)
+
+struct lop {
+	const struct clk *clk;
+	struct tmr *timers;
+	struct lws_context *context;
+	struct lws_vhost *vhost; /* of the signal descriptor */
+	lws_sorted_usec_list_t wake;
+	lop_signal_fn on_signal;
+	void *signal_arg;
+	int signal_fd;
+	bool stopped;
+};
+
+/* Nothing to do: the wake-up itself lets the loop run the timers. */
+static void on_wake(lws_sorted_usec_list_t *sul)
+{
+	(void)sul;
+}
+
+/* Lets libwebsockets wake up when the next timer is due. */
+static void schedule_wake(struct lop *l)
+{
+	uint64_t next = tmr_next(l->timers);
+	uint64_t now = clk_mono_us(l->clk);
+	uint64_t wait = IDLE_WAKE_US;
+
+	if (next <= now)
+		wait = 1;
+	else if (next - now < wait)
+		wait = next - now;
+	lws_sul_schedule(l->context, 0, &l->wake, on_wake, (lws_usec_t)wait);
+}
+
+/* Reads the pending signals and hands them over. */
+static int signal_callback(struct lws *wsi, enum lws_callback_reasons reason,
+			   void *user, void *in, size_t len)
+{
+	struct lop *l = lws_context_user(lws_get_context(wsi));
+	struct signalfd_siginfo info;
+
+	(void)user;
+	(void)in;
+	(void)len;
+	if (reason != LWS_CALLBACK_RAW_RX_FILE)
+		return 0;
+	while (read(l->signal_fd, &info, sizeof(info)) == sizeof(info)) {
+		if (l->on_signal)
+			l->on_signal(l->signal_arg, (int)info.ssi_signo);
+	}
+	return 0;
+}
+
+static const struct lws_protocols signal_protocols[] = {
+	{ "signal", signal_callback, 0, 0, 0, NULL, 0 },
+	{ NULL, NULL, 0, 0, 0, NULL, 0 },
+};
+
+/* The messages of libwebsockets go nowhere: callbacks report every failure. */
+static struct lws_context *create_context(struct lop *l, unsigned int max_fds)
+{
+	struct lws_context_creation_info info;
+
+	lws_set_log_level(0, NULL);
+	memset(&info, 0, sizeof(info));
+	info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
+	info.fd_limit_per_thread = max_fds;
+	info.user = l;
+	info.gid = (gid_t)-1;
+	info.uid = (uid_t)-1;
+	return lws_create_context(&info);
+}
+
+/* Makes the loop without any socket. */
+struct lop *lop_create(const struct clk *clk, unsigned int max_fds,
+		       struct err *err)
+{
+	struct lop *l = calloc(1, sizeof(*l));
+
+	if (!l) {
+		err_set(err, ERR_SYSTEM, NET_NO_MEMORY, "out of memory");
+		return NULL;
+	}
+	l->clk = clk;
+	l->signal_fd = -1;
+	l->timers = tmr_create();
+	l->context = l->timers ? create_context(l, max_fds) : NULL;
+	if (!l->context) {
+		err_set(err, ERR_SYSTEM, NET_NO_LOOP,
+			"the event loop cannot be created");
+		lop_destroy(l);
+		return NULL;
+	}
+	return l;
+}
+
+/* Frees the loop and closes what still runs on it. */
+void lop_destroy(struct lop *l)
+{
+	if (!l)
+		return;
+	if (l->context) {
+		lws_sul_cancel(&l->wake);
+		lws_context_destroy(l->context);
+	}
+	if (l->timers)
+		tmr_destroy(l->timers);
+	free(l);
+}
+
+/* Opens a descriptor for the signals and gives it to libwebsockets. */
+bool lop_on_signal(struct lop *l, lop_signal_fn fn, void *arg, struct err *err)
+{
+	lws_sock_file_fd_type fd;
+	sigset_t set;
+
+	signal(SIGPIPE, SIG_IGN);
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigprocmask(SIG_BLOCK, &set, NULL);
+	l->on_signal = fn;
+	l->signal_arg = arg;
+	l->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	if (l->signal_fd < 0)
+		return err_set(err, ERR_SYSTEM, NET_NO_LOOP, "signalfd: %s",
+			       strerror(errno));
+	l->vhost = lop_vhost(l, "signal", signal_protocols, l);
+	fd.filefd = l->signal_fd;
+	if (!l->vhost ||
+	    !lws_adopt_descriptor_vhost(l->vhost, LWS_ADOPT_RAW_FILE_DESC, fd,
+					"signal", NULL))
+		return err_set(err, ERR_SYSTEM, NET_NO_LOOP,
+			       "the signal descriptor cannot be watched");
+	return true;
+}
+
+/* Waits for events, handles them, then runs the timers that are due. */
+void lop_step(struct lop *l)
+{
+	schedule_wake(l);
+	lws_service(l->context, 0);
+	tmr_run(l->timers, clk_mono_us(l->clk));
+}
+
+/* Runs until it is stopped. */
+void lop_run(struct lop *l)
+{
+	l->stopped = false;
+	while (!l->stopped)
+		lop_step(l);
+}
+
+/* Ends lop_run() after the current step. */
+void lop_stop(struct lop *l)
+{
+	l->stopped = true;
+	lws_cancel_service(l->context);
+}
+
+/* Returns the timer service that runs in this loop. */
+struct tmr *lop_timers(struct lop *l)
+{
+	return l->timers;
+}
+
+/* Returns the clock that the loop was made with. */
+const struct clk *lop_clock(struct lop *l)
+{
+	return l->clk;
+}
+
+/* Returns the libwebsockets context. */
+struct lws_context *lop_context(struct lop *l)
+{
+	return l->context;
+}
+
+/* Creates a vhost that does not listen. */
+struct lws_vhost *lop_vhost(struct lop *l, const char *name,
+			    const struct lws_protocols *protocols, void *user)
+{
+	struct lws_context_creation_info info;
+
+	memset(&info, 0, sizeof(info));
+	info.port = CONTEXT_PORT_NO_LISTEN_SERVER;
+	info.vhost_name = name;
+	info.protocols = protocols;
+	info.user = user;
+	return lws_create_vhost(l->context, &info);
+}
+
+/* Reads the clock: a step may take long after a pause. */
+uint64_t lop_now_us(struct lop *l)
+{
+	return clk_mono_us(l->clk);
+}
