Daemon: wiring, ownership driver, request path, operators' endpoints

Cause: the packages of decisions and of transport need a process around them. Excluded: calling the decision modules from the transport, which would keep a test bench from driving them without sockets. Before: no daemon.

--- /dev/null
+++ b/packages/daemon/src/adn.h
@@ -0,0 +1,11 @@
+#ifndef ADN_H
+#define ADN_H
+
+/* The operators' endpoints and the announcements of the upstream. */
+
+#include "nod.h"
+
+struct adn *adn_create(struct nod *n, struct err *err);
+void adn_destroy(struct adn *a);
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/bal.c
@@ -0,0 +1,428 @@
+#include "bal.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "ctr.h"
+#include "log.h"
+#include "mem.h"
+#include "own.h"
+#include "plc.h"
+#include "pub.h"
+#include "syn.h"
+#include "upd.h"
+#include "wrt.h"
+
+#define CREATE_INTERVAL_US (250 * US_PER_MS)
+#define STABLE_US (1500 * US_PER_MS) /* members unchanged before creation */
+#define BALANCE_INTERVAL_US US_PER_S
+#define DRAIN_INTERVAL_US (100 * US_PER_MS)
+#define REARM_RATE 100 /* rows a second of the whole system */
+#define SECONDS_PER_MINUTE 60
+#define LOAD_DECAY 0.9 /* of the load of a partition, each second */
+
+/* A rewrite that waits for its turn. */
+struct pending {
+	uint64_t part;
+	uint64_t due_us;
+	UT_hash_handle hh;
+};
+
+/* Load of a partition of this owner. */
+struct work {
+	uint64_t part;
+	uint64_t busy_us; /* since the last second */
+	double load;
+	UT_hash_handle hh;
+};
+
+struct bal {
+	struct nod *n;
+	struct pending *pending;
+	struct work *work;
+	size_t member_count;
+	uint64_t members_since_us;
+	double move_tokens;
+};
+
+/* The policy of a service, from the manifest. */
+static bool get_policy(const struct bal *b, uint16_t service,
+		       struct plc_policy *policy)
+{
+	const struct man *man = pub_manifest(b->n->pub);
+	const struct man_service *s =
+		man ? man_service_by_id(man, service) : NULL;
+
+	if (!s)
+		return false;
+	policy->weigh =
+		s->weigh == MAN_CHURN ? PLC_CHURN : PLC_UNAVAILABLE_TIME;
+	policy->imbalance_tolerance_pct = s->imbalance_tolerance_pct;
+	policy->moves_per_minute = s->moves_per_minute;
+	return true;
+}
+
+static bool make_view(const struct bal *b, uint16_t service,
+		      struct plc_view *view)
+{
+	return plc_view_make(b->n->mirror, service, syn_load_of, b->n->syn,
+			     view);
+}
+
+static bool same_processes(const struct row_set *x, const struct row_set *y)
+{
+	return proc_equal(&x->owner, &y->owner) &&
+	       proc_equal(&x->witness[0], &y->witness[0]) &&
+	       proc_equal(&x->witness[1], &y->witness[1]);
+}
+
+static void count_write(uint64_t part, const char *why,
+			const struct row_set *set)
+{
+	ctr_add(CTR_ROWS_WRITTEN, 1);
+	log_emit(LOG_ROW_CHANGE,
+		 "service=%u partition=%u why=%s owner=%u witnesses=%u,%u",
+		 part_service(part), part_index(part), why, set->owner.instance,
+		 set->witness[0].instance, set->witness[1].instance);
+}
+
+/* Writes a row for an owner that keeps or takes the partition. */
+static bool write_armed(struct bal *b, const struct plc_view *view,
+			uint64_t part, const struct proc *owner,
+			const char *why)
+{
+	const struct row *row = mir_row(b->n->mirror, part);
+	struct plc_policy policy;
+	struct row_set set = { 0 };
+	struct lse_term term;
+	bool active;
+
+	if (!row || !get_policy(b, part_service(part), &policy))
+		return false;
+	if (!plc_arm(view, part, &row->set, owner, &policy, &set) &&
+	    !set.owner.incarnation)
+		return false;
+	if (same_processes(&set, &row->set))
+		return false;
+	active = own_may_act(b->n->own, part, &term) &&
+		 term.version == row->set.version;
+	if (!wrt_row(b->n->writer, part, &set, active))
+		return false;
+	count_write(part, why, &set);
+	return true;
+}
+
+/* Gives a partition without a usable set a new owner. */
+static bool write_chosen(struct bal *b, const struct plc_view *view,
+			 uint64_t part, const char *why, struct row_set *set)
+{
+	const struct row *row = mir_row(b->n->mirror, part);
+	struct plc_policy policy;
+
+	memset(set, 0, sizeof(*set));
+	if (!get_policy(b, part_service(part), &policy) ||
+	    !plc_choose(view, part, row ? row->set.version + 1 : 1, &policy,
+			set) ||
+	    !wrt_row(b->n->writer, part, set, false))
+		return false;
+	count_write(part, why, set);
+	return true;
+}
+
+/* Rewrites a row as the lease module asked for. */
+static void rewrite(struct bal *b, uint64_t part, enum lse_want want)
+{
+	struct plc_view view;
+	struct row_set set;
+
+	if (!make_view(b, part_service(part), &view))
+		return;
+	if (want == LSE_WANT_REASSIGN)
+		write_chosen(b, &view, part, "reassign", &set);
+	else
+		write_armed(b, &view, part, &b->n->self,
+			    want == LSE_WANT_REARM ? "takeover" : "witness");
+	plc_view_free(&view);
+}
+
+/*
+ * Requests repeat while their reason lasts. The first one draws a time in a
+ * window sized by the members, so that the loss of a data centre does not
+ * bring more writes a second than the table takes; a later one after that time
+ * is carried out.
+ */
+void bal_want(struct bal *b, uint64_t part, enum lse_want want)
+{
+	uint64_t now = nod_now_us(b->n);
+	uint64_t window =
+		mir_member_count(b->n->mirror) * US_PER_S / REARM_RATE;
+	struct pending *p;
+
+	if (!syn_platform_up(b->n->syn) || wrt_is_busy(b->n->writer, part))
+		return;
+	HASH_FIND(hh, b->pending, &part, sizeof(part), p);
+	if (!p) {
+		p = calloc(1, sizeof(*p));
+		if (!p)
+			return;
+		p->part = part;
+		p->due_us = now + clk_random_below(b->n->clk, window + 1);
+		HASH_ADD(hh, b->pending, part, sizeof(p->part), p);
+		return;
+	}
+	if (now < p->due_us)
+		return;
+	HASH_DEL(b->pending, p);
+	free(p);
+	rewrite(b, part, want);
+}
+
+/* True if the members table shows that a process is not running. */
+static bool is_dead(const struct bal *b, const struct proc *p)
+{
+	const struct member *m = mir_member(b->n->mirror, p->instance);
+
+	return !p->incarnation || !m || m->state == MEMBER_GONE ||
+	       m->proc.incarnation != p->incarnation;
+}
+
+/* True if nobody is left who could renew, claim or rewrite the row. */
+static bool is_orphan(const struct bal *b, const struct row *row)
+{
+	if (!row)
+		return true;
+	for (uint32_t i = 0; i < ROW_WITNESSES; i++) {
+		if (!is_dead(b, &row->set.witness[i]))
+			return false;
+	}
+	return is_dead(b, &row->set.owner);
+}
+
+/* Counts a choice in the view, as the mirror does not show it yet. */
+static void count_in_view(struct plc_view *view, const struct row_set *set)
+{
+	for (size_t i = 0; i < view->count; i++) {
+		const struct proc *p = &view->members[i].member->proc;
+
+		if (proc_equal(p, &set->owner))
+			view->members[i].owned++;
+		if (proc_equal(p, &set->witness[ROW_SUCCESSOR]))
+			view->members[i].succeeds++;
+	}
+}
+
+static void create_rows(struct bal *b, const struct man_service *s)
+{
+	struct plc_view view;
+	struct row_set set;
+
+	if (!make_view(b, s->id, &view))
+		return;
+	if (plc_is_creator(&view, part_id(s->id, 0), &b->n->self)) {
+		for (uint32_t i = 0; i < s->partitions; i++) {
+			uint64_t part = part_id(s->id, i);
+
+			if (!wrt_room(b->n->writer))
+				break;
+			if (!wrt_is_busy(b->n->writer, part) &&
+			    is_orphan(b, mir_row(b->n->mirror, part)) &&
+			    write_chosen(b, &view, part, "create", &set))
+				count_in_view(&view, &set);
+		}
+	}
+	plc_view_free(&view);
+}
+
+/* Creates missing rows once the members have been the same for a while. */
+static void create_due(void *arg, uint64_t now_us)
+{
+	struct bal *b = arg;
+	const struct man *man = pub_manifest(b->n->pub);
+	const struct man_service *s;
+	size_t count = mir_member_count(b->n->mirror);
+
+	if (count != b->member_count) {
+		b->member_count = count;
+		b->members_since_us = now_us;
+	}
+	if (!man || !syn_is_ready(b->n->syn) || !syn_platform_up(b->n->syn) ||
+	    !upd_is_serving(b->n->upstream) ||
+	    now_us - b->members_since_us < STABLE_US)
+		return;
+	s = man_service_by_id(man, mem_service(b->n->member));
+	if (s)
+		create_rows(b, s);
+}
+
+/* Brings the loads of the partitions up to date. */
+static void decay_loads(struct bal *b)
+{
+	struct work *w;
+	struct work *next;
+
+	HASH_ITER(hh, b->work, w, next) {
+		double now = (double)w->busy_us / (double)US_PER_S;
+
+		w->load = w->load * LOAD_DECAY + now * (1 - LOAD_DECAY);
+		w->busy_us = 0;
+		if (w->load < 1e-6) {
+			HASH_DEL(b->work, w);
+			free(w);
+		}
+	}
+}
+
+static double load_of(const struct bal *b, uint64_t part)
+{
+	struct work *w;
+
+	HASH_FIND(hh, b->work, &part, sizeof(part), w);
+	return w ? w->load : 0;
+}
+
+/* Lists the partitions for which this process acts. */
+static size_t list_held(const struct bal *b, struct plc_load *out, size_t max)
+{
+	struct lse_term term;
+	uint64_t part;
+	size_t pos = 0;
+	size_t count = 0;
+
+	while (count < max && own_next_part(b->n->own, &pos, &part)) {
+		if (!own_may_act(b->n->own, part, &term) || term.draining)
+			continue;
+		out[count].part = part;
+		out[count].load = load_of(b, part);
+		count++;
+	}
+	return count;
+}
+
+/* Moves at most one partition, if the policy allows one now. */
+static void move_one(struct bal *b, const struct plc_policy *policy)
+{
+	size_t max = own_acting_count(b->n->own);
+	struct plc_load *held = calloc(max + 1, sizeof(*held));
+	struct plc_view view;
+	struct proc target;
+	uint64_t part;
+
+	if (!held)
+		return;
+	max = list_held(b, held, max);
+	if (make_view(b, mem_service(b->n->member), &view)) {
+		if (plc_next_move(&view, &b->n->self, held, max, policy, &part,
+				  &target) &&
+		    write_armed(b, &view, part, &target, "balance")) {
+			b->move_tokens -= 1;
+			ctr_add(CTR_MOVES, 1);
+		}
+		plc_view_free(&view);
+	}
+	free(held);
+}
+
+static void balance_due(void *arg, uint64_t now_us)
+{
+	struct bal *b = arg;
+	struct plc_policy policy;
+
+	(void)now_us;
+	decay_loads(b);
+	if (!syn_platform_up(b->n->syn) ||
+	    mem_state(b->n->member) != MEMBER_UP ||
+	    !get_policy(b, mem_service(b->n->member), &policy))
+		return;
+	b->move_tokens += (double)policy.moves_per_minute / SECONDS_PER_MINUTE;
+	b->move_tokens = fmin(b->move_tokens, 1);
+	if (b->move_tokens >= 1)
+		move_one(b, &policy);
+}
+
+/* Moves everything away from a member that leaves. */
+static void drain_due(void *arg, uint64_t now_us)
+{
+	struct bal *b = arg;
+	size_t max = own_acting_count(b->n->own);
+	struct plc_load *held;
+	struct plc_view view;
+	struct proc target;
+
+	(void)now_us;
+	if (mem_state(b->n->member) != MEMBER_DRAINING || !max ||
+	    !syn_platform_up(b->n->syn))
+		return;
+	held = calloc(max, sizeof(*held));
+	if (!held)
+		return;
+	max = list_held(b, held, max);
+	if (make_view(b, mem_service(b->n->member), &view)) {
+		for (size_t i = 0; i < max; i++) {
+			if (plc_drain_target(&view, &b->n->self, held[i].part,
+					     &target))
+				write_armed(b, &view, held[i].part, &target,
+					    "drain");
+		}
+		plc_view_free(&view);
+	}
+	free(held);
+}
+
+/* Starts the timers of the module. */
+struct bal *bal_create(struct nod *n)
+{
+	struct bal *b = calloc(1, sizeof(*b));
+	uint64_t now = nod_now_us(n);
+
+	if (!b)
+		return NULL;
+	b->n = n;
+	b->members_since_us = now;
+	tmr_every(n->timers, now + CREATE_INTERVAL_US, CREATE_INTERVAL_US,
+		  create_due, b);
+	tmr_every(n->timers, now + BALANCE_INTERVAL_US, BALANCE_INTERVAL_US,
+		  balance_due, b);
+	tmr_every(n->timers, now + DRAIN_INTERVAL_US, DRAIN_INTERVAL_US,
+		  drain_due, b);
+	return b;
+}
+
+/* Frees the module. */
+void bal_destroy(struct bal *b)
+{
+	struct pending *p;
+	struct pending *next_pending;
+	struct work *w;
+	struct work *next_work;
+
+	if (!b)
+		return;
+	HASH_ITER(hh, b->pending, p, next_pending) {
+		HASH_DEL(b->pending, p);
+		free(p);
+	}
+	HASH_ITER(hh, b->work, w, next_work) {
+		HASH_DEL(b->work, w);
+		free(w);
+	}
+	free(b);
+}
+
+/* Adds busy time to a partition. */
+void bal_work(struct bal *b, uint64_t part, uint64_t busy_us)
+{
+	struct work *w;
+
+	HASH_FIND(hh, b->work, &part, sizeof(part), w);
+	if (!w) {
+		w = calloc(1, sizeof(*w));
+		if (!w)
+			return;
+		w->part = part;
+		HASH_ADD(hh, b->work, part, sizeof(w->part), w);
+	}
+	w->busy_us += busy_us;
+}
--- /dev/null
+++ b/packages/daemon/src/exe_run.h
@@ -0,0 +1,84 @@
+#ifndef EXE_RUN_H
+#define EXE_RUN_H
+
+/* One request on the upstream; private to exe.c and exe_run.c. */
+
+#include "adm.h"
+#include "exe.h"
+
+/* Headers that are added to those of the caller. */
+#define EXE_ADDED_HEADERS 6
+#define EXE_HEADERS_MAX (PEER_HEADERS_MAX + EXE_ADDED_HEADERS)
+#define EXE_NUMBER_MAX 24 /* digits of a 64-bit number, with the NUL */
+
+/* In the order in which a run passes them. */
+enum exe_phase {
+	RUN_WAITING, /* for ownership, or for another suspect to end */
+	RUN_QUEUED, /* for a slot */
+	RUN_RUNNING,
+	RUN_OVER
+};
+
+struct exe_run {
+	struct exe *exe;
+	const struct exe_events *events;
+	void *arg;
+	struct exe_run *prev;
+	struct exe_run *next;
+	enum exe_phase phase;
+	uint32_t timer;
+	uint64_t part;
+	uint64_t deadline_us;
+	uint64_t hold_until_us; /* longest wait for ownership */
+
+	/* the request, in one block of memory */
+	char *block;
+	const char *kind;
+	const char *method;
+	const char *target;
+	const char *key;
+	const char *request_id;
+	struct htp_header headers[EXE_HEADERS_MAX];
+	size_t header_count;
+	long long content_length;
+	const void *first;
+	size_t first_len;
+	bool end;
+	void *pending; /* one piece of the body that came before the slot */
+	size_t pending_len;
+	bool pending_end;
+
+	/* what was decided */
+	uint32_t kind_index;
+	bool idempotent;
+	bool suspect; /* holds the place of the one running suspect */
+	uint64_t fingerprint;
+	uint32_t duplicate; /* handle in the duplicate window, 0 if none */
+	struct adm *admission;
+	bool has_slot;
+
+	/* the call to the upstream */
+	struct ups *pool;
+	uint32_t call;
+	uint64_t started_us;
+	char fence[EXE_NUMBER_MAX];
+	char partition[EXE_NUMBER_MAX];
+	char start_by[EXE_NUMBER_MAX];
+	char deadline[EXE_NUMBER_MAX];
+	char traceparent[TRC_PARENT_MAX];
+	struct trc_span span;
+	bool head_seen;
+	enum peer_status
+		refused; /* the upstream did not run it; PEER_OK else */
+	struct dup_response stored;
+	char *stored_body;
+};
+
+void exe_link(struct exe *e, struct exe_run *r);
+void exe_unlink(struct exe *e, struct exe_run *r);
+struct nod *exe_node(struct exe *e);
+
+/* The partition is lost while the request waits for a slot or runs. */
+void exe_run_abandon(struct exe_run *r);
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/ing.h
@@ -0,0 +1,17 @@
+#ifndef ING_H
+#define ING_H
+
+/* Requests of callers: match, route, run here or forward, answer. */
+
+#include "nod.h"
+
+struct ing *ing_create(struct nod *n, struct err *err);
+void ing_destroy(struct ing *i);
+
+/* Accepts no further connections. */
+void ing_stop(struct ing *i);
+
+/* Number of requests in progress. */
+size_t ing_count(const struct ing *i);
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/nod.c
@@ -0,0 +1,324 @@
+#include "nod.h"
+
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "adn.h"
+#include "bal.h"
+#include "ctr.h"
+#include "exe.h"
+#include "ing.h"
+#include "log.h"
+#include "mem.h"
+#include "own.h"
+#include "pin.h"
+#include "prb.h"
+#include "pub.h"
+#include "syn.h"
+#include "upd.h"
+#include "wrt.h"
+
+#define STOP_CHECK_US (50 * US_PER_MS)
+/* How long partitions are moved by rows before they are released to peers. */
+#define MOVE_TIME_US (3 * US_PER_S)
+/* How long callers with kept connections are served after the last move. */
+#define LINGER_US (300 * US_PER_MS)
+
+static void on_lease(void *arg, const struct peer_lease *m)
+{
+	struct nod *n = arg;
+
+	own_lease(n->own, m);
+}
+
+static void on_digest(void *arg, const struct peer_digest *m)
+{
+	struct nod *n = arg;
+
+	syn_digest(n->syn, m);
+}
+
+static void on_strike(void *arg, const struct peer_strike *m)
+{
+	struct nod *n = arg;
+
+	qtn_learn(exe_quarantine(n->exec), m->fingerprint, m->strikes, m->label,
+		  clk_wall_ms(n->clk));
+}
+
+/* A peer asks which process answers here. */
+static void answer_hello(struct nod *n, struct per_question *q)
+{
+	struct peer_answer a = { .status = PEER_OK,
+				 .self = nod_to_peer(&n->self) };
+
+	per_reply(n->peers, q, &a);
+}
+
+static void on_call(void *arg, struct per_question *q, uint32_t procedure,
+		    const void *args)
+{
+	struct nod *n = arg;
+
+	switch (procedure) {
+	case PEER_OPEN:
+		pin_open(n->peer_in, q, args);
+		break;
+	case PEER_DATA:
+		pin_data(n->peer_in, q, args);
+		break;
+	case PEER_READ:
+		pin_read(n->peer_in, q, args);
+		break;
+	case PEER_CANCEL:
+		pin_cancel(n->peer_in, q, args);
+		break;
+	case PEER_SYNC:
+		syn_answer(n->syn, q, args);
+		break;
+	case PEER_FETCH:
+		pub_answer(n->pub, q, args);
+		break;
+	case PEER_HANDOVER:
+		own_handover(n->own, q, args);
+		break;
+	default:
+		answer_hello(n, q);
+		break;
+	}
+}
+
+static void on_gone(void *arg, struct per_question *q)
+{
+	struct nod *n = arg;
+
+	pin_gone(n->peer_in, q);
+}
+
+static const struct per_events peer_events = {
+	.lease = on_lease,
+	.digest = on_digest,
+	.strike = on_strike,
+	.call = on_call,
+	.gone = on_gone,
+};
+
+/* True when nothing is left that a caller or a peer waits for. */
+static bool is_idle(const struct nod *n)
+{
+	return own_acting_count(n->own) == 0 && exe_count(n->exec) == 0 &&
+	       ing_count(n->ingress) == 0;
+}
+
+struct stop {
+	struct nod *n;
+	uint64_t begun_us;
+	uint64_t idle_since_us;
+};
+
+/* Moves partitions by rows, then by release, and ends the loop when idle. */
+static void stop_due(void *arg, uint64_t now_us)
+{
+	struct stop *s = arg;
+	struct nod *n = s->n;
+	uint64_t waited = now_us - s->begun_us;
+
+	if (waited > n->set.drain_timeout_ms * US_PER_MS) {
+		log_emit(LOG_DRAIN_TIMEOUT, "running=%zu callers=%zu",
+			 exe_count(n->exec), ing_count(n->ingress));
+		lop_stop(n->loop);
+		return;
+	}
+	if (own_acting_count(n->own) &&
+	    (waited > MOVE_TIME_US || !syn_platform_up(n->syn)))
+		own_release_all(n->own);
+	if (!is_idle(n)) {
+		s->idle_since_us = 0;
+		return;
+	}
+	if (!s->idle_since_us)
+		s->idle_since_us = now_us;
+	if (now_us - s->idle_since_us > LINGER_US)
+		lop_stop(n->loop);
+}
+
+/* SIGTERM or SIGINT: the daemon leaves without cutting a request. */
+static void on_signal(void *arg, int signo)
+{
+	static struct stop stop;
+	struct nod *n = arg;
+
+	if (n->stopping)
+		return;
+	n->stopping = true;
+	log_emit(LOG_DRAIN_BEGUN, "signal=%d", signo);
+	stop.n = n;
+	stop.begun_us = nod_now_us(n);
+	stop.idle_since_us = 0;
+	upd_drain(n->upstream, true);
+	mem_set_upstream(n->member, mem_service(n->member), 0, MEMBER_DRAINING);
+	ing_stop(n->ingress);
+	tmr_every(n->timers, stop.begun_us, STOP_CHECK_US, stop_due, &stop);
+}
+
+/* Makes what has no sockets of its own, in the order of use. */
+static bool create_modules(struct nod *n, struct err *err)
+{
+	n->pub = pub_create(n, err);
+	if (!n->pub)
+		return false;
+	n->syn = syn_create(n);
+	n->writer = wrt_create(n);
+	n->member = mem_create(n);
+	n->exec = exe_create(n);
+	n->balance = bal_create(n);
+	n->peer_in = pin_create(n);
+	if (!n->syn || !n->writer || !n->member || !n->exec || !n->balance ||
+	    !n->peer_in)
+		return err_set(err, ERR_DAEMON, NOD_NO_MEMORY, "out of memory");
+	n->upstream = upd_create(n, err);
+	n->own = n->upstream ? own_create(n, err) : NULL;
+	n->probes = n->own ? prb_create(n, err) : NULL;
+	return n->probes != NULL;
+}
+
+/* Opens the ports, the one for callers last. */
+static bool create_sockets(struct nod *n, struct err *err)
+{
+	struct per_address bind = { .port = n->set.peer_port };
+
+	snprintf(bind.ip, sizeof(bind.ip), "%s", n->set.address);
+	n->platform = plt_http_create(n->loop, n->set.platform.address,
+				      n->set.platform.port, err);
+	if (!n->platform)
+		return err_wrap(err, ERR_DAEMON, NOD_NO_SOCKET, "platform");
+	n->peers = per_lws_create(n->loop, &bind, &peer_events, n, err);
+	if (!n->peers)
+		return err_wrap(err, ERR_DAEMON, NOD_NO_SOCKET, "peer port");
+	n->admin = adn_create(n, err);
+	if (!n->admin)
+		return false;
+	n->ingress = ing_create(n, err);
+	return n->ingress != NULL;
+}
+
+/* Makes a node that has drawn its incarnation. */
+struct nod *nod_create(const struct set *set, const struct clk *clk,
+		       struct err *err)
+{
+	struct nod *n = calloc(1, sizeof(*n));
+
+	if (!n) {
+		err_set(err, ERR_DAEMON, NOD_NO_MEMORY, "out of memory");
+		return NULL;
+	}
+	n->set = *set;
+	n->clk = clk;
+	n->self.instance = set->instance;
+	n->self.incarnation = clk_random(clk) | 1;
+	n->loop = lop_create(clk, 0, err);
+	n->mirror = mir_create();
+	n->traces =
+		trc_create(set->trace_file[0] ? set->trace_file : NULL,
+			   set->name, set->trace_sample_per_million, clk, err);
+	if (n->loop)
+		n->timers = lop_timers(n->loop);
+	if (!n->loop || !n->mirror || !n->traces || !create_modules(n, err) ||
+	    !create_sockets(n, err) ||
+	    !lop_on_signal(n->loop, on_signal, n, err)) {
+		nod_destroy(n);
+		return NULL;
+	}
+	return n;
+}
+
+/* Frees a node; what still runs is cut. */
+void nod_destroy(struct nod *n)
+{
+	if (!n)
+		return;
+	ing_destroy(n->ingress);
+	adn_destroy(n->admin);
+	pin_destroy(n->peer_in);
+	exe_destroy(n->exec);
+	if (n->peers)
+		per_destroy(n->peers);
+	if (n->platform)
+		plt_destroy(n->platform);
+	upd_destroy(n->upstream);
+	prb_destroy(n->probes);
+	own_destroy(n->own);
+	bal_destroy(n->balance);
+	mem_destroy(n->member);
+	wrt_destroy(n->writer);
+	syn_destroy(n->syn);
+	pub_destroy(n->pub);
+	trc_destroy(n->traces);
+	mir_destroy(n->mirror);
+	lop_destroy(n->loop);
+	free(n);
+}
+
+/* Runs the loop. */
+void nod_run(struct nod *n)
+{
+	log_emit(LOG_DAEMON_STARTED,
+		 "name=%s instance=%u incarnation=%016" PRIx64
+		 " http=%u peer=%u admin=%u",
+		 n->set.name, n->self.instance, n->self.incarnation,
+		 n->set.http_port, n->set.peer_port, n->set.admin_port);
+	lop_run(n->loop);
+	log_emit(LOG_DAEMON_STOPPED, "name=%s", n->set.name);
+}
+
+/* Reads the clock. */
+uint64_t nod_now_us(const struct nod *n)
+{
+	return clk_mono_us(n->clk);
+}
+
+/* Copies address and port. */
+void nod_peer_address(const struct member *m, struct per_address *out)
+{
+	memset(out, 0, sizeof(*out));
+	memcpy(out->ip, m->address, sizeof(out->ip));
+	out->port = m->peer_port;
+}
+
+/* Turns a process into the form of messages. */
+peer_proc nod_to_peer(const struct proc *p)
+{
+	peer_proc out = { .instance = p->instance,
+			  .incarnation = p->incarnation };
+
+	return out;
+}
+
+/* Turns a process from the form of messages. */
+struct proc nod_from_peer(const peer_proc *p)
+{
+	struct proc out = { .instance = p->instance,
+			    .incarnation = p->incarnation };
+
+	return out;
+}
+
+/* Loads a chart from the folder in the settings. */
+struct cht *nod_load_chart(const struct nod *n, const char *name,
+			   const char *const *states, const char *const *events,
+			   const struct cht_action *actions, size_t count,
+			   struct err *err)
+{
+	char path[SET_PATH_MAX + 64];
+	struct cht *c;
+
+	snprintf(path, sizeof(path), "%s/%s.yaml", n->set.chart_dir, name);
+	c = cht_load(path, states, events, actions, count, err);
+	if (!c)
+		err_wrap(err, ERR_DAEMON, NOD_BAD_CHART, "state chart %s",
+			 name);
+	return c;
+}
--- /dev/null
+++ b/packages/daemon/src/own.c
@@ -0,0 +1,558 @@
+#include "own.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "bal.h"
+#include "ctr.h"
+#include "exe.h"
+#include "log.h"
+#include "mem.h"
+#include "prb.h"
+#include "pub.h"
+#include "upd.h"
+
+#define TICK_US (50 * US_PER_MS)
+#define HANDOVER_TIMEOUT_US (2 * US_PER_S)
+#define DESTINATIONS_MAX 16
+
+/* When a process was last heard. */
+struct heard {
+	struct proc proc;
+	uint64_t at_us;
+	UT_hash_handle hh;
+};
+
+/* A partition that is being handed over, or was taken over with a window. */
+struct transfer {
+	uint64_t part;
+	uint64_t version; /* IMPORTED: of the row that the window is for */
+	enum {
+		TRANSFER_DRAINING,
+		TRANSFER_SENDING,
+		TRANSFER_IMPORTED
+	} step;
+	struct proc new_owner;
+	struct own *own;
+	UT_hash_handle hh;
+};
+
+/* Messages that leave together for one process. */
+struct batch {
+	struct proc to;
+	u_int count;
+	struct peer_lease_msg msgs[PEER_LEASE_MAX];
+};
+
+struct own {
+	struct nod *n;
+	struct cht *chart;
+	struct lse *lease;
+	struct heard *heard;
+	struct transfer *transfers;
+	struct batch batches[DESTINATIONS_MAX];
+	size_t batch_count;
+	size_t acting;
+	bool flush_pending;
+};
+
+/* Sends the messages of one batch in one datagram. */
+static void send_batch(struct own *o, const struct batch *b)
+{
+	const struct member *m = mir_member(o->n->mirror, b->to.instance);
+	struct peer_lease lease = { .from = nod_to_peer(&o->n->self),
+				    .to = nod_to_peer(&b->to) };
+	struct per_address to;
+
+	if (!m || !proc_equal(&m->proc, &b->to))
+		return;
+	lease.msgs.msgs_len = b->count;
+	lease.msgs.msgs_val = (peer_lease_msg *)b->msgs;
+	nod_peer_address(m, &to);
+	ctr_add(CTR_LEASE_DATAGRAMS, 1);
+	per_notify(o->n->peers, &to, PEER_LEASE, &lease);
+}
+
+static void flush(struct own *o)
+{
+	for (size_t i = 0; i < o->batch_count; i++)
+		send_batch(o, &o->batches[i]);
+	o->batch_count = 0;
+}
+
+static void flush_due(void *arg, uint64_t now_us)
+{
+	struct own *o = arg;
+
+	(void)now_us;
+	o->flush_pending = false;
+	flush(o);
+}
+
+/* Finds or makes the batch of a destination. */
+static struct batch *batch_for(struct own *o, const struct proc *to)
+{
+	struct batch *b;
+
+	for (size_t i = 0; i < o->batch_count; i++) {
+		b = &o->batches[i];
+		if (proc_equal(&b->to, to) && b->count < PEER_LEASE_MAX)
+			return b;
+	}
+	if (o->batch_count == DESTINATIONS_MAX)
+		flush(o);
+	b = &o->batches[o->batch_count++];
+	b->to = *to;
+	b->count = 0;
+	return b;
+}
+
+/* Collects a message; it leaves in the same step of the loop. */
+static void on_send(void *arg, const struct proc *to, const struct lse_msg *msg)
+{
+	struct own *o = arg;
+	struct batch *b = batch_for(o, to);
+	struct peer_lease_msg *m = &b->msgs[b->count++];
+
+	m->type = msg->type;
+	m->part = msg->part;
+	m->row_version = msg->version;
+	m->seq = msg->seq;
+	m->active = msg->active;
+	m->claimed = msg->claimed;
+	m->sealed_below = msg->sealed_below;
+	m->promised_to = nod_to_peer(&msg->promised_to);
+	m->promise_left_us = (u_int)msg->promise_left_us;
+	if (!o->flush_pending) {
+		o->flush_pending = true;
+		tmr_at(o->n->timers, nod_now_us(o->n), flush_due, o);
+	}
+}
+
+static struct transfer *find_transfer(struct own *o, uint64_t part)
+{
+	struct transfer *t;
+
+	HASH_FIND(hh, o->transfers, &part, sizeof(part), t);
+	return t;
+}
+
+static struct transfer *add_transfer(struct own *o, uint64_t part)
+{
+	struct transfer *t = find_transfer(o, part);
+
+	if (t)
+		return t;
+	t = calloc(1, sizeof(*t));
+	if (!t)
+		return NULL;
+	t->part = part;
+	t->own = o;
+	HASH_ADD(hh, o->transfers, part, sizeof(t->part), t);
+	return t;
+}
+
+static void drop_transfer(struct own *o, struct transfer *t)
+{
+	HASH_DEL(o->transfers, t);
+	free(t);
+}
+
+/*
+ * This process acts from now on. Without a window from the former owner it
+ * cannot know what ran before, so its window begins now.
+ */
+static void on_started(void *arg, uint64_t part, uint64_t fence)
+{
+	struct own *o = arg;
+	struct transfer *t = find_transfer(o, part);
+	bool imported = t && t->step == TRANSFER_IMPORTED;
+
+	o->acting++;
+	ctr_set(CTR_PARTITIONS_ACTING, o->acting);
+	log_emit(LOG_LEASE_STARTED,
+		 "service=%u partition=%u fence=%" PRIu64 " window=%s",
+		 part_service(part), part_index(part), fence,
+		 imported ? "handed_over" : "new");
+	if (imported)
+		drop_transfer(o, t);
+	else
+		dup_open(exe_duplicates(o->n->exec), part,
+			 clk_wall_ms(o->n->clk));
+}
+
+/* This process no longer acts; what still runs is ended. */
+static void on_stopped(void *arg, uint64_t part, uint64_t fence)
+{
+	struct own *o = arg;
+
+	o->acting -= o->acting > 0;
+	ctr_set(CTR_PARTITIONS_ACTING, o->acting);
+	log_emit(LOG_LEASE_STOPPED, "service=%u partition=%u fence=%" PRIu64,
+		 part_service(part), part_index(part), fence);
+	exe_abandon(o->n->exec, part);
+}
+
+/* The window has arrived at the new owner, or could not be sent. */
+static void handed_over(void *arg, enum per_failure failure, void *result)
+{
+	struct transfer *t = arg;
+	struct own *o = t->own;
+	struct peer_answer *answer = result;
+	uint64_t part = t->part;
+
+	if (failure != PER_OK || answer->status != PEER_OK)
+		log_emit(LOG_HANDOVER_FAILED, "service=%u partition=%u to=%u",
+			 part_service(part), part_index(part),
+			 t->new_owner.instance);
+	drop_transfer(o, t);
+	lse_drained(o->lease, part, nod_now_us(o->n));
+}
+
+/* Sends the duplicate window; the lease is kept until it has arrived. */
+static void send_window(struct own *o, struct transfer *t)
+{
+	const struct member *m =
+		mir_member(o->n->mirror, t->new_owner.instance);
+	const struct row *row = mir_row(o->n->mirror, t->part);
+	char *window = dup_export(exe_duplicates(o->n->exec), t->part);
+	struct peer_handover args = { .from = nod_to_peer(&o->n->self),
+				      .to = nod_to_peer(&t->new_owner),
+				      .part = t->part };
+	struct per_address to;
+	bool sent = false;
+
+	t->step = TRANSFER_SENDING;
+	if (m && row && window && strlen(window) <= PEER_BODY_MAX) {
+		args.row_version = row->set.version;
+		args.window.window_val = window;
+		args.window.window_len = (u_int)strlen(window);
+		nod_peer_address(m, &to);
+		sent = per_call(o->n->peers, &to, PEER_HANDOVER, &args,
+				HANDOVER_TIMEOUT_US, handed_over, t) != 0;
+	}
+	free(window);
+	if (!sent)
+		handed_over(t, PER_NOT_SENT, NULL);
+}
+
+static void drain_check_due(void *arg, uint64_t now_us)
+{
+	struct own *o = arg;
+	struct transfer *t;
+	struct transfer *next;
+
+	(void)now_us;
+	HASH_ITER(hh, o->transfers, t, next) {
+		if (t->step == TRANSFER_DRAINING &&
+		    exe_is_idle(o->n->exec, t->part))
+			send_window(o, t);
+	}
+}
+
+/* Another process shall own the partition: finish what runs, then hand over. */
+static void on_drain(void *arg, uint64_t part, const struct proc *new_owner)
+{
+	struct own *o = arg;
+	struct transfer *t = find_transfer(o, part);
+
+	if (t && t->step != TRANSFER_IMPORTED)
+		return;
+	t = add_transfer(o, part);
+	if (!t)
+		return;
+	t->step = TRANSFER_DRAINING;
+	t->new_owner = *new_owner;
+	tmr_at(o->n->timers, nod_now_us(o->n), drain_check_due, o);
+}
+
+static void on_want_row(void *arg, uint64_t part, enum lse_want want)
+{
+	struct own *o = arg;
+
+	bal_want(o->n->balance, part, want);
+}
+
+static const struct lse_ops lease_ops = {
+	.send = on_send,
+	.started = on_started,
+	.stopped = on_stopped,
+	.drain = on_drain,
+	.want_row = on_want_row,
+};
+
+static void tick_due(void *arg, uint64_t now_us)
+{
+	struct own *o = arg;
+
+	lse_tick(o->lease, now_us);
+}
+
+/* True if this process is in the row or in one of its earlier sets. */
+static bool concerns_self(const struct own *o, const struct row *row)
+{
+	if (row_set_has(&row->set, &o->n->self))
+		return true;
+	for (uint32_t i = 0; i < row->prev_count; i++) {
+		if (row_set_has(&row->prev[i], &o->n->self))
+			return true;
+	}
+	return false;
+}
+
+/* How long a successor waits for requests that the old upstream may run. */
+static uint64_t takeover_extra_us(const struct own *o, uint64_t part)
+{
+	const struct man *man = pub_manifest(o->n->pub);
+	const struct man_service *s =
+		man ? man_service_by_id(man, part_service(part)) : NULL;
+
+	if (!s || s->checks_fences)
+		return 0;
+	return man_longest_unrepeatable_ms(s) * US_PER_MS;
+}
+
+static void learn(struct own *o, const struct row *row)
+{
+	if (concerns_self(o, row) ||
+	    own_actor(o, row->part).instance == o->n->self.instance)
+		lse_learn(o->lease, row, takeover_extra_us(o, row->part),
+			  nod_now_us(o->n));
+}
+
+/* A row of the mirror has changed. */
+static void row_changed(void *arg, const struct mir_entry *entry)
+{
+	struct own *o = arg;
+	struct row row;
+
+	if (strncmp(entry->key, "row/", 4) == 0 &&
+	    row_decode(entry->value, &row, NULL))
+		learn(o, &row);
+}
+
+/* Rows may have come before the manifest, which the wait depends on. */
+static void manifest_changed(void *arg, const struct man *man)
+{
+	struct own *o = arg;
+	const struct row *row;
+	size_t pos = 0;
+
+	(void)man;
+	while ((row = mir_next_row(o->n->mirror, &pos)))
+		learn(o, row);
+}
+
+/* Makes the lease module and subscribes to what it needs. */
+struct own *own_create(struct nod *n, struct err *err)
+{
+	struct own *o = calloc(1, sizeof(*o));
+	char path[SET_PATH_MAX + 32];
+
+	if (!o) {
+		err_set(err, ERR_DAEMON, NOD_NO_MEMORY, "out of memory");
+		return NULL;
+	}
+	o->n = n;
+	snprintf(path, sizeof(path), "%s/lease.yaml", n->set.chart_dir);
+	o->chart = lse_chart_load(path, err);
+	if (o->chart)
+		o->lease = lse_create(&lse_default_params, o->chart, &n->self,
+				      &lease_ops, o);
+	if (!o->lease) {
+		err_wrap(err, ERR_DAEMON, NOD_BAD_CHART, "lease");
+		own_destroy(o);
+		return NULL;
+	}
+	mir_subscribe(n->mirror, row_changed, o);
+	pub_subscribe(n->pub, manifest_changed, o);
+	tmr_every(n->timers, nod_now_us(n) + TICK_US, TICK_US, tick_due, o);
+	tmr_every(n->timers, nod_now_us(n) + TICK_US, TICK_US, drain_check_due,
+		  o);
+	return o;
+}
+
+/* Frees the module without giving anything up. */
+void own_destroy(struct own *o)
+{
+	struct heard *h;
+	struct heard *next_heard;
+	struct transfer *t;
+	struct transfer *next_transfer;
+
+	if (!o)
+		return;
+	HASH_ITER(hh, o->heard, h, next_heard) {
+		HASH_DEL(o->heard, h);
+		free(h);
+	}
+	HASH_ITER(hh, o->transfers, t, next_transfer) {
+		drop_transfer(o, t);
+	}
+	lse_destroy(o->lease);
+	cht_destroy(o->chart);
+	free(o);
+}
+
+/* Notes that a process was heard. */
+static void note_heard(struct own *o, const struct proc *p)
+{
+	struct heard key;
+	struct heard *h;
+
+	memset(&key, 0, sizeof(key));
+	key.proc.instance = p->instance;
+	key.proc.incarnation = p->incarnation;
+	HASH_FIND(hh, o->heard, &key.proc, sizeof(key.proc), h);
+	if (!h) {
+		h = calloc(1, sizeof(*h));
+		if (!h)
+			return;
+		h->proc.instance = p->instance;
+		h->proc.incarnation = p->incarnation;
+		HASH_ADD(hh, o->heard, proc, sizeof(h->proc), h);
+	}
+	h->at_us = nod_now_us(o->n);
+}
+
+/* Takes the messages that are meant for this process. */
+void own_lease(struct own *o, const struct peer_lease *m)
+{
+	struct proc from = nod_from_peer(&m->from);
+	struct proc to = nod_from_peer(&m->to);
+
+	if (!proc_equal(&to, &o->n->self))
+		return;
+	note_heard(o, &from);
+	for (u_int i = 0; i < m->msgs.msgs_len; i++) {
+		const struct peer_lease_msg *p = &m->msgs.msgs_val[i];
+		struct lse_msg msg = { .type = (enum lse_type)p->type,
+				       .part = p->part,
+				       .version = p->row_version,
+				       .seq = p->seq,
+				       .active = p->active,
+				       .claimed = p->claimed,
+				       .sealed_below = p->sealed_below,
+				       .promise_left_us = p->promise_left_us };
+
+		msg.promised_to = nod_from_peer(&p->promised_to);
+		if (p->type <= LSE_SEAL_WAIT)
+			lse_receive(o->lease, &from, &msg, nod_now_us(o->n));
+	}
+}
+
+/* Keeps the window for the moment at which this process begins to act. */
+void own_handover(struct own *o, struct per_question *q,
+		  const struct peer_handover *args)
+{
+	struct peer_answer answer = { .status = PEER_INVALID,
+				      .self = nod_to_peer(&o->n->self) };
+	struct proc to = nod_from_peer(&args->to);
+	struct transfer *t = NULL;
+	char *text = NULL;
+
+	if (proc_equal(&to, &o->n->self)) {
+		text = strndup(args->window.window_val,
+			       args->window.window_len);
+		if (text && dup_import(exe_duplicates(o->n->exec), args->part,
+				       text, NULL))
+			t = add_transfer(o, args->part);
+	}
+	if (t) {
+		t->step = TRANSFER_IMPORTED;
+		t->version = args->row_version;
+		answer.status = PEER_OK;
+	}
+	free(text);
+	per_reply(o->n->peers, q, &answer);
+}
+
+/* Asks the lease module. */
+bool own_may_act(const struct own *o, uint64_t part, struct lse_term *term)
+{
+	return lse_may_act(o->lease, part, nod_now_us(o->n), term);
+}
+
+/* Compares the newest row with this process. */
+bool own_is_named(const struct own *o, uint64_t part)
+{
+	const struct row *row = mir_row(o->n->mirror, part);
+
+	return row && proc_equal(&row->set.owner, &o->n->self);
+}
+
+/* Asks the lease module, which knows more than the row in a takeover. */
+struct proc own_actor(const struct own *o, uint64_t part)
+{
+	const struct row *row = mir_row(o->n->mirror, part);
+	struct proc p = lse_actor(o->lease, part, nod_now_us(o->n));
+
+	if (!p.incarnation && row)
+		p = row->set.owner;
+	return p;
+}
+
+/* Passes a proof on. */
+void own_ended(struct own *o, const struct proc *p)
+{
+	lse_ended(o->lease, p, nod_now_us(o->n));
+}
+
+/* Looks up when a process was heard. */
+uint64_t own_last_heard(const struct own *o, const struct proc *p)
+{
+	struct heard key;
+	struct heard *h;
+
+	memset(&key, 0, sizeof(key));
+	key.proc.instance = p->instance;
+	key.proc.incarnation = p->incarnation;
+	HASH_FIND(hh, o->heard, &key.proc, sizeof(key.proc), h);
+	return h ? h->at_us : 0;
+}
+
+/* A partition that drains may be idle now. */
+void own_idle(struct own *o, uint64_t part)
+{
+	struct transfer *t = find_transfer(o, part);
+
+	if (t && t->step == TRANSFER_DRAINING)
+		tmr_at(o->n->timers, nod_now_us(o->n), drain_check_due, o);
+}
+
+/* Gives up every partition for which this process may act. */
+void own_release_all(struct own *o)
+{
+	struct lse_term term;
+	uint64_t part;
+	size_t pos = 0;
+
+	while (lse_next_part(o->lease, &pos, &part)) {
+		if (own_may_act(o, part, &term) &&
+		    exe_is_idle(o->n->exec, part))
+			lse_release(o->lease, part, nod_now_us(o->n));
+	}
+}
+
+/* Without an upstream nothing may be claimed, and what is held is released. */
+void own_set_able(struct own *o, bool able)
+{
+	lse_set_able(o->lease, able);
+	if (!able)
+		own_release_all(o);
+}
+
+/* Counts the partitions held. */
+size_t own_acting_count(const struct own *o)
+{
+	return o->acting;
+}
+
+/* Walks the partitions that concern this process. */
+bool own_next_part(const struct own *o, size_t *pos, uint64_t *part)
+{
+	return lse_next_part(o->lease, pos, part);
+}
