--- a/packages/state/src/row.h
+++ b/packages/state/src/row.h
@@ -69,6 +69,7 @@
 
 #define MEMBER_NAME_MAX 32
 #define MEMBER_ADDRESS_MAX 46
+#define MEMBER_SLOTS_MAX 1000
 
 enum member_state {
 	MEMBER_UP,
@@ -87,7 +88,7 @@
 	uint16_t peer_port; /* ONC RPC, TCP and UDP */
 	uint16_t admin_port; /* for operators */
 	uint16_t service; /* 0 while no upstream has announced itself */
-	uint16_t slots; /* of the upstream, 0 to 1000 */
+	uint16_t slots; /* of the upstream, 0 to MEMBER_SLOTS_MAX */
 	enum member_state state;
 };
 
@@ -98,7 +99,11 @@
 void row_key(uint64_t part, char out[ROW_KEY_MAX]);
 void member_key(uint32_t instance, char out[ROW_KEY_MAX]);
 
-/* Return a JSON text that the caller frees, NULL when memory is exhausted. */
+/*
+ * Return a JSON text that the caller frees, NULL when memory is exhausted or a
+ * text is not UTF-8. A process is written as [instance, "incarnation"] to keep
+ * the exchange of rows between peers small.
+ */
 char *row_encode(const struct row *row);
 char *member_encode(const struct member *m);
 
