--- /dev/null
+++ b/packages/state/tests/test_row.c
@@ -0,0 +1,197 @@
+/* Guards against rows that lose bits, and bad rows that are taken as good. */
+
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <setjmp.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "row.h"
+
+#define OWNER "[1,\"18446744073709551615\"]"
+#define WITNESSES "[[2,\"3\"],[0,\"0\"]]"
+#define SET(version)                                                          \
+	"{\"version\":" version ",\"owner\":" OWNER ",\"witness\":" WITNESSES \
+	"}"
+#define ROW(fields) \
+	"{\"service\":1,\"partition\":7,\"writer\":[1,\"5\"]," fields "}"
+
+static const struct row sample = {
+	.part = 1ULL << PART_SERVICE_SHIFT | 4294967295U,
+	.set = { .version = 9007199254740993ULL, /* 2^53 + 1 */
+		 .owner = { .instance = 4294967295U,
+			    .incarnation = UINT64_MAX },
+		 .witness = { { 2, 9007199254740995ULL }, { 0, 0 } } },
+	.prev_count = 2,
+	.prev = { { .version = 8,
+		    .owner = { 4, 5 },
+		    .witness = { { 6, 7 }, { 8, 9 } } },
+		  { .version = 7,
+		    .owner = { 6, 7 },
+		    .witness = { { 4, 5 }, { 8, 9 } } } },
+	.writer = { 2, 9007199254740995ULL },
+};
+
+static const struct member sample_member = {
+	.proc = { .instance = 17, .incarnation = UINT64_MAX },
+	.name = "kingston-1",
+	.data_centre = "kingston-a",
+	.region = "kingston",
+	.address = "2001:db8::1",
+	.http_port = 65535,
+	.peer_port = 2,
+	.admin_port = 3,
+	.service = 65535,
+	.slots = MEMBER_SLOTS_MAX,
+	.state = MEMBER_DRAINING,
+};
+
+static void row_survives_encoding(void **state)
+{
+	struct row read;
+	struct err err = { 0 };
+	char *text = row_encode(&sample);
+
+	(void)state;
+	assert_non_null(text);
+	memset(&read, 0xff, sizeof(read));
+	assert_true(row_decode(text, &read, &err));
+	assert_memory_equal(&read, &sample, sizeof(read));
+	free(text);
+}
+
+static void member_survives_encoding(void **state)
+{
+	struct member read;
+	struct err err = { 0 };
+	char *text = member_encode(&sample_member);
+
+	(void)state;
+	assert_non_null(text);
+	memset(&read, 0xff, sizeof(read));
+	assert_true(member_decode(text, &read, &err));
+	assert_memory_equal(&read, &sample_member, sizeof(read));
+	free(text);
+}
+
+/* An older daemon has to read the rows of a newer one. */
+static void unknown_fields_are_ignored(void **state)
+{
+	struct row row;
+	struct err err = { 0 };
+
+	(void)state;
+	assert_true(
+		row_decode(ROW("\"new\":{},\"prev\":[],\"set\":" SET("\"2\"")),
+			   &row, &err));
+	assert_int_equal(row.set.version, 2);
+	assert_true(row.set.owner.incarnation == UINT64_MAX);
+	assert_int_equal(row.prev_count, 0);
+}
+
+static void bad_rows_are_refused(void **state)
+{
+	static const struct {
+		const char *text;
+		int code;
+	} bad[] = {
+		{ "", ROW_BAD_JSON },
+		{ "[]", ROW_BAD_JSON },
+		{ "{\"service\":1", ROW_BAD_JSON },
+		{ "{\"service\":1,\"service\":2}", ROW_BAD_JSON },
+		{ "{}", ROW_BAD_FIELD },
+		{ ROW("\"prev\":[]"), ROW_BAD_FIELD },
+		{ ROW("\"set\":" SET("2")), ROW_BAD_FIELD },
+		{ ROW("\"prev\":[],\"set\":" SET("0")), ROW_BAD_FIELD },
+		{ ROW("\"prev\":[],\"set\":" SET("-1")), ROW_BAD_FIELD },
+		{ ROW("\"prev\":[],\"set\":" SET("\"+1\"")), ROW_BAD_FIELD },
+		{ ROW("\"prev\":[],\"set\":" SET("\"1x\"")), ROW_BAD_FIELD },
+		{ ROW("\"prev\":[],\"set\":" SET("1.5")), ROW_BAD_FIELD },
+		{ ROW("\"prev\":[],\"set\":" SET("\"9223372036854775808\"")),
+		  ROW_BAD_FIELD },
+		{ ROW("\"prev\":[],\"set\":" SET("\"18446744073709551616\"")),
+		  ROW_BAD_FIELD },
+		{ ROW("\"prev\":[" SET("2") "],\"set\":" SET("2")),
+		  ROW_BAD_FIELD },
+		{ ROW("\"prev\":[" SET("1") "," SET("2") "," SET("3") "," SET(
+			  "4") "," SET("5") "],\"set\":" SET("6")),
+		  ROW_BAD_FIELD },
+	};
+	struct row row = { .part = 77 };
+	struct err err;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		err_clear(&err);
+		assert_false(row_decode(bad[i].text, &row, &err));
+		assert_int_equal(err.layer, ERR_ROWS);
+		assert_int_equal(err.code, bad[i].code);
+		assert_true(err.text[0]);
+		assert_int_equal(row.part, 77);
+	}
+}
+
+/* Replaces one piece of a good member by a bad one. */
+static void bad_members_are_refused(void **state)
+{
+	static const char *const bad[][2] = {
+		{ "2001:db8::1", "example.com" },
+		{ "draining", "asleep" },
+		{ "65535", "65536" },
+		{ "1000", "1001" },
+		{ "\"18446744073709551615\"", "\"0\"" },
+		{ "kingston-1", "a-name-that-is-longer-than-32-bytes" },
+		{ "\"region\"", "\"regions\"" },
+	};
+	struct member m;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		char *text = member_encode(&sample_member);
+		char changed[1024];
+		char *at = strstr(text, bad[i][0]);
+		struct err err = { 0 };
+
+		assert_non_null(at);
+		snprintf(changed, sizeof(changed), "%.*s%s%s", (int)(at - text),
+			 text, bad[i][1], at + strlen(bad[i][0]));
+		assert_false(member_decode(changed, &m, &err));
+		assert_int_equal(err.code, ROW_BAD_FIELD);
+		free(text);
+	}
+}
+
+/* A missing witness must not make "no process" a member of the set. */
+static void fences_and_membership(void **state)
+{
+	struct proc none = { 0, 0 };
+	struct proc restarted = sample.set.owner;
+
+	(void)state;
+	restarted.incarnation--;
+	assert_true(row_set_has(&sample.set, &sample.set.owner));
+	assert_true(row_set_has(&sample.set, &sample.set.witness[0]));
+	assert_false(row_set_has(&sample.set, &none));
+	assert_false(row_set_has(&sample.set, &restarted));
+	assert_true(row_fence(&sample.prev[0]) == 16);
+	assert_true(row_successor_fence(&sample.prev[0]) == 17);
+	assert_int_equal(part_service(sample.part), 1);
+	assert_true(part_index(sample.part) == UINT32_MAX);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(row_survives_encoding),
+		cmocka_unit_test(member_survives_encoding),
+		cmocka_unit_test(unknown_fields_are_ignored),
+		cmocka_unit_test(bad_rows_are_refused),
+		cmocka_unit_test(bad_members_are_refused),
+		cmocka_unit_test(fences_and_membership),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
