Add placement decisions and the sketch of hot keys

Cause: owners decide by themselves who gets a partition, who witnesses it and what moves away. Second witnesses by succeeds alone, as members of other services have none and would get every row; the rows that they witness are counted too. Before: headers only. Conclusion: no signature changed; plc_view_apply, plc_is_armed, plc_drain_row and plc_member.witnesses were added, as a drain target cannot tell the successor of the row and a series of decisions needs current counts.

--- /dev/null
+++ b/packages/place/src/hot.c
@@ -0,0 +1,210 @@
+#include "hot.h"
+
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* A failed insertion leaves hh.tbl NULL instead of ending the process. */
+#define HASH_NONFATAL_OOM 1
+#include <uthash.h>
+
+#define HOT_SIZE_MAX 10000
+
+struct entry {
+	struct hot_key key;
+	size_t place; /* in the heap */
+	UT_hash_handle hh; /* by key.hash */
+};
+
+/*
+ * heap holds pointers to all entries; the first count of them are in use and
+ * form a heap with the smallest count at its root.
+ */
+struct hot {
+	struct entry *entries;
+	struct entry **heap;
+	struct entry *by_hash;
+	size_t size;
+	size_t count;
+};
+
+/* Allocates everything that hot_add() needs but the buckets of the hash. */
+struct hot *hot_create(size_t size)
+{
+	struct hot *h;
+
+	if (size < 1 || size > HOT_SIZE_MAX)
+		return NULL;
+	h = calloc(1, sizeof(*h));
+	if (!h)
+		return NULL;
+	h->size = size;
+	h->entries = calloc(size, sizeof(*h->entries));
+	h->heap = calloc(size, sizeof(struct entry *));
+	if (!h->entries || !h->heap) {
+		hot_destroy(h);
+		return NULL;
+	}
+	for (size_t i = 0; i < size; i++)
+		h->heap[i] = &h->entries[i];
+	return h;
+}
+
+/* h may be NULL. */
+void hot_destroy(struct hot *h)
+{
+	if (!h)
+		return;
+	HASH_CLEAR(hh, h->by_hash);
+	free(h->entries);
+	free(h->heap);
+	free(h);
+}
+
+static void put(struct hot *h, size_t place, struct entry *e)
+{
+	h->heap[place] = e;
+	e->place = place;
+}
+
+/* Moves an entry whose count has risen away from the root. */
+static void sift_down(struct hot *h, size_t place)
+{
+	struct entry *e = h->heap[place];
+
+	for (;;) {
+		size_t child = place * 2 + 1;
+
+		if (child >= h->count)
+			break;
+		if (child + 1 < h->count &&
+		    h->heap[child + 1]->key.count < h->heap[child]->key.count)
+			child++;
+		if (h->heap[child]->key.count >= e->key.count)
+			break;
+		put(h, place, h->heap[child]);
+		place = child;
+	}
+	put(h, place, e);
+}
+
+/* Moves a new entry towards the root. */
+static void sift_up(struct hot *h, size_t place)
+{
+	struct entry *e = h->heap[place];
+
+	while (place > 0) {
+		size_t parent = (place - 1) / 2;
+
+		if (h->heap[parent]->key.count <= e->key.count)
+			break;
+		put(h, place, h->heap[parent]);
+		place = parent;
+	}
+	put(h, place, e);
+}
+
+/* Takes the root out of the heap; it becomes an unused entry. */
+static void drop_root(struct hot *h)
+{
+	struct entry *root = h->heap[0];
+
+	h->count--;
+	h->heap[0] = h->heap[h->count];
+	h->heap[h->count] = root;
+	if (h->count)
+		sift_down(h, 0);
+}
+
+static bool fill(struct hot *h, struct entry *e, const struct hot_key *key)
+{
+	e->key = *key;
+	HASH_ADD(hh, h->by_hash, key.hash, sizeof(e->key.hash), e);
+	return e->hh.tbl != NULL;
+}
+
+static void add_new(struct hot *h, struct hot_key *key)
+{
+	struct entry *e = h->heap[h->count];
+
+	key->count = 1;
+	if (!fill(h, e, key))
+		return;
+	h->count++;
+	sift_up(h, h->count - 1);
+}
+
+/* The new key inherits the smallest count, which is then its error. */
+static void replace_smallest(struct hot *h, struct hot_key *key)
+{
+	struct entry *e = h->heap[0];
+
+	key->error = e->key.count;
+	key->count = e->key.count + 1;
+	HASH_DEL(h->by_hash, e);
+	if (fill(h, e, key))
+		sift_down(h, 0);
+	else
+		drop_root(h);
+}
+
+/* Keys of different partitions are different, also with equal bytes. */
+void hot_add(struct hot *h, uint64_t part, const char *key, size_t len)
+{
+	size_t kept = len < HOT_KEY_MAX ? len : HOT_KEY_MAX - 1;
+	struct hot_key k = { .part = part };
+	struct entry *e;
+
+	k.hash = XXH3_64bits_withSeed(key, len, part);
+	HASH_FIND(hh, h->by_hash, &k.hash, sizeof(k.hash), e);
+	if (e) {
+		e->key.count++;
+		sift_down(h, e->place);
+		return;
+	}
+	memcpy(k.key, key, kept);
+	if (h->count < h->size)
+		add_new(h, &k);
+	else
+		replace_smallest(h, &k);
+}
+
+/* Halving keeps the order of the counts and so the heap. */
+void hot_decay(struct hot *h)
+{
+	for (size_t i = 0; i < h->count; i++) {
+		h->heap[i]->key.count /= 2;
+		h->heap[i]->key.error /= 2;
+	}
+}
+
+static int compare_keys(const void *a, const void *b)
+{
+	const struct hot_key *left = a;
+	const struct hot_key *right = b;
+
+	if (left->count != right->count)
+		return left->count > right->count ? -1 : 1;
+	return (left->hash > right->hash) - (left->hash < right->hash);
+}
+
+/* Sorts a copy; keys whose count has decayed to 0 are left out. */
+size_t hot_top(const struct hot *h, struct hot_key *out, size_t max)
+{
+	struct hot_key *all = calloc(h->count + 1, sizeof(*all));
+	size_t count = 0;
+
+	if (!all)
+		return 0;
+	for (size_t i = 0; i < h->count; i++) {
+		if (h->heap[i]->key.count)
+			all[count++] = h->heap[i]->key;
+	}
+	qsort(all, count, sizeof(*all), compare_keys);
+	if (count > max)
+		count = max;
+	memcpy(out, all, count * sizeof(*out));
+	free(all);
+	return count;
+}
--- a/packages/place/src/plc.h
+++ b/packages/place/src/plc.h
@@ -28,9 +28,13 @@
 	double load; /* busy time per time over slots; 0 is idle, 1 is full */
 	uint32_t owned; /* partitions that it owns */
 	uint32_t succeeds; /* rows in which it is the successor */
+	uint32_t witnesses; /* rows in which it is the second witness */
 };
 
-/* All members and the counts above, made from a mirror for one service. */
+/*
+ * All members and the counts above, made from a mirror for one service. The
+ * members are in ascending order of their instances.
+ */
 struct plc_view {
 	struct plc_member *members;
 	size_t count;
@@ -47,6 +51,14 @@
 		   void *arg, struct plc_view *view);
 void plc_view_free(struct plc_view *view);
 
+/*
+ * Counts a decision in the view, so that several decisions from one view spread
+ * the load. before is NULL for a new row. load is the load of the partition at
+ * its owner in before (in after for a new row).
+ */
+void plc_view_apply(struct plc_view *view, const struct row_set *before,
+		    const struct row_set *after, double load);
+
 /* True if self is the member that should create the row of the partition. */
 bool plc_is_creator(const struct plc_view *view, uint64_t part,
 		    const struct proc *self);
@@ -58,9 +70,17 @@
 bool plc_choose(const struct plc_view *view, uint64_t part, uint64_t version,
 		const struct plc_policy *policy, struct row_set *set);
 
+/*
+ * True if owner and witnesses are up with the incarnations that the set names.
+ * A set that is not armed is written anew by its owner or successor.
+ */
+bool plc_is_armed(const struct plc_view *view, const struct row_set *set);
+
 /*
  * Fills *set for the same or a new owner with witnesses in other data centres:
- * those of old that are still up are kept. Returns false when there is no
+ * those of old that are still up are kept. The version is one more than that of
+ * old, or 1 when old is NULL. A successor in the owner's data centre is named
+ * only when no other data centre has one. Returns false when there is no
  * process for a second witness or for the successor; such a set is not written
  * unless the members cannot do better, in which case the missing process has
  * incarnation 0.
@@ -77,17 +97,30 @@
 
 /*
  * Chooses at most one move away from self: the partition in *part and its new
- * owner in *target. Returns false when nothing should move.
+ * owner in *target. Returns false when nothing should move. The caller limits
+ * the rate to moves_per_minute of the policy.
  */
 bool plc_next_move(const struct plc_view *view, const struct proc *self,
 		   const struct plc_load *loads, size_t count,
 		   const struct plc_policy *policy, uint64_t *part,
 		   struct proc *target);
 
-/* Chooses a new owner for each partition of a member that drains. */
+/*
+ * Chooses the least loaded member as the new owner of a partition of self,
+ * which drains. Returns false when no other member of the service is up.
+ */
 bool plc_drain_target(const struct plc_view *view, const struct proc *self,
 		      uint64_t part, struct proc *target);
 
+/*
+ * As plc_drain_target(), for a row that is known: a policy that weighs churn
+ * takes the successor, unless it is over the tolerance and so would have to
+ * move the partition on.
+ */
+bool plc_drain_row(const struct plc_view *view, const struct proc *self,
+		   uint64_t part, const struct row_set *set,
+		   const struct plc_policy *policy, struct proc *target);
+
 /* Maximum over mean of a list of loads; 1 for an empty list. */
 double plc_imbalance(const double *loads, size_t count);
 
--- /dev/null
+++ b/packages/place/src/plc_rank.c
@@ -0,0 +1,110 @@
+#include "plc_rank.h"
+
+#include <stdlib.h>
+#include <xxhash.h>
+
+/* Orders by the load relative to capacity. */
+double rank_by_load(const struct plc_member *m)
+{
+	return m->load;
+}
+
+/* Hashes both numbers as one block. */
+uint64_t rank_score(uint64_t key, uint32_t instance)
+{
+	uint64_t block[2] = { key, instance };
+
+	return XXH3_64bits(block, sizeof(block));
+}
+
+/* Inserts the member where its score belongs and drops the last one. */
+void rank_add(struct rank *r, uint64_t key, const struct plc_member *m)
+{
+	uint64_t score = rank_score(key, m->member->proc.instance);
+	size_t at = r->count;
+
+	if (at == RANK_CHOICES && score <= r->scores[at - 1])
+		return;
+	if (at < RANK_CHOICES)
+		r->count++;
+	else
+		at--;
+	for (; at > 0 && r->scores[at - 1] < score; at--) {
+		r->scores[at] = r->scores[at - 1];
+		r->members[at] = r->members[at - 1];
+	}
+	r->scores[at] = score;
+	r->members[at] = m;
+}
+
+/* The first of equal members has the highest score. */
+const struct plc_member *rank_best(const struct rank *r, rank_cost_fn cost)
+{
+	const struct plc_member *best = NULL;
+
+	for (size_t i = 0; i < r->count; i++) {
+		if (!best || cost(r->members[i]) < cost(best))
+			best = r->members[i];
+	}
+	return best;
+}
+
+static int compare_instance(const void *key, const void *entry)
+{
+	uint32_t instance = *(const uint32_t *)key;
+	const struct plc_member *m = entry;
+
+	if (instance == m->member->proc.instance)
+		return 0;
+	return instance < m->member->proc.instance ? -1 : 1;
+}
+
+/* Relies on the order of the members in the view. */
+struct plc_member *rank_find(const struct plc_view *view, uint32_t instance)
+{
+	if (!view->count)
+		return NULL;
+	return bsearch(&instance, view->members, view->count,
+		       sizeof(*view->members), compare_instance);
+}
+
+/* A restarted process is another one than the row names. */
+const struct plc_member *rank_find_up(const struct plc_view *view,
+				      const struct proc *p)
+{
+	const struct plc_member *m = rank_find(view, p->instance);
+
+	if (!m || m->member->state != MEMBER_UP ||
+	    !proc_equal(&m->member->proc, p))
+		return NULL;
+	return m;
+}
+
+/* A draining or gone member owns nothing new. */
+bool rank_serves(const struct plc_member *m, uint16_t service)
+{
+	return m->member->state == MEMBER_UP && m->member->service == service;
+}
+
+/* Returns 0 when no member is up. */
+double rank_mean(const struct plc_view *view, uint16_t service)
+{
+	double busy = 0;
+	double slots = 0;
+
+	for (size_t i = 0; i < view->count; i++) {
+		const struct plc_member *m = &view->members[i];
+
+		if (!rank_serves(m, service))
+			continue;
+		busy += m->load * rank_slots(m);
+		slots += rank_slots(m);
+	}
+	return slots > 0 ? busy / slots : 0;
+}
+
+/* An upstream that has announced no slots counts as one. */
+double rank_slots(const struct plc_member *m)
+{
+	return m->member->slots ? m->member->slots : 1;
+}
