lease: ownership decisions and duplicate window

Cause: a daemon needs to know when it may act for a partition, and which requests of non-idempotent kinds it may not run again. Excluded: a table of sent questions at the owner. The number of a question is its time of sending, so an answer tells its own term and no state is kept. Before: headers only.

--- /dev/null
+++ b/packages/lease/src/dup.c
@@ -0,0 +1,278 @@
+#include "dup_part.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define SENT_DIGITS_MAX 15
+
+/* Creates an empty table; nothing is allocated for entries yet. */
+struct dup *dup_create(size_t max_entries)
+{
+	struct dup *d = calloc(1, sizeof(*d));
+
+	if (!d)
+		return NULL;
+	d->max_entries = max_entries;
+	d->running = tab_create(TAB_MAX);
+	if (!d->running) {
+		free(d);
+		return NULL;
+	}
+	return d;
+}
+
+static void remove_entry(struct dup *d, struct dup_entry *e)
+{
+	if (e->handle)
+		tab_remove(d->running, e->handle);
+	HASH_DEL(d->entries, e);
+	free((void *)e->response.body);
+	free(e);
+}
+
+/* Frees all windows. */
+void dup_destroy(struct dup *d)
+{
+	struct dup_entry *e;
+	struct dup_entry *e_next;
+	struct dup_window *w;
+	struct dup_window *w_next;
+
+	if (!d)
+		return;
+	HASH_ITER(hh, d->entries, e, e_next)
+		remove_entry(d, e);
+	HASH_ITER(hh, d->windows, w, w_next) {
+		HASH_DEL(d->windows, w);
+		free(w);
+	}
+	tab_destroy(d->running);
+	free(d);
+}
+
+/* Finds the window of a partition; NULL if it is not open. */
+struct dup_window *dup_window(const struct dup *d, uint64_t part)
+{
+	struct dup_window *w;
+
+	HASH_FIND(hh, d->windows, &part, sizeof(part), w);
+	return w;
+}
+
+/*
+ * Sets the time from which a window is complete. When memory is exhausted the
+ * window stays closed and each request of the partition is refused.
+ */
+void dup_set_start(struct dup *d, uint64_t part, uint64_t start_ms)
+{
+	struct dup_window *w = dup_window(d, part);
+
+	if (!w) {
+		w = calloc(1, sizeof(*w));
+		if (!w)
+			return;
+		w->part = part;
+		HASH_ADD(hh, d->windows, part, sizeof(w->part), w);
+	}
+	w->start_ms = start_ms;
+}
+
+/* Begins a window; what an earlier one of the partition held is forgotten. */
+void dup_open(struct dup *d, uint64_t part, uint64_t now_ms)
+{
+	dup_close(d, part);
+	dup_set_start(d, part, now_ms);
+}
+
+/* Forgets a window and its entries, the running ones too. */
+void dup_close(struct dup *d, uint64_t part)
+{
+	struct dup_window *w = dup_window(d, part);
+	struct dup_entry *e;
+	struct dup_entry *next;
+
+	if (!w)
+		return;
+	HASH_ITER(hh, d->entries, e, next) {
+		if (e->key.part == part)
+			remove_entry(d, e);
+	}
+	HASH_DEL(d->windows, w);
+	free(w);
+}
+
+/* Reads <unix ms>-<text>; the text is printable ASCII without spaces. */
+bool dup_parse_id(const char *id, uint64_t *sent_ms)
+{
+	size_t len = strnlen(id, DUP_ID_MAX);
+	size_t digits = strspn(id, "0123456789");
+
+	if (len == DUP_ID_MAX || !digits || digits > SENT_DIGITS_MAX ||
+	    id[digits] != '-' || !id[digits + 1])
+		return false;
+	for (size_t i = 0; i < len; i++) {
+		if (id[i] <= ' ' || id[i] > '~')
+			return false;
+	}
+	*sent_ms = strtoull(id, NULL, 10);
+	return true;
+}
+
+static void make_key(struct dup_key *key, uint64_t part, const char *id)
+{
+	memset(key, 0, sizeof(*key));
+	key->part = part;
+	memcpy(key->id, id, strnlen(id, DUP_ID_MAX - 1));
+}
+
+/* Finds a request that is remembered. */
+struct dup_entry *dup_find(const struct dup *d, uint64_t part, const char *id)
+{
+	struct dup_key key;
+	struct dup_entry *e;
+
+	make_key(&key, part, id);
+	HASH_FIND(hh, d->entries, &key, sizeof(key), e);
+	return e;
+}
+
+/* Adds an entry of unknown result; NULL when there is no room. */
+struct dup_entry *dup_add(struct dup *d, uint64_t part, const char *id,
+			  uint64_t sent_ms)
+{
+	struct dup_entry *e;
+
+	if (HASH_COUNT(d->entries) >= d->max_entries)
+		return NULL;
+	e = calloc(1, sizeof(*e));
+	if (!e)
+		return NULL;
+	make_key(&e->key, part, id);
+	e->sent_ms = sent_ms;
+	e->state = DUP_STATE_UNKNOWN;
+	HASH_ADD(hh, d->entries, key, sizeof(e->key), e);
+	return e;
+}
+
+static enum dup_verdict judge_known(const struct dup_entry *e,
+				    struct dup_response *response)
+{
+	if (e->state == DUP_STATE_RUNNING)
+		return DUP_RUNNING;
+	if (e->state == DUP_STATE_UNKNOWN)
+		return DUP_UNKNOWN;
+	*response = e->response;
+	return DUP_DONE;
+}
+
+/* True if the request may have been seen and forgotten, or run elsewhere. */
+static bool is_unseen(const struct dup *d, uint64_t part, uint64_t sent_ms,
+		      uint64_t now_ms)
+{
+	const struct dup_window *w = dup_window(d, part);
+
+	return !w || sent_ms < w->start_ms + DUP_SKEW_MS ||
+	       sent_ms + DUP_WINDOW_MS < now_ms || sent_ms < d->horizon_ms;
+}
+
+/* Looks up first: an old request that is remembered has a better answer. */
+enum dup_verdict dup_begin(struct dup *d, uint64_t part, const char *id,
+			   uint64_t now_ms, uint32_t *handle,
+			   struct dup_response *response)
+{
+	uint64_t sent_ms;
+	struct dup_entry *e;
+
+	*handle = 0;
+	if (!dup_parse_id(id, &sent_ms) || sent_ms > now_ms + DUP_SKEW_MS)
+		return DUP_INVALID;
+	e = dup_find(d, part, id);
+	if (e)
+		return judge_known(e, response);
+	if (is_unseen(d, part, sent_ms, now_ms))
+		return DUP_UNSEEN;
+	e = dup_add(d, part, id, sent_ms);
+	if (!e)
+		return DUP_FULL;
+	e->handle = tab_add(d->running, e);
+	if (!e->handle) {
+		remove_entry(d, e);
+		return DUP_FULL;
+	}
+	e->state = DUP_STATE_RUNNING;
+	*handle = e->handle;
+	return DUP_NEW;
+}
+
+/* Copies a response into an entry; false when memory is exhausted. */
+bool dup_store(struct dup_entry *e, const struct dup_response *response)
+{
+	void *body = NULL;
+
+	e->response = *response;
+	e->response.body = NULL;
+	if (response->body_len > DUP_BODY_MAX)
+		e->response.body_cut = true;
+	if (e->response.body_cut)
+		e->response.body_len = 0;
+	if (e->response.body_len) {
+		body = malloc(e->response.body_len);
+		if (!body)
+			return false;
+		memcpy(body, response->body, e->response.body_len);
+	}
+	e->response.body = body;
+	return true;
+}
+
+static struct dup_entry *end_running(struct dup *d, uint32_t handle)
+{
+	struct dup_entry *e = tab_remove(d->running, handle);
+
+	if (e)
+		e->handle = 0;
+	return e;
+}
+
+/* Stores the response; without memory for it the result counts as unknown. */
+void dup_finish(struct dup *d, uint32_t handle,
+		const struct dup_response *response)
+{
+	struct dup_entry *e = end_running(d, handle);
+
+	if (e)
+		e->state = dup_store(e, response) ? DUP_STATE_DONE :
+						    DUP_STATE_UNKNOWN;
+}
+
+/* Keeps the request as one whose result is not known. */
+void dup_lose(struct dup *d, uint32_t handle)
+{
+	struct dup_entry *e = end_running(d, handle);
+
+	if (e)
+		e->state = DUP_STATE_UNKNOWN;
+}
+
+/* Removes the request, so that a resend runs. */
+void dup_forget(struct dup *d, uint32_t handle)
+{
+	struct dup_entry *e = tab_get(d->running, handle);
+
+	if (e)
+		remove_entry(d, e);
+}
+
+/* Drops what dup_begin() would refuse by its age; running requests stay. */
+void dup_tick(struct dup *d, uint64_t now_ms)
+{
+	struct dup_entry *e;
+	struct dup_entry *next;
+
+	if (now_ms > DUP_WINDOW_MS && d->horizon_ms < now_ms - DUP_WINDOW_MS)
+		d->horizon_ms = now_ms - DUP_WINDOW_MS;
+	HASH_ITER(hh, d->entries, e, next) {
+		if (e->sent_ms < d->horizon_ms && e->state != DUP_STATE_RUNNING)
+			remove_entry(d, e);
+	}
+}
--- a/packages/lease/src/dup.h
+++ b/packages/lease/src/dup.h
@@ -77,8 +77,9 @@
 char *dup_export(const struct dup *d, uint64_t part);
 
 /*
- * Replaces the window of a partition by one of a former owner. Errors: layer
- * lease, code 1; the window that was there stays.
+ * Replaces the window of a partition by one of a former owner; requests that
+ * are remembered here already stay. Errors: layer lease, code 1; the start of
+ * the window that was there stays.
  */
 bool dup_import(struct dup *d, uint64_t part, const char *text,
 		struct err *err);
--- /dev/null
+++ b/packages/lease/src/dup_json.c
@@ -0,0 +1,204 @@
+#include "dup_part.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#define HEX_DIGITS "0123456789abcdef"
+
+/* An entry that was read; it is added only when the whole text is valid. */
+struct incoming {
+	const char *id;
+	uint64_t sent_ms;
+	bool done;
+	struct dup_response response;
+	uint8_t body[DUP_BODY_MAX];
+};
+
+/* Bodies are bytes of any kind, which JSON strings cannot hold. */
+static json_t *hex_string(const uint8_t *bytes, size_t len)
+{
+	char text[2 * DUP_BODY_MAX + 1];
+
+	for (size_t i = 0; i < len; i++) {
+		text[2 * i] = HEX_DIGITS[bytes[i] >> 4];
+		text[2 * i + 1] = HEX_DIGITS[bytes[i] & 15];
+	}
+	return json_stringn(text, 2 * len);
+}
+
+static bool read_hex(const char *text, uint8_t *bytes, uint32_t *len)
+{
+	size_t n = strlen(text);
+
+	if (n % 2 || n / 2 > DUP_BODY_MAX || strspn(text, HEX_DIGITS) != n)
+		return false;
+	for (size_t i = 0; i < n / 2; i++) {
+		char pair[3] = { text[2 * i], text[2 * i + 1], 0 };
+
+		bytes[i] = (uint8_t)strtoul(pair, NULL, 16);
+	}
+	*len = (uint32_t)(n / 2);
+	return true;
+}
+
+/* A request that still runs here has an unknown result for the next owner. */
+static json_t *entry_json(const struct dup_entry *e)
+{
+	json_t *j = json_object();
+
+	if (json_object_set_new(j, "id", json_string(e->key.id)))
+		goto fail;
+	if (e->state != DUP_STATE_DONE)
+		return j;
+	if (json_object_set_new(j, "status",
+				json_integer(e->response.status)) ||
+	    json_object_set_new(j, "content_type",
+				json_string(e->response.content_type)) ||
+	    json_object_set_new(j, "cut", json_boolean(e->response.body_cut)) ||
+	    json_object_set_new(
+		    j, "body",
+		    hex_string(e->response.body, e->response.body_len)))
+		goto fail;
+	return j;
+fail:
+	json_decref(j);
+	return NULL;
+}
+
+/*
+ * Writes a window. What was dropped for its age is no longer known, so the
+ * window is complete only from the later of its start and the horizon.
+ */
+char *dup_export(const struct dup *d, uint64_t part)
+{
+	const struct dup_window *w = dup_window(d, part);
+	json_t *root = json_object();
+	json_t *list = json_array();
+	uint64_t start;
+	char *text = NULL;
+
+	if (!w || json_object_set(root, "entries", list))
+		goto out;
+	start = w->start_ms > d->horizon_ms ? w->start_ms : d->horizon_ms;
+	if (json_object_set_new(root, "start", json_integer((json_int_t)start)))
+		goto out;
+	for (const struct dup_entry *e = d->entries; e; e = e->hh.next) {
+		if (e->key.part == part &&
+		    json_array_append_new(list, entry_json(e)))
+			goto out;
+	}
+	text = json_dumps(root, JSON_COMPACT);
+out:
+	json_decref(list);
+	json_decref(root);
+	return text;
+}
+
+static bool fail(struct err *err, size_t i, const char *reason)
+{
+	return err_set(err, ERR_LEASE, DUP_BAD_WINDOW,
+		       "duplicate window: entry %zu: %s", i, reason);
+}
+
+/* Reads one entry and checks each field. */
+static bool read_entry(json_t *j, size_t i, struct incoming *in,
+		       struct err *err)
+{
+	const char *type = NULL;
+	const char *body = NULL;
+	int cut = 0;
+
+	memset(in, 0, sizeof(*in));
+	if (json_unpack(j, "{s:s}", "id", &in->id) ||
+	    !dup_parse_id(in->id, &in->sent_ms))
+		return fail(err, i, "id is missing or malformed");
+	in->done = json_object_get(j, "status") != NULL;
+	if (!in->done)
+		return true;
+	if (json_unpack(j, "{s:i,s:s,s:b,s:s}", "status", &in->response.status,
+			"content_type", &type, "cut", &cut, "body", &body))
+		return fail(err, i, "a field of the response is missing");
+	if (strlen(type) >= sizeof(in->response.content_type))
+		return fail(err, i, "content_type is longer than 63 bytes");
+	if (!read_hex(body, in->body, &in->response.body_len))
+		return fail(err, i, "body is not hex of at most 4096 bytes");
+	strcpy(in->response.content_type, type);
+	in->response.body_cut = cut;
+	in->response.body = in->body;
+	return true;
+}
+
+/* Checks the whole text before anything is changed. */
+static bool check_entries(const struct dup *d, uint64_t part, json_t *list,
+			  struct err *err)
+{
+	struct incoming in;
+	size_t added = 0;
+	size_t i;
+	json_t *j;
+
+	json_array_foreach(list, i, j) {
+		if (!read_entry(j, i, &in, err))
+			return false;
+		added += !dup_find(d, part, in.id);
+	}
+	if (HASH_COUNT(d->entries) + added > d->max_entries)
+		return fail(err, i, "the window does not fit");
+	return true;
+}
+
+/* An entry that is known here stays: it may be running. */
+static bool add_entries(struct dup *d, uint64_t part, json_t *list,
+			struct err *err)
+{
+	struct incoming in;
+	size_t i;
+	json_t *j;
+
+	json_array_foreach(list, i, j) {
+		struct dup_entry *e;
+
+		if (!read_entry(j, i, &in, err))
+			return false;
+		if (dup_find(d, part, in.id))
+			continue;
+		e = dup_add(d, part, in.id, in.sent_ms);
+		if (!e)
+			return fail(err, i, "out of memory");
+		if (in.done && dup_store(e, &in.response))
+			e->state = DUP_STATE_DONE;
+	}
+	return true;
+}
+
+/*
+ * Takes over the window of a former owner. Its start replaces the one here only
+ * after all entries were added.
+ */
+bool dup_import(struct dup *d, uint64_t part, const char *text, struct err *err)
+{
+	json_error_t parse;
+	json_t *root = json_loads(text, JSON_REJECT_DUPLICATES, &parse);
+	json_t *list = json_object_get(root, "entries");
+	json_t *start = json_object_get(root, "start");
+	bool ok;
+
+	if (!root)
+		return err_set(err, ERR_LEASE, DUP_BAD_WINDOW,
+			       "duplicate window: line %d: %s", parse.line,
+			       parse.text);
+	if (!json_is_array(list) || !json_is_integer(start) ||
+	    json_integer_value(start) < 0)
+		ok = err_set(err, ERR_LEASE, DUP_BAD_WINDOW,
+			     "duplicate window: start or entries is missing");
+	else
+		ok = check_entries(d, part, list, err) &&
+		     add_entries(d, part, list, err);
+	if (ok)
+		dup_set_start(d, part, (uint64_t)json_integer_value(start));
+	json_decref(root);
+	return ok;
+}
--- a/packages/lease/src/lse.h
+++ b/packages/lease/src/lse.h
@@ -43,9 +43,13 @@
 	enum lse_type type;
 	uint64_t part;
 	uint64_t version;
-	uint64_t seq; /* number of the question, echoed in its answer */
+	uint64_t seq; /* when the question was sent, echoed in its answer */
 	bool active; /* RENEW: the sets before this version are sealed */
-	bool claimed; /* answers: this version has gone to the successor */
+	/*
+	 * Answers: this version has gone to the successor. RENEW: the owner has
+	 * released this version; there is no answer.
+	 */
+	bool claimed;
 	uint64_t sealed_below; /* answers */
 	struct proc promised_to; /* SEALED: holder of an open promise */
 	uint64_t promise_left_us; /* SEALED: what is left of it */
@@ -130,6 +134,12 @@
 bool lse_may_act(const struct lse *l, uint64_t part, uint64_t now_us,
 		 struct lse_term *term);
 
+/*
+ * True if the sets before the newest version known here are known to be sealed:
+ * the next version of the row then needs only this one in prev.
+ */
+bool lse_is_active(const struct lse *l, uint64_t part);
+
 /* Returns the process that this one believes acts; incarnation 0 if unknown. */
 struct proc lse_actor(const struct lse *l, uint64_t part, uint64_t now_us);
 
--- /dev/null
+++ b/packages/lease/src/lse_model.c
@@ -0,0 +1,163 @@
+#include "lse_part.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Where the text of a state is written. */
+struct out {
+	uint8_t *buf;
+	size_t size;
+	size_t used;
+};
+
+/* Switches a fault on for a test of the search. */
+void lse_set_fault(struct lse *l, enum lse_fault fault)
+{
+	l->fault = fault;
+}
+
+static bool clone_parts(struct lse *copy, const struct lse *l)
+{
+	for (const struct part *p = l->parts; p; p = p->hh.next) {
+		struct part *q = malloc(sizeof(*q));
+
+		if (!q)
+			return false;
+		*q = *p;
+		HASH_ADD(hh, copy->parts, part, sizeof(q->part), q);
+	}
+	for (const struct ended *e = l->ended; e; e = e->hh.next) {
+		struct ended *f = malloc(sizeof(*f));
+
+		if (!f)
+			return false;
+		memcpy(f, e, sizeof(*f));
+		HASH_ADD(hh, copy->ended, proc, sizeof(f->proc), f);
+	}
+	return true;
+}
+
+/* Copies the partitions and the proofs of end. */
+struct lse *lse_clone(const struct lse *l, void *arg)
+{
+	struct lse *copy = malloc(sizeof(*copy));
+
+	if (!copy)
+		return NULL;
+	*copy = *l;
+	copy->arg = arg;
+	copy->parts = NULL;
+	copy->ended = NULL;
+	if (!clone_parts(copy, l)) {
+		lse_destroy(copy);
+		return NULL;
+	}
+	return copy;
+}
+
+static void put(struct out *o, uint64_t value)
+{
+	if (o->used + sizeof(value) <= o->size)
+		memcpy(o->buf + o->used, &value, sizeof(value));
+	o->used += sizeof(value);
+}
+
+static void put_proc(struct out *o, const struct proc *p)
+{
+	put(o, p->instance);
+	put(o, p->incarnation);
+}
+
+/* A moment that matters only while it is to come. */
+static void put_due(struct out *o, uint64_t at, uint64_t now)
+{
+	put(o, at > now ? at - now : 0);
+}
+
+/* A moment that matters until it is older than limit. */
+static void put_age(struct out *o, uint64_t at, uint64_t limit, uint64_t now)
+{
+	put(o, now - at < limit ? now - at : limit);
+}
+
+static void put_promise(struct out *o, const struct proc *to, uint64_t version,
+			uint64_t until, uint64_t now)
+{
+	const struct proc none = { 0 };
+	bool open = until > now;
+
+	put_proc(o, open ? to : &none);
+	put(o, open ? version : 0);
+	put_due(o, until, now);
+}
+
+static void put_seals(struct out *o, const struct lse *l, const struct part *p,
+		      uint64_t now)
+{
+	for (uint32_t i = 0; i < p->row.prev_count; i++) {
+		for (size_t j = 0; j < MEMBERS; j++) {
+			const struct seal *s = &p->seals[i][j];
+
+			put(o, s->sealed);
+			put_age(o, s->at_us, p->extra_us, now);
+			put_promise(o, &s->to, 1, s->until_us, now);
+		}
+	}
+	put_age(o, p->old_owner_us, l->params.promise_us, now);
+}
+
+static void put_set(struct out *o, const struct row_set *set)
+{
+	put(o, set->version);
+	for (size_t i = 0; i < MEMBERS; i++)
+		put_proc(o, lse_member(set, i));
+}
+
+static void put_part(struct out *o, const struct lse *l, const struct part *p,
+		     uint64_t now)
+{
+	bool seals =
+		p->phase == PHASE_SEALING || p->phase == PHASE_MOVING ||
+		(p->phase == PHASE_WATCHING && p->active < p->row.set.version);
+
+	put(o, p->part);
+	put(o, p->row.set.version);
+	put(o, (uint64_t)p->phase);
+	put(o, p->sealed_below);
+	put(o, p->claimed);
+	put(o, p->active);
+	put(o, p->released);
+	put_promise(o, &p->promise.to, p->promise.version, p->promise.until_us,
+		    now);
+	put(o,
+	    p->holds | p->as_successor << 1 | p->acting << 2 | p->drained << 3);
+	if (p->holds)
+		put_set(o, &p->held);
+	put_due(o, p->until_us, now);
+	put_due(o, p->quiet_us, now);
+	put(o, p->lead_us != 0);
+	put_due(o, p->lead_us, now);
+	put_due(o, p->next_ask_us, now);
+	put_due(o, p->next_seal_us, now);
+	put_due(o, p->next_want_us, now);
+	for (size_t i = 0; i < MEMBERS; i++)
+		put_age(o, p->heard_us[i], l->params.reassign_after_us, now);
+	if (seals)
+		put_seals(o, l, p, now);
+}
+
+/* The contents of a version of a row are fixed, so its number stands for it. */
+size_t lse_encode(const struct lse *l, uint64_t now_us, uint8_t *out,
+		  size_t size)
+{
+	struct out o = { .buf = out, .size = size };
+
+	put_proc(&o, &l->self);
+	for (const struct part *p = l->parts; p; p = p->hh.next)
+		put_part(&o, l, p, now_us);
+	for (const struct ended *e = l->ended; e; e = e->hh.next) {
+		put_proc(&o, &e->proc);
+		put_age(&o, e->at_us, l->params.promise_us, now_us);
+	}
+	return o.used;
+}
