--- a/packages/lease/src/dup.c
+++ b/packages/lease/src/dup.c
@@ -21,30 +21,64 @@
 	return d;
 }
 
-static void remove_entry(struct dup *d, struct dup_entry *e)
+static void free_entry(struct dup_entry *e)
+{
+	free((void *)e->response.body);
+	free(e);
+}
+
+/* Takes an entry out of the tables and puts it on a list for free_list(). */
+static void unlink_entry(struct dup *d, struct dup_entry *e,
+			 struct dup_entry **list)
 {
 	if (e->handle)
 		tab_remove(d->running, e->handle);
 	HASH_DEL(d->entries, e);
-	free((void *)e->response.body);
-	free(e);
+	e->next_unlinked = *list;
+	*list = e;
+}
+
+static void free_list(struct dup_entry *list)
+{
+	while (list) {
+		struct dup_entry *next = list->next_unlinked;
+
+		free_entry(list);
+		list = next;
+	}
+}
+
+static void remove_entry(struct dup *d, struct dup_entry *e)
+{
+	struct dup_entry *list = NULL;
+
+	unlink_entry(d, e, &list);
+	free_list(list);
 }
 
 /* Frees all windows. */
 void dup_destroy(struct dup *d)
 {
 	struct dup_entry *e;
-	struct dup_entry *e_next;
 	struct dup_window *w;
-	struct dup_window *w_next;
 
 	if (!d)
 		return;
-	HASH_ITER(hh, d->entries, e, e_next)
-		remove_entry(d, e);
-	HASH_ITER(hh, d->windows, w, w_next) {
-		HASH_DEL(d->windows, w);
+	e = d->entries;
+	w = d->windows;
+	HASH_CLEAR(hh, d->entries);
+	HASH_CLEAR(hh, d->windows);
+	while (e) {
+		struct dup_entry *next = e->hh.next;
+
+		free_entry(e);
+		e = next;
+	}
+	while (w) {
+		struct dup_window *next = w->hh.next;
+
 		free(w);
+		w = next;
 	}
 	tab_destroy(d->running);
 	free(d);
@@ -88,6 +122,7 @@
 void dup_close(struct dup *d, uint64_t part)
 {
 	struct dup_window *w = dup_window(d, part);
+	struct dup_entry *list = NULL;
 	struct dup_entry *e;
 	struct dup_entry *next;
 
@@ -95,8 +130,9 @@
 		return;
 	HASH_ITER(hh, d->entries, e, next) {
 		if (e->key.part == part)
-			remove_entry(d, e);
+			unlink_entry(d, e, &list);
 	}
+	free_list(list);
 	HASH_DEL(d->windows, w);
 	free(w);
 }
@@ -266,6 +302,7 @@
 /* Drops what dup_begin() would refuse by its age; running requests stay. */
 void dup_tick(struct dup *d, uint64_t now_ms)
 {
+	struct dup_entry *list = NULL;
 	struct dup_entry *e;
 	struct dup_entry *next;
 
@@ -273,6 +310,7 @@
 		d->horizon_ms = now_ms - DUP_WINDOW_MS;
 	HASH_ITER(hh, d->entries, e, next) {
 		if (e->sent_ms < d->horizon_ms && e->state != DUP_STATE_RUNNING)
-			remove_entry(d, e);
+			unlink_entry(d, e, &list);
 	}
+	free_list(list);
 }
--- a/packages/lease/src/dup_json.c
+++ b/packages/lease/src/dup_json.c
@@ -125,7 +125,7 @@
 		return fail(err, i, "content_type is longer than 63 bytes");
 	if (!read_hex(body, in->body, &in->response.body_len))
 		return fail(err, i, "body is not hex of at most 4096 bytes");
-	strcpy(in->response.content_type, type);
+	memcpy(in->response.content_type, type, strlen(type));
 	in->response.body_cut = cut;
 	in->response.body = in->body;
 	return true;
--- a/packages/lease/src/dup_part.h
+++ b/packages/lease/src/dup_part.h
@@ -27,6 +27,7 @@
 	enum dup_state state;
 	uint32_t handle; /* while it runs */
 	struct dup_response response; /* its body belongs to the entry */
+	struct dup_entry *next_unlinked; /* on its way to be freed */
 	UT_hash_handle hh;
 };
 
--- a/packages/lease/src/lse.c
+++ b/packages/lease/src/lse.c
@@ -35,19 +35,25 @@
 void lse_destroy(struct lse *l)
 {
 	struct part *p;
-	struct part *p_next;
 	struct ended *e;
-	struct ended *e_next;
 
 	if (!l)
 		return;
-	HASH_ITER(hh, l->parts, p, p_next) {
-		HASH_DEL(l->parts, p);
+	p = l->parts;
+	e = l->ended;
+	HASH_CLEAR(hh, l->parts);
+	HASH_CLEAR(hh, l->ended);
+	while (p) {
+		struct part *next = p->hh.next;
+
 		free(p);
+		p = next;
 	}
-	HASH_ITER(hh, l->ended, e, e_next) {
-		HASH_DEL(l->ended, e);
+	while (e) {
+		struct ended *next = e->hh.next;
+
 		free(e);
+		e = next;
 	}
 	free(l);
 }
--- a/packages/lease/src/lse_hold.c
+++ b/packages/lease/src/lse_hold.c
@@ -20,6 +20,19 @@
 	return msg->seq <= now_us && now_us < until ? until : 0;
 }
 
+/* A grant extends the term; the next renewal is due an interval after it. */
+static void extend(struct lse *l, struct part *p, const struct lse_msg *msg,
+		   uint64_t until, uint64_t now_us)
+{
+	uint64_t next = msg->seq + l->params.renew_interval_us;
+
+	if (p->until_us < until)
+		p->until_us = until;
+	if (p->next_ask_us < next)
+		p->next_ask_us = next;
+	lse_fire(l, p, EVENT_GRANTED, now_us);
+}
+
 /* A witness has renewed the owner's term. */
 void lse_on_grant(struct lse *l, struct part *p, const struct proc *from,
 		  const struct lse_msg *msg, uint64_t now_us)
@@ -29,9 +42,7 @@
 	if (!p->holds || p->as_successor || p->held.version != msg->version ||
 	    !until || !row_set_has(&p->held, from))
 		return;
-	if (p->until_us < until)
-		p->until_us = until;
-	lse_fire(l, p, EVENT_GRANTED, now_us);
+	extend(l, p, msg, until, now_us);
 }
 
 /*
@@ -75,9 +86,7 @@
 		if (!p->as_successor || p->held.version != msg->version ||
 		    !row_set_has(&p->held, from))
 			return;
-		if (p->until_us < until)
-			p->until_us = until;
-		lse_fire(l, p, EVENT_GRANTED, now_us);
+		extend(l, p, msg, until, now_us);
 	} else if (p->row.set.version == msg->version &&
 		   row_set_has(&p->row.set, from) &&
 		   p->phase == PHASE_CLAIMING && may_lead(l, p, now_us)) {
@@ -110,31 +119,32 @@
 
 /*
  * Sends RENEW or CLAIM when it is due. The time of sending is the number of the
- * question, so that an answer tells its own term.
+ * question, so that an answer tells its own term. A question that nobody grants
+ * is repeated early: a term has room for only two renewal intervals.
  */
 void lse_ask(struct lse *l, struct part *p, uint64_t now_us)
 {
 	const struct row_set *set = p->holds ? &p->held : &p->row.set;
 	struct lse_msg msg = { .type = LSE_RENEW, .seq = now_us };
-	uint64_t interval = l->params.renew_interval_us;
+	uint64_t interval = l->params.claim_interval_us;
 
 	if (now_us < p->next_ask_us)
 		return;
 	msg.version = set->version;
 	if (p->phase == PHASE_CLAIMING) {
 		msg.type = LSE_CLAIM;
-		interval = l->params.claim_interval_us;
 	} else if (p->holds) {
 		msg.type = p->as_successor ? LSE_CLAIM : LSE_RENEW;
 		msg.active = true;
+	} else if (p->phase == PHASE_SEALING) {
+		interval = l->params.renew_interval_us;
 	} else if (p->phase == PHASE_GIVEN_UP && p->released == set->version &&
 		   lse_is_self(l, &set->owner)) {
 		msg.claimed = true;
-	} else if (p->phase != PHASE_SEALING) {
+		interval = l->params.renew_interval_us;
+	} else {
 		return;
 	}
 	p->next_ask_us = now_us + interval;
-	if (p->phase == PHASE_RENEWING)
-		p->next_ask_us = now_us + l->params.claim_interval_us;
 	ask_members(l, p, set, &msg);
 }
