wire: add RPC messages and record marking

Daemons exchange ONC RPC calls and replies; until now only the generated codecs of peer.x existed.

rpc.c encodes and decodes heads and bodies with libtirpc in memory. The length of a record is checked against RPC_MESSAGE_MAX before any byte of it is stored, and the buffer grows with the bytes received, so a mark alone reserves no memory. Empty fragments and credentials other than AUTH_NONE are refused, since no daemon sends them. A body that leaves bytes over is malformed. The record layer of libtirpc was not used because it reads from its own descriptor.

rpc_no_body() replaces xdr_void, whose type cannot be cast to xdrproc_t without a warning. PROG_MISMATCH and SYSTEM_ERR are encoded too.

--- /dev/null
+++ b/packages/wire/src/rpc.c
@@ -0,0 +1,368 @@
+#include "rpc.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "peer.h"
+
+/* The top bit of a record mark says that the fragment is the last one. */
+#define MARK_LAST 0x80000000U
+
+/* A stream gives its buffer back after a record that needed more than this. */
+#define STREAM_KEEP_BYTES 4096
+
+struct rpc_stream {
+	rpc_message_fn fn;
+	void *arg;
+	uint8_t mark[RPC_MARK_BYTES];
+	size_t mark_len;
+	size_t left; /* bytes of the fragment that are still to come */
+	bool last; /* the fragment ends the record */
+	bool in_fragment;
+	uint8_t *record;
+	size_t len;
+	size_t capacity;
+};
+
+/* The codec of a message without arguments or results. */
+bool_t rpc_no_body(XDR *x, ...)
+{
+	(void)x;
+	return TRUE;
+}
+
+/* Closes an encoding: its length, or 0 and the error. */
+static size_t finish_encoding(XDR *x, bool ok, struct err *err)
+{
+	size_t len = ok ? xdr_getpos(x) : 0;
+
+	xdr_destroy(x);
+	if (!ok)
+		err_set(err, ERR_WIRE, RPC_TOO_LONG,
+			"the message exceeds its buffer or a limit of peer.x");
+	return len;
+}
+
+/* Opens an encoding; libtirpc takes the size as an unsigned int. */
+static void begin_encoding(XDR *x, uint8_t *buf, size_t size)
+{
+	if (size > RPC_MESSAGE_MAX)
+		size = RPC_MESSAGE_MAX;
+	xdrmem_create(x, (char *)buf, (u_int)size, XDR_ENCODE);
+}
+
+/* Encodes a call: the head with AUTH_NONE, then the arguments. */
+size_t rpc_encode_call(uint8_t *buf, size_t size, uint32_t xid,
+		       uint32_t procedure, xdrproc_t codec, void *args,
+		       struct err *err)
+{
+	struct rpc_msg msg;
+	XDR x;
+	bool ok;
+
+	memset(&msg, 0, sizeof(msg));
+	msg.rm_xid = xid;
+	msg.rm_direction = CALL;
+	msg.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+	msg.rm_call.cb_prog = PEER_PROGRAM;
+	msg.rm_call.cb_vers = PEER_V1;
+	msg.rm_call.cb_proc = procedure;
+	msg.rm_call.cb_cred = _null_auth;
+	msg.rm_call.cb_verf = _null_auth;
+	begin_encoding(&x, buf, size);
+	ok = xdr_callmsg(&x, &msg) && codec(&x, args);
+	return finish_encoding(&x, ok, err);
+}
+
+/* Fills the head of an accepted reply without results. */
+static void fill_reply(struct rpc_msg *msg, uint32_t xid, enum accept_stat stat)
+{
+	memset(msg, 0, sizeof(*msg));
+	msg->rm_xid = xid;
+	msg->rm_direction = REPLY;
+	msg->rm_reply.rp_stat = MSG_ACCEPTED;
+	msg->acpted_rply.ar_verf = _null_auth;
+	msg->acpted_rply.ar_stat = stat;
+	if (stat == SUCCESS) {
+		msg->acpted_rply.ar_results.proc = rpc_no_body;
+	} else if (stat == PROG_MISMATCH) {
+		msg->acpted_rply.ar_vers.low = PEER_V1;
+		msg->acpted_rply.ar_vers.high = PEER_V1;
+	}
+}
+
+/* Encodes a reply: the head, then the result. */
+size_t rpc_encode_reply(uint8_t *buf, size_t size, uint32_t xid,
+			xdrproc_t codec, void *result, struct err *err)
+{
+	struct rpc_msg msg;
+	XDR x;
+	bool ok;
+
+	fill_reply(&msg, xid, SUCCESS);
+	begin_encoding(&x, buf, size);
+	ok = xdr_replymsg(&x, &msg) && codec(&x, result);
+	return finish_encoding(&x, ok, err);
+}
+
+/* Encodes a reply without results; PROG_MISMATCH names the one version. */
+size_t rpc_encode_refusal(uint8_t *buf, size_t size, uint32_t xid,
+			  enum accept_stat why, struct err *err)
+{
+	struct rpc_msg msg;
+	XDR x;
+	bool ok;
+
+	fill_reply(&msg, xid, why);
+	begin_encoding(&x, buf, size);
+	ok = xdr_replymsg(&x, &msg);
+	return finish_encoding(&x, ok, err);
+}
+
+/* Opens a decoding of a message whose length fits libtirpc's type. */
+static void begin_decoding(XDR *x, const uint8_t *buf, size_t len)
+{
+	xdrmem_create(x, (char *)(uintptr_t)buf, (u_int)len, XDR_DECODE);
+}
+
+/* Decodes the head of a call; credentials other than AUTH_NONE are refused. */
+static bool decode_call(XDR *x, struct rpc_head *head)
+{
+	char cred[MAX_AUTH_BYTES];
+	char verf[MAX_AUTH_BYTES];
+	struct rpc_msg msg;
+
+	memset(&msg, 0, sizeof(msg));
+	msg.rm_call.cb_cred.oa_base = cred;
+	msg.rm_call.cb_verf.oa_base = verf;
+	if (!xdr_callmsg(x, &msg))
+		return false;
+	if (msg.rm_call.cb_rpcvers != RPC_MSG_VERSION ||
+	    msg.rm_call.cb_cred.oa_flavor != AUTH_NONE ||
+	    msg.rm_call.cb_verf.oa_flavor != AUTH_NONE)
+		return false;
+	head->kind = RPC_CALL;
+	head->xid = (uint32_t)msg.rm_xid;
+	head->program = (uint32_t)msg.rm_call.cb_prog;
+	head->version = (uint32_t)msg.rm_call.cb_vers;
+	head->procedure = (uint32_t)msg.rm_call.cb_proc;
+	return true;
+}
+
+/* Decodes the head of a reply; a denied one is reported as SYSTEM_ERR. */
+static bool decode_reply(XDR *x, struct rpc_head *head)
+{
+	char verf[MAX_AUTH_BYTES];
+	struct rpc_msg msg;
+
+	memset(&msg, 0, sizeof(msg));
+	msg.acpted_rply.ar_verf.oa_base = verf;
+	msg.acpted_rply.ar_results.proc = rpc_no_body;
+	if (!xdr_replymsg(x, &msg))
+		return false;
+	head->kind = RPC_REPLY;
+	head->xid = (uint32_t)msg.rm_xid;
+	head->accepted = SYSTEM_ERR;
+	if (msg.rm_reply.rp_stat == MSG_DENIED)
+		return true;
+	if ((unsigned int)msg.acpted_rply.ar_stat > SYSTEM_ERR)
+		return false;
+	head->accepted = msg.acpted_rply.ar_stat;
+	return true;
+}
+
+/* Reads the direction first, since calls and replies have different heads. */
+bool rpc_decode_head(const uint8_t *buf, size_t len, struct rpc_head *head,
+		     struct err *err)
+{
+	uint32_t xid;
+	uint32_t direction;
+	bool ok = false;
+	XDR x;
+
+	memset(head, 0, sizeof(*head));
+	if (len > RPC_MESSAGE_MAX)
+		return err_set(err, ERR_WIRE, RPC_TOO_LONG,
+			       "a message of %zu bytes is too long", len);
+	begin_decoding(&x, buf, len);
+	if (xdr_uint32_t(&x, &xid) && xdr_uint32_t(&x, &direction) &&
+	    xdr_setpos(&x, 0)) {
+		if (direction == CALL)
+			ok = decode_call(&x, head);
+		else if (direction == REPLY)
+			ok = decode_reply(&x, head);
+	}
+	head->pos = xdr_getpos(&x);
+	xdr_destroy(&x);
+	if (!ok)
+		return err_set(
+			err, ERR_WIRE, RPC_MALFORMED,
+			"the head of a message of %zu bytes is malformed", len);
+	return true;
+}
+
+/* Decodes what follows the head; on an error nothing stays allocated. */
+bool rpc_decode_body(const uint8_t *buf, size_t len, size_t pos,
+		     xdrproc_t codec, void *out, struct err *err)
+{
+	bool decoded;
+	bool whole;
+	XDR x;
+
+	if (len > RPC_MESSAGE_MAX || pos > len)
+		return err_set(err, ERR_WIRE, RPC_TOO_LONG,
+			       "a message of %zu bytes has no body at %zu", len,
+			       pos);
+	begin_decoding(&x, buf + pos, len - pos);
+	decoded = codec(&x, out);
+	whole = decoded && xdr_getpos(&x) == len - pos;
+	xdr_destroy(&x);
+	if (whole)
+		return true;
+	xdr_free(codec, out);
+	return err_set(err, ERR_WIRE, RPC_MALFORMED,
+		       decoded ? "bytes are left over after the body" :
+				 "the body of a message is malformed");
+}
+
+/* Writes the mark of a record that has only one fragment. */
+void rpc_write_mark(uint8_t out[RPC_MARK_BYTES], size_t len)
+{
+	uint32_t mark = MARK_LAST | (uint32_t)len;
+
+	out[0] = (uint8_t)(mark >> 24);
+	out[1] = (uint8_t)(mark >> 16);
+	out[2] = (uint8_t)(mark >> 8);
+	out[3] = (uint8_t)mark;
+}
+
+/* Makes a stream at the start of a record. */
+struct rpc_stream *rpc_stream_create(rpc_message_fn fn, void *arg)
+{
+	struct rpc_stream *s = calloc(1, sizeof(*s));
+
+	if (!s)
+		return NULL;
+	s->fn = fn;
+	s->arg = arg;
+	return s;
+}
+
+/* Frees the stream with an incomplete record. */
+void rpc_stream_destroy(struct rpc_stream *s)
+{
+	if (!s)
+		return;
+	free(s->record);
+	free(s);
+}
+
+/* Takes bytes of the mark and checks it when all four are there. */
+static bool take_mark(struct rpc_stream *s, const uint8_t **buf, size_t *len,
+		      struct err *err)
+{
+	uint32_t mark;
+
+	while (*len && s->mark_len < RPC_MARK_BYTES) {
+		s->mark[s->mark_len++] = *(*buf)++;
+		--*len;
+	}
+	if (s->mark_len < RPC_MARK_BYTES)
+		return true;
+	s->mark_len = 0;
+	mark = (uint32_t)s->mark[0] << 24 | (uint32_t)s->mark[1] << 16 |
+	       (uint32_t)s->mark[2] << 8 | s->mark[3];
+	s->last = mark & MARK_LAST;
+	s->left = mark & ~MARK_LAST;
+	s->in_fragment = true;
+	if (!s->left)
+		return err_set(err, ERR_WIRE, RPC_MALFORMED,
+			       "a record has an empty fragment");
+	if (s->left > RPC_MESSAGE_MAX - s->len)
+		return err_set(err, ERR_WIRE, RPC_TOO_LONG,
+			       "a record of %zu bytes is over the limit of %d",
+			       s->len + s->left, RPC_MESSAGE_MAX);
+	return true;
+}
+
+/*
+ * Appends to the record. The buffer grows with the bytes that have come, not
+ * with the length that a mark announces, so a peer cannot reserve memory.
+ */
+static bool append(struct rpc_stream *s, const uint8_t *buf, size_t n,
+		   struct err *err)
+{
+	size_t capacity = s->capacity ? s->capacity : STREAM_KEEP_BYTES;
+	uint8_t *record;
+
+	while (capacity < s->len + n)
+		capacity *= 2;
+	if (capacity > s->capacity) {
+		record = realloc(s->record, capacity);
+		if (!record)
+			return err_set(err, ERR_WIRE, RPC_NO_MEMORY,
+				       "no memory for a record");
+		s->record = record;
+		s->capacity = capacity;
+	}
+	memcpy(s->record + s->len, buf, n);
+	s->len += n;
+	return true;
+}
+
+/* Hands the assembled record over and starts the next one. */
+static bool deliver(struct rpc_stream *s)
+{
+	bool go_on = s->fn(s->arg, s->record, s->len);
+
+	s->len = 0;
+	if (s->capacity > STREAM_KEEP_BYTES) {
+		free(s->record);
+		s->record = NULL;
+		s->capacity = 0;
+	}
+	return go_on;
+}
+
+/* Takes bytes of the fragment; a record that lies whole in buf is not copied. */
+static bool take_fragment(struct rpc_stream *s, const uint8_t **buf,
+			  size_t *len, struct err *err)
+{
+	const uint8_t *from = *buf;
+	size_t n = *len < s->left ? *len : s->left;
+	bool go_on = true;
+
+	*buf += n;
+	*len -= n;
+	s->left -= n;
+	s->in_fragment = s->left > 0;
+	if (!s->left && s->last && !s->len)
+		go_on = s->fn(s->arg, from, n);
+	else if (!append(s, from, n, err))
+		return false;
+	else if (!s->left && s->last)
+		go_on = deliver(s);
+	if (!go_on)
+		err_set(err, ERR_WIRE, RPC_MALFORMED,
+			"a message was not accepted");
+	return go_on;
+}
+
+/* Alternates between marks and fragments until the bytes are used up. */
+bool rpc_stream_feed(struct rpc_stream *s, const uint8_t *buf, size_t len,
+		     struct err *err)
+{
+	while (len) {
+		if (!s->in_fragment && !take_mark(s, &buf, &len, err))
+			return false;
+		if (s->in_fragment && len && !take_fragment(s, &buf, &len, err))
+			return false;
+	}
+	return true;
+}
+
+/* A record is incomplete from the first byte of its mark on. */
+bool rpc_stream_is_partial(const struct rpc_stream *s)
+{
+	return s->mark_len || s->in_fragment || s->len;
+}
--- a/packages/wire/src/rpc.h
+++ b/packages/wire/src/rpc.h
@@ -34,6 +34,9 @@
 	RPC_REPLY
 };
 
+/* Codec of a message without arguments or results. */
+bool_t rpc_no_body(XDR *x, ...);
+
 /* The head of a message; pos is where its arguments or results begin. */
 struct rpc_head {
 	enum rpc_kind kind;
@@ -41,13 +44,13 @@
 	uint32_t program; /* calls */
 	uint32_t version; /* calls */
 	uint32_t procedure; /* calls */
-	enum accept_stat accepted; /* replies */
+	enum accept_stat accepted; /* replies; SYSTEM_ERR if denied */
 	size_t pos;
 };
 
 /*
  * Encode a message into buf. Return its length, 0 with an error of layer wire.
- * args may be NULL with xdr_void.
+ * args may be NULL with rpc_no_body().
  */
 size_t rpc_encode_call(uint8_t *buf, size_t size, uint32_t xid,
 		       uint32_t procedure, xdrproc_t codec, void *args,
@@ -55,17 +58,25 @@
 size_t rpc_encode_reply(uint8_t *buf, size_t size, uint32_t xid,
 			xdrproc_t codec, void *result, struct err *err);
 
-/* Encodes a reply that refuses: PROG_UNAVAIL, PROC_UNAVAIL, GARBAGE_ARGS. */
+/*
+ * Encodes a reply that refuses: PROG_UNAVAIL, PROG_MISMATCH, PROC_UNAVAIL,
+ * GARBAGE_ARGS or SYSTEM_ERR.
+ */
 size_t rpc_encode_refusal(uint8_t *buf, size_t size, uint32_t xid,
 			  enum accept_stat why, struct err *err);
 
-/* Reads the head of a message. */
+/*
+ * Reads the head of a message. The caller compares xid, program and version:
+ * the head of a call with another program or version is well-formed. A call
+ * with credentials other than AUTH_NONE is malformed.
+ */
 bool rpc_decode_head(const uint8_t *buf, size_t len, struct rpc_head *head,
 		     struct err *err);
 
 /*
  * Decodes the arguments or the result behind the head into *out, which is zero
- * before and freed with xdr_free(). All bytes have to be used.
+ * before and freed with xdr_free(). All bytes have to be used. On an error
+ * nothing is left to free.
  */
 bool rpc_decode_body(const uint8_t *buf, size_t len, size_t pos,
 		     xdrproc_t codec, void *out, struct err *err);
