Add settings and manifest

Cause: daemons and geraniumspokectl need settings and a manifest that are refused whole, with file, line, field and range, when anything is wrong. Excluded: libcyaml, whose errors go to a log callback without the allowed range and which cannot check rules that span fields; a scan over all kinds for each request, which grows with the number of kinds (4,096 at most). Instead, libyaml events are checked first (aliases, anchors, tags, a second document and more than 16 levels are refused), then tables of fields read the document. Patterns form a tree of segments with a hash table of literal edges, so a match costs one look-up for each segment and uses no heap. Before: headers only. Conclusion: the interfaces of set.h and man.h are in place, unchanged.

--- /dev/null
+++ b/packages/config/src/man.c
@@ -0,0 +1,96 @@
+#include "man_impl.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Frees a manifest. */
+void man_destroy(struct man *m)
+{
+	if (!m)
+		return;
+	for (size_t i = 0; i < MAN_SERVICES_MAX; i++)
+		free(m->services[i].kinds);
+	free(m->rules);
+	free(m->nodes);
+	free(m->edges);
+	free(m);
+}
+
+/* Returns the version that the pipeline gave. */
+uint64_t man_version(const struct man *m)
+{
+	return m->version;
+}
+
+/* Returns the number of services. */
+size_t man_service_count(const struct man *m)
+{
+	return m->service_count;
+}
+
+/* Returns a service by its position in the file, NULL after the last. */
+const struct man_service *man_service_at(const struct man *m, size_t i)
+{
+	return i < m->service_count ? &m->services[i] : NULL;
+}
+
+/* Returns a service by its id, NULL if there is none. */
+const struct man_service *man_service_by_id(const struct man *m, uint16_t id)
+{
+	for (size_t i = 0; i < m->service_count; i++) {
+		if (m->services[i].id == id)
+			return &m->services[i];
+	}
+	return NULL;
+}
+
+/* Returns a service by its name, NULL if there is none. */
+const struct man_service *man_service_by_name(const struct man *m,
+					      const char *name)
+{
+	for (size_t i = 0; i < m->service_count; i++) {
+		if (strcmp(m->services[i].name, name) == 0)
+			return &m->services[i];
+	}
+	return NULL;
+}
+
+/*
+ * The partition of a key depends on the number of partitions, so a change of
+ * it would give one key two owners while daemons have different versions.
+ */
+bool man_follows(const struct man *old, const struct man *new, struct err *err)
+{
+	if (new->version <= old->version)
+		return err_set(err, ERR_MANIFEST, MAN_BAD_VALUE,
+			       "version: %" PRIu64
+			       " is not new (allowed: over %" PRIu64 ")",
+			       new->version, old->version);
+	for (size_t i = 0; i < new->service_count; i++) {
+		const struct man_service *s = &new->services[i];
+		const struct man_service *o = man_service_by_id(old, s->id);
+
+		if (o && o->partitions != s->partitions)
+			return err_set(
+				err, ERR_MANIFEST, MAN_BAD_VALUE,
+				"services[%zu].partitions: %" PRIu32
+				" changes service %s (allowed: %" PRIu32 ")",
+				i, s->partitions, s->name, o->partitions);
+	}
+	return true;
+}
+
+/* Looks for the longest deadline. */
+uint32_t man_longest_unrepeatable_ms(const struct man_service *s)
+{
+	uint32_t longest = 0;
+
+	for (uint32_t i = 0; i < s->kind_count; i++) {
+		const struct man_kind *k = &s->kinds[i];
+
+		if (!k->idempotent && k->deadline_ms > longest)
+			longest = k->deadline_ms;
+	}
+	return longest;
+}
--- /dev/null
+++ b/packages/config/src/man_net.c
@@ -0,0 +1,111 @@
+#include "man_impl.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define IPV4_BITS 32
+#define IPV6_BITS 128
+#define MAPPED_BYTES 12 /* of an IPv4 address written as IPv6 */
+#define PREFIX_DIGITS 3
+
+static const uint8_t mapped[MAPPED_BYTES] = { [10] = 0xff, [11] = 0xff };
+
+/* Reads an address of either family; a mapped one counts as IPv4. */
+static bool read_address(const char *text, struct man_network *out)
+{
+	uint8_t raw[16];
+
+	memset(out, 0, sizeof(*out));
+	if (inet_pton(AF_INET, text, out->address) == 1) {
+		out->ipv4 = true;
+		return true;
+	}
+	if (inet_pton(AF_INET6, text, raw) != 1)
+		return false;
+	out->ipv4 = memcmp(raw, mapped, MAPPED_BYTES) == 0;
+	if (out->ipv4)
+		memcpy(out->address, raw + MAPPED_BYTES, 4);
+	else
+		memcpy(out->address, raw, sizeof(raw));
+	return true;
+}
+
+/* Compares the first bits of two addresses. */
+static bool same_prefix(const uint8_t *a, const uint8_t *b, unsigned int bits)
+{
+	unsigned int whole = bits / 8, rest = bits % 8;
+
+	if (memcmp(a, b, whole) != 0)
+		return false;
+	return rest == 0 || ((a[whole] ^ b[whole]) >> (8 - rest)) == 0;
+}
+
+/* True if all bits after the prefix are zero. */
+static bool host_bits_zero(const struct man_network *n)
+{
+	static const uint8_t zero[16];
+	unsigned int max = n->ipv4 ? IPV4_BITS : IPV6_BITS;
+	unsigned int whole = n->prefix / 8u, rest = n->prefix % 8u;
+
+	if (rest && (uint8_t)(n->address[whole] << rest) != 0)
+		return false;
+	if (rest)
+		whole++;
+	return memcmp(n->address + whole, zero, max / 8 - whole) == 0;
+}
+
+/* Reads a network in CIDR notation. */
+const char *man_read_network(const char *text, struct man_network *out)
+{
+	const char *slash = strchr(text, '/');
+	char address[INET6_ADDRSTRLEN];
+	size_t n = slash ? (size_t)(slash - text) : 0;
+	size_t digits = slash ? strspn(slash + 1, "0123456789") : 0;
+	long prefix;
+
+	if (!slash || n >= sizeof(address) || digits == 0 ||
+	    digits > PREFIX_DIGITS || slash[1 + digits] != '\0')
+		return "not in CIDR notation";
+	memcpy(address, text, n);
+	address[n] = '\0';
+	if (!read_address(address, out))
+		return "not an IP address";
+	if (out->ipv4 && strchr(address, ':'))
+		return "an IPv4 network written as IPv6";
+	prefix = strtol(slash + 1, NULL, 10);
+	if (prefix > (out->ipv4 ? IPV4_BITS : IPV6_BITS))
+		return "the prefix is too long";
+	out->prefix = (uint8_t)prefix;
+	return host_bits_zero(out) ? NULL : "bits after the prefix are set";
+}
+
+/* True if the address is in a network of the group. */
+static bool group_has(const struct man_group *g, const struct man_network *a)
+{
+	for (uint32_t i = 0; i < g->network_count; i++) {
+		const struct man_network *n = &g->networks[i];
+
+		if (n->ipv4 == a->ipv4 &&
+		    same_prefix(n->address, a->address, n->prefix))
+			return true;
+	}
+	return false;
+}
+
+/* An address that cannot be read is in no group. */
+bool man_may_call(const struct man *m, const struct man_kind *kind,
+		  const char *address)
+{
+	struct man_network a;
+
+	if (kind->groups == 0)
+		return true;
+	if (!address || !read_address(address, &a))
+		return false;
+	for (size_t i = 0; i < m->group_count; i++) {
+		if ((kind->groups >> i & 1u) && group_has(&m->groups[i], &a))
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/packages/config/src/man_path.c
@@ -0,0 +1,197 @@
+#include "man_impl.h"
+
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define KEY_SEGMENT "{key}"
+#define ANY_SEGMENT "{any}"
+#define LITERAL_BYTES                                          \
+	"abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ" \
+	"0123456789-._~!$&'()*+,;=:@"
+
+static bool is_text(const char *s, size_t len, const char *text)
+{
+	return strlen(text) == len && memcmp(s, text, len) == 0;
+}
+
+/* Checks one segment and notes whether it matches anything. */
+static const char *cut_segment(const char *s, size_t len, struct man_rule *r)
+{
+	uint8_t i = r->count;
+
+	if (len == 0)
+		return "an empty segment";
+	if (is_text(s, len, ".") || is_text(s, len, ".."))
+		return "a segment . or ..";
+	if (is_text(s, len, KEY_SEGMENT)) {
+		if (r->key_segment != MAN_NO_SEGMENT)
+			return "{key} stands twice";
+		r->key_segment = i;
+		r->wild |= (uint16_t)(1u << i);
+	} else if (is_text(s, len, ANY_SEGMENT)) {
+		r->wild |= (uint16_t)(1u << i);
+	} else if (strspn(s, LITERAL_BYTES) < len) {
+		return "a character that is not allowed";
+	}
+	r->len[i] = (uint8_t)len;
+	r->count++;
+	return NULL;
+}
+
+/* Cuts a pattern into its segments. */
+const char *man_cut_pattern(const char *path, struct man_rule *rule)
+{
+	const char *s = path;
+
+	rule->count = 0;
+	rule->wild = 0;
+	rule->key_segment = MAN_NO_SEGMENT;
+	if (*s != '/')
+		return "does not begin with /";
+	while (*s == '/') {
+		size_t len = strcspn(s + 1, "/");
+		const char *reason;
+
+		if (rule->count == MAN_SEGMENTS_MAX)
+			return "more than 16 segments";
+		rule->start[rule->count] = (uint8_t)(s + 1 - path);
+		reason = cut_segment(s + 1, len, rule);
+		if (reason)
+			return reason;
+		s += 1 + len;
+	}
+	return NULL;
+}
+
+/* Compares two patterns segment by segment. */
+bool man_ambiguous(const char *path_a, const struct man_rule *a,
+		   const char *path_b, const struct man_rule *b)
+{
+	if (a->count != b->count)
+		return false;
+	for (uint8_t i = 0; i < a->count; i++) {
+		if ((a->wild | b->wild) >> i & 1)
+			continue;
+		if (a->len[i] != b->len[i] ||
+		    memcmp(path_a + a->start[i], path_b + b->start[i],
+			   a->len[i]) != 0)
+			return false;
+	}
+	return true;
+}
+
+/* Returns the place of an edge, or the empty place where it would stand. */
+struct man_edge *man_find_edge(const struct man *m, uint32_t from,
+			       const char *text, size_t len)
+{
+	size_t i = XXH3_64bits_withSeed(text, len, from) & m->edge_mask;
+
+	while (m->edges[i].to != MAN_NONE) {
+		const struct man_edge *e = &m->edges[i];
+
+		if (e->from == from && e->len == len &&
+		    memcmp(e->text, text, len) == 0)
+			break;
+		i = (i + 1) & m->edge_mask;
+	}
+	return &m->edges[i];
+}
+
+static uint32_t add_node(struct man *m)
+{
+	struct man_node *n = &m->nodes[m->node_count];
+
+	n->wild = MAN_NONE;
+	n->rule = MAN_NONE;
+	return (uint32_t)m->node_count++;
+}
+
+/* Adds the path of one rule to the tree. */
+static void add_rule(struct man *m, uint32_t index)
+{
+	struct man_rule *r = &m->rules[index];
+	const char *path = m->services[r->service].kinds[r->kind].path;
+	uint32_t at = 0;
+
+	for (uint8_t i = 0; i < r->count; i++) {
+		const char *text = path + r->start[i];
+
+		if (r->wild >> i & 1) {
+			if (m->nodes[at].wild == MAN_NONE)
+				m->nodes[at].wild = add_node(m);
+			at = m->nodes[at].wild;
+		} else {
+			struct man_edge *e =
+				man_find_edge(m, at, text, r->len[i]);
+
+			if (e->to == MAN_NONE) {
+				e->from = at;
+				e->text = text;
+				e->len = r->len[i];
+				e->to = add_node(m);
+			}
+			at = e->to;
+		}
+	}
+	r->next = m->nodes[at].rule;
+	m->nodes[at].rule = index;
+}
+
+/* Builds the tree; its hash table is at most half full. */
+bool man_build_index(struct man *m)
+{
+	size_t segments = 1, places = 2;
+
+	for (size_t i = 0; i < m->rule_count; i++)
+		segments += m->rules[i].count;
+	while (places < 2 * segments)
+		places *= 2;
+	m->nodes = calloc(segments, sizeof(*m->nodes));
+	m->edges = calloc(places, sizeof(*m->edges));
+	if (!m->nodes || !m->edges)
+		return false;
+	m->edge_mask = places - 1;
+	for (size_t i = 0; i < places; i++)
+		m->edges[i] = (struct man_edge){ .to = MAN_NONE, .text = "" };
+	add_node(m);
+	for (size_t i = 0; i < m->rule_count; i++)
+		add_rule(m, (uint32_t)i);
+	return true;
+}
+
+static int hex(char c)
+{
+	if (c >= '0' && c <= '9')
+		return c - '0';
+	c = (char)tolower((unsigned char)c);
+	return c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
+}
+
+/* Decodes %XX, and + as a space in queries; a NUL byte is malformed. */
+int man_decode(const char *text, size_t len, bool plus, char *out, size_t size)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < len; i++) {
+		int c = (unsigned char)text[i];
+
+		if (c == '%') {
+			int high = i + 2 < len ? hex(text[i + 1]) : -1;
+			int low = i + 2 < len ? hex(text[i + 2]) : -1;
+
+			if (high < 0 || low < 0)
+				return -1;
+			c = high * 16 + low;
+			i += 2;
+		} else if (plus && c == '+') {
+			c = ' ';
+		}
+		if (c == 0 || n + 1 >= size)
+			return -1;
+		out[n++] = (char)c;
+	}
+	out[n] = '\0';
+	return (int)n;
+}
--- /dev/null
+++ b/packages/config/src/yml_read.c
@@ -0,0 +1,324 @@
+#include "yml.h"
+
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FIELDS_MAX 32
+#define ALLOWED_MAX 160
+#define DIGITS_MAX 20
+
+/* Appends a field to the path; returns the length to go back to. */
+static size_t enter(struct yml *y, const char *field)
+{
+	size_t n = strlen(y->path);
+
+	snprintf(y->path + n, sizeof(y->path) - n, "%s%s", n ? "." : "", field);
+	return n;
+}
+
+/* Appends the position of an item of a list to the path. */
+static size_t enter_item(struct yml *y, size_t i)
+{
+	size_t n = strlen(y->path);
+
+	snprintf(y->path + n, sizeof(y->path) - n, "[%zu]", i);
+	return n;
+}
+
+static void leave(struct yml *y, size_t n)
+{
+	y->path[n] = '\0';
+}
+
+/* Returns the text of a scalar, NULL for other nodes and embedded NULs. */
+static const char *scalar(const yaml_node_t *node)
+{
+	const char *s;
+
+	if (!node || node->type != YAML_SCALAR_NODE)
+		return NULL;
+	s = (const char *)node->data.scalar.value;
+	return strlen(s) == node->data.scalar.length ? s : NULL;
+}
+
+/* Returns the text of a scalar without quotes. */
+static const char *plain(const yaml_node_t *node)
+{
+	const char *s = scalar(node);
+
+	return s && node->data.scalar.style == YAML_PLAIN_SCALAR_STYLE ? s :
+									 NULL;
+}
+
+/* Returns the value of a field of a mapping, the mapping itself if absent. */
+static const yaml_node_t *find(struct yml *y, const yaml_node_t *map,
+			       const char *field)
+{
+	const yaml_node_pair_t *p = map->data.mapping.pairs.start;
+
+	for (; p < map->data.mapping.pairs.top; p++) {
+		const char *key =
+			scalar(yaml_document_get_node(&y->doc, p->key));
+
+		if (key && strcmp(key, field) == 0)
+			return yaml_document_get_node(&y->doc, p->value);
+	}
+	return map;
+}
+
+/* Reports an error of a field of the mapping that is being read. */
+bool yml_fail_field(struct yml *y, const yaml_node_t *map, const char *field,
+		    enum yml_fault fault, const char *allowed,
+		    const char *reason)
+{
+	size_t n = enter(y, field);
+
+	yml_fail(y, find(y, map, field), fault, allowed, "%s", reason);
+	leave(y, n);
+	return false;
+}
+
+/* Reads a decimal number without sign and checks its range. */
+static bool read_number(const struct yml *y, const yaml_node_t *node,
+			uint64_t min, uint64_t max, uint64_t *out)
+{
+	const char *s = plain(node);
+	char allowed[64];
+	unsigned __int128 v = 0;
+	size_t n = s ? strspn(s, "0123456789") : 0;
+
+	snprintf(allowed, sizeof(allowed), "%" PRIu64 " to %" PRIu64, min, max);
+	if (n == 0 || s[n] != '\0')
+		return yml_fail(y, node, YML_BAD, allowed,
+				"not a whole number");
+	for (size_t i = 0; i < n && n <= DIGITS_MAX; i++)
+		v = v * 10 + (unsigned)(s[i] - '0');
+	if (n > DIGITS_MAX || v < min || v > max)
+		return yml_fail(y, node, YML_BAD, allowed, "%.24s out of range",
+				s);
+	*out = (uint64_t)v;
+	return true;
+}
+
+/* Reads a text and checks its length and form. */
+bool yml_read_text(const struct yml *y, const yaml_node_t *node, char *out,
+		   size_t size, bool (*valid)(const char *),
+		   const char *allowed)
+{
+	const char *s = scalar(node);
+	size_t n;
+
+	if (!s ||
+	    (plain(node) && (!*s || !strcmp(s, "~") || !strcmp(s, "null"))))
+		return yml_fail(y, node, YML_BAD, allowed, "not a text");
+	n = strlen(s);
+	if (n >= size)
+		return yml_fail(y, node, YML_BAD, allowed,
+				"longer than %zu bytes", size - 1);
+	if (valid && !valid(s))
+		return yml_fail(y, node, YML_BAD, allowed, "\"%.48s\" refused",
+				s);
+	memset(out, 0, size);
+	memcpy(out, s, n);
+	return true;
+}
+
+static bool read_bool(const struct yml *y, const yaml_node_t *node, bool *out)
+{
+	const char *s = plain(node);
+
+	if (!s || (strcmp(s, "true") != 0 && strcmp(s, "false") != 0))
+		return yml_fail(y, node, YML_BAD, "true, false",
+				"not a truth value");
+	*out = s[0] == 't';
+	return true;
+}
+
+/* Appends a name to a list of what is allowed. */
+static void list_name(char *out, size_t size, const char *name)
+{
+	size_t n = strlen(out);
+
+	snprintf(out + n, size - n, "%s%s", n ? ", " : "", name);
+}
+
+/* Reads one of the names of a choice into an enum. */
+static bool read_choice(const struct yml *y, const yaml_node_t *node,
+			const char *const *choices, unsigned int *out)
+{
+	char allowed[ALLOWED_MAX] = "";
+	const char *s = scalar(node);
+
+	for (unsigned int i = 0; choices[i]; i++) {
+		if (s && strcmp(choices[i], s) == 0) {
+			*out = i;
+			return true;
+		}
+		list_name(allowed, sizeof(allowed), choices[i]);
+	}
+	return yml_fail(y, node, YML_BAD, allowed, "\"%.32s\" is none of them",
+			s ? s : "");
+}
+
+/* Reads the value of one field into the place that its table names. */
+bool yml_read_field(struct yml *y, const yaml_node_t *node,
+		    const struct yml_field *f, void *out)
+{
+	char *at = (char *)out + f->offset;
+	size_t n = enter(y, f->name);
+	uint64_t v = 0;
+	bool ok = false;
+
+	switch (f->type) {
+	case YML_U16:
+	case YML_U32:
+	case YML_U64:
+		ok = read_number(y, node, f->min, f->max, &v);
+		if (ok && f->type == YML_U16)
+			*(uint16_t *)(void *)at = (uint16_t)v;
+		else if (ok && f->type == YML_U32)
+			*(uint32_t *)(void *)at = (uint32_t)v;
+		else if (ok)
+			*(uint64_t *)(void *)at = v;
+		break;
+	case YML_BOOL:
+		ok = read_bool(y, node, (bool *)at);
+		break;
+	case YML_TEXT:
+		ok = yml_read_text(y, node, at, f->size, f->valid, f->allowed);
+		break;
+	case YML_CHOICE:
+		ok = read_choice(y, node, f->choices,
+				 (unsigned int *)(void *)at);
+		break;
+	case YML_MAP:
+		ok = yml_read_map(y, node, f->fields, at);
+		break;
+	case YML_CUSTOM:
+		ok = f->read(y, node, out);
+		break;
+	}
+	leave(y, n);
+	return ok;
+}
+
+/* Reports a field that the table does not have. */
+static bool fail_unknown(struct yml *y, const yaml_node_t *key,
+			 const struct yml_field *fields)
+{
+	char allowed[ALLOWED_MAX] = "";
+	const char *s = scalar(key);
+	char shown[40];
+	size_t n;
+
+	for (size_t i = 0; fields[i].name; i++)
+		list_name(allowed, sizeof(allowed), fields[i].name);
+	snprintf(shown, sizeof(shown), "%.39s", s ? s : "(not a name)");
+	n = enter(y, shown);
+	yml_fail(y, key, YML_UNKNOWN, allowed, "unknown field");
+	leave(y, n);
+	return false;
+}
+
+/* Finds the value of each field; unknown and repeated ones are errors. */
+static bool collect(struct yml *y, const yaml_node_t *map,
+		    const struct yml_field *fields, const yaml_node_t **values)
+{
+	const yaml_node_pair_t *p = map->data.mapping.pairs.start;
+
+	for (; p < map->data.mapping.pairs.top; p++) {
+		const yaml_node_t *key =
+			yaml_document_get_node(&y->doc, p->key);
+		const char *s = scalar(key);
+		size_t i = 0;
+
+		while (fields[i].name && (!s || strcmp(fields[i].name, s) != 0))
+			i++;
+		if (!fields[i].name)
+			return fail_unknown(y, key, fields);
+		if (values[i]) {
+			enter(y, fields[i].name);
+			return yml_fail(y, key, YML_DUPLICATE, "once",
+					"the field is repeated");
+		}
+		values[i] = yaml_document_get_node(&y->doc, p->value);
+	}
+	return true;
+}
+
+/* Reads a mapping in the order of the table, not in that of the file. */
+bool yml_read_map(struct yml *y, const yaml_node_t *node,
+		  const struct yml_field *fields, void *out)
+{
+	const yaml_node_t *values[FIELDS_MAX] = { 0 };
+
+	if (!node || node->type != YAML_MAPPING_NODE)
+		return yml_fail(y, node, YML_BAD, "fields with values",
+				"not a mapping");
+	if (!collect(y, node, fields, values))
+		return false;
+	for (size_t i = 0; fields[i].name; i++) {
+		if (!values[i] && fields[i].required) {
+			enter(y, fields[i].name);
+			return yml_fail(y, node, YML_MISSING, "a value",
+					"the field is missing");
+		}
+		if (values[i] && !yml_read_field(y, values[i], &fields[i], out))
+			return false;
+	}
+	return true;
+}
+
+/* Counts the items of a list. */
+size_t yml_count(const yaml_node_t *node)
+{
+	if (!node || node->type != YAML_SEQUENCE_NODE)
+		return 0;
+	return (size_t)(node->data.sequence.items.top -
+			node->data.sequence.items.start);
+}
+
+/* Reads a list after its length has been checked. */
+bool yml_read_list(struct yml *y, const yaml_node_t *node, size_t min,
+		   size_t max, yml_item_fn fn, void *out)
+{
+	size_t count = yml_count(node);
+	char allowed[48];
+
+	snprintf(allowed, sizeof(allowed), "a list of %zu to %zu items", min,
+		 max);
+	if (!node || node->type != YAML_SEQUENCE_NODE)
+		return yml_fail(y, node, YML_BAD, allowed, "not a list");
+	if (count < min || count > max)
+		return yml_fail(y, node, YML_BAD, allowed, "%zu items", count);
+	for (size_t i = 0; i < count; i++) {
+		int id = node->data.sequence.items.start[i];
+		size_t n = enter_item(y, i);
+
+		if (!fn(y, yaml_document_get_node(&y->doc, id), i, out))
+			return false;
+		leave(y, n);
+	}
+	return true;
+}
+
+/* Checks the characters of a name. */
+bool yml_is_name(const char *text)
+{
+	size_t n = strspn(text, "abcdefghijklmnopqrstuvwxyz"
+				"ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-");
+
+	return n > 0 && text[n] == '\0';
+}
+
+/* Checks an IP address of either family. */
+bool yml_is_address(const char *text)
+{
+	struct in6_addr a;
+
+	return inet_pton(AF_INET, text, &a) == 1 ||
+	       inet_pton(AF_INET6, text, &a) == 1;
+}
--- /dev/null
+++ b/packages/config/tests/test_man.c
@@ -0,0 +1,461 @@
+/*
+ * Guards against a manifest that is accepted although it is wrong, a request
+ * that gets the wrong kind or key, a caller that uses a kind that it may not,
+ * and against input that crashes the parser or makes it leak.
+ */
+
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <setjmp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "clk.h"
+#include "man.h"
+
+#define SEED 20261204u
+#define RANDOM_TEXTS 300
+#define RANDOM_BYTES_MAX 4096
+#define MUTANTS 500
+#define BIG_BYTES 10000000
+
+#define CALLERS \
+	"callers:\n- { name: own, networks: [10.1.0.0/16, \"fd01::/64\"] }\n"
+#define POLICY "policy: { weigh: churn }"
+#define SERVICE(id, name, kinds)                                           \
+	"- { id: " id ", name: " name                                      \
+	", partitions: 8, checks_fences: true, " POLICY ", kinds: [" kinds \
+	"] }\n"
+#define KIND(name, method, path, more)                               \
+	"{ name: " name ", method: " method ", path: \"" path "\", " \
+	"idempotent: true, deadline_ms: 100" more " }"
+#define HEAD "format: 1\nversion: 5\n" CALLERS "services:\n"
+#define VALID                                                                        \
+	HEAD SERVICE("1", "a",                                                       \
+		     KIND("read", "GET", "/a/{key}/x", "") ", " KIND(                \
+			     "any", "GET", "/{any}/b/{key}/z",                       \
+			     "") ", " KIND("put", "PUT", "/a/{key}/x",               \
+					   ", callers: [own]"))                      \
+		SERVICE("2", "b",                                                    \
+			KIND("query", "GET", "/b", ", key: \"query:id\"") ", " KIND( \
+				"head", "GET", "/b/{any}/c/d",                       \
+				", key: \"header:Id\""))
+
+static struct man *parse(const char *text, struct err *err)
+{
+	return man_parse("m", text, strlen(text), err);
+}
+
+static void examples_are_valid(void **state)
+{
+	static const char *const paths[] = { "manifests/association.yaml",
+					     "manifests/sizewell.yaml" };
+
+	(void)state;
+	for (size_t i = 0; i < 2; i++) {
+		struct err err = { 0 };
+		struct man *m = man_load(paths[i], &err);
+		int fenced = 0;
+
+		if (!m)
+			print_message("%s\n", err.text);
+		assert_non_null(m);
+		assert_int_equal(man_service_count(m), 2);
+		for (size_t s = 0; s < 2; s++) {
+			const struct man_service *v = man_service_at(m, s);
+
+			fenced += v->checks_fences;
+			assert_true(man_longest_unrepeatable_ms(v) <= 1000);
+			assert_ptr_equal(man_service_by_id(m, v->id), v);
+			assert_ptr_equal(man_service_by_name(m, v->name), v);
+		}
+		assert_int_equal(fenced, 1);
+		man_destroy(m);
+	}
+}
+
+struct bad {
+	const char *text;
+	int code;
+	const char *shown;
+};
+
+#define ONE(kind) HEAD SERVICE("1", "a", kind)
+#define OK_KIND KIND("k", "GET", "/a/{key}", "")
+#define PATTERN(p) ONE(KIND("k", "GET", p, ""))
+#define NETWORK(n) \
+	"format: 1\nversion: 1\ncallers:\n- { name: o, networks: [" n "] }\n"
+
+static const struct bad bads[] = {
+	{ "format: 2\nversion: 1\n", MAN_BAD_VALUE, "m:1: format: " },
+	{ "format: 1\nversion: 0\n", MAN_BAD_VALUE, "m:2: version: " },
+	{ "format: 1\nversion: 1\n", MAN_MISSING_FIELD, "services" },
+	{ "format: 1\nversion: 1\nservices: []\n", MAN_BAD_VALUE,
+	  "a list of 1 to 64 items" },
+	{ "format: 1\nversion: 1\nservice: []\n", MAN_UNKNOWN_FIELD,
+	  "m:3: service: " },
+	{ HEAD "- { id: 0 }\n", MAN_BAD_VALUE, "m:6: services[0].id: " },
+	{ HEAD "- { id: 65536 }\n", MAN_BAD_VALUE, "1 to 65535" },
+	{ HEAD "- { id: 1, name: a }\n", MAN_MISSING_FIELD, "partitions" },
+	{ ONE("{ name: k, path: 3 }"), MAN_MISSING_FIELD,
+	  "services[0].kinds[0].method" },
+	{ ONE(KIND("k", "get", "/a/{key}", "")), MAN_BAD_VALUE, "GET, HEAD" },
+	{ ONE(KIND("k", "GET", "/a/{key}", ", colour: 1")), MAN_UNKNOWN_FIELD,
+	  "services[0].kinds[0].colour" },
+	{ ONE(KIND("k", "GET", "/a/{key}", ", callers: [who]")),
+	  MAN_UNKNOWN_GROUP, "services[0].kinds[0].callers[0]" },
+	{ ONE(KIND("k", "GET", "/a/{key}", ", callers: []")), MAN_BAD_VALUE,
+	  "callers" },
+	{ ONE(KIND("k", "GET", "/a/{key}", ", key: \"cookie:a\"")),
+	  MAN_BAD_VALUE, "query:NAME" },
+	{ ONE(KIND("k", "GET", "/a/{key}", ", key: \"query:a\"")),
+	  MAN_BAD_VALUE, "kinds[0].path" },
+	{ ONE(KIND("k", "GET", "/a/{key}", ", share_pct: 101")), MAN_BAD_VALUE,
+	  "0 to 100" },
+	{ ONE(KIND("k", "GET", "/a/{key}", ", share_pct: 60") ", " KIND(
+		  "l", "GET", "/b/{key}", ", share_pct: 41")),
+	  MAN_BAD_VALUE, "add up to 101" },
+	{ ONE(OK_KIND ", " KIND("k", "GET", "/b/{key}", "")), MAN_DUPLICATE,
+	  "kinds[1].name" },
+	{ ONE(OK_KIND) SERVICE("1", "b", KIND("k", "GET", "/b/{key}", "")),
+	  MAN_DUPLICATE, "services[1].id" },
+	{ ONE(OK_KIND) SERVICE("2", "a", KIND("k", "GET", "/b/{key}", "")),
+	  MAN_DUPLICATE, "services[1].name" },
+	{ ONE(OK_KIND) SERVICE("2", "b", KIND("k", "GET", "/{key}/b", "")),
+	  MAN_DUPLICATE, "m:7: services[1].kinds[0].path" },
+	{ PATTERN("/a"), MAN_BAD_VALUE, "{key} is missing" },
+	{ PATTERN("/{key}/{key}"), MAN_BAD_VALUE, "twice" },
+	{ PATTERN("/a//{key}"), MAN_BAD_VALUE, "empty segment" },
+	{ PATTERN("a/{key}"), MAN_BAD_VALUE, "begin with /" },
+	{ PATTERN("/a/x{key}"), MAN_BAD_VALUE, "not allowed" },
+	{ PATTERN("/../{key}"), MAN_BAD_VALUE, "segment . or .." },
+	{ PATTERN("/1/2/3/4/5/6/7/8/9/a/b/c/d/e/f/g/{key}"), MAN_BAD_VALUE,
+	  "16 segments" },
+	{ NETWORK("10.0.0.0"), MAN_BAD_VALUE, "callers[0].networks[0]" },
+	{ NETWORK("10.0.0.1/8"), MAN_BAD_VALUE, "bits after" },
+	{ NETWORK("10.0.0.0/33"), MAN_BAD_VALUE, "too long" },
+	{ NETWORK("\"::ffff:10.0.0.0/104\""), MAN_BAD_VALUE, "IPv4" },
+	{ "a: &x [1]\nb: *x\n", MAN_SYNTAX, "m:1" },
+	{ "[[[[[[[[[[[[[[[[[[[[", MAN_SYNTAX, "m:1" },
+	{ "a: {b: {c: {d: [", MAN_SYNTAX, "m:" },
+};
+
+static void bad_manifest_is_refused_with_place_and_range(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < sizeof(bads) / sizeof(bads[0]); i++) {
+		struct err err = { 0 };
+
+		assert_null(parse(bads[i].text, &err));
+		if (err.code != bads[i].code ||
+		    !strstr(err.text, bads[i].shown))
+			print_message("%zu: %d %s\n", i, err.code, err.text);
+		assert_int_equal(err.layer, ERR_MANIFEST);
+		assert_int_equal(err.code, bads[i].code);
+		assert_non_null(strstr(err.text, bads[i].shown));
+		assert_non_null(strstr(err.text, "(allowed: "));
+	}
+}
+
+static void large_text_is_refused(void **state)
+{
+	char *text = malloc(BIG_BYTES);
+	struct err err = { 0 };
+
+	(void)state;
+	memset(text, '[', BIG_BYTES);
+	assert_null(man_parse("m", text, BIG_BYTES, &err));
+	assert_int_equal(err.code, MAN_TOO_LARGE);
+	assert_null(man_parse("m", text, MAN_BYTES_MAX, &err));
+	assert_int_equal(err.code, MAN_SYNTAX);
+	free(text);
+}
+
+static const char *header(void *arg, const char *name)
+{
+	return strcmp(name, "Id") == 0 ? arg : NULL;
+}
+
+struct lookup {
+	const char *method, *path, *query, *header;
+	enum man_verdict verdict;
+	const char *kind, *key;
+};
+
+static const struct lookup lookups[] = {
+	{ "GET", "/a/k/x", NULL, NULL, MAN_MATCH, "read", "k" },
+	{ "PUT", "/a/k%2F%20y/x", NULL, NULL, MAN_MATCH, "put", "k/ y" },
+	{ "GET", "/a/b/k/z", NULL, NULL, MAN_MATCH, "any", "k" },
+	{ "GET", "/z/b/k/z", NULL, NULL, MAN_MATCH, "any", "k" },
+	{ "POST", "/a/k/x", NULL, NULL, MAN_NO_METHOD, NULL, NULL },
+	{ "GET", "/a/k/y", NULL, NULL, MAN_NO_KIND, NULL, NULL },
+	{ "GET", "/a/k/x/", NULL, NULL, MAN_NO_KIND, NULL, NULL },
+	{ "GET", "", NULL, NULL, MAN_NO_KIND, NULL, NULL },
+	{ "GET", "//b/k/z", NULL, NULL, MAN_NO_KIND, NULL, NULL },
+	{ "GET", "/%2e./b/k/z", NULL, NULL, MAN_NO_KIND, NULL, NULL },
+	{ "GET", "/a//x", NULL, NULL, MAN_NO_KEY, NULL, NULL },
+	{ "GET", "/a/../x", NULL, NULL, MAN_NO_KEY, NULL, NULL },
+	{ "GET", "/a/%4/x", NULL, NULL, MAN_NO_KEY, NULL, NULL },
+	{ "GET", "/a/%00/x", NULL, NULL, MAN_NO_KEY, NULL, NULL },
+	{ "GET", "/b", "x=1&i%64=a+b&idx=2", NULL, MAN_MATCH, "query", "a b" },
+	{ "GET", "/b", "id=1&id=2", NULL, MAN_NO_KEY, NULL, NULL },
+	{ "GET", "/b", "id=", NULL, MAN_NO_KEY, NULL, NULL },
+	{ "GET", "/b", NULL, NULL, MAN_NO_KEY, NULL, NULL },
+	{ "GET", "/b/q/c/d", NULL, " v ", MAN_MATCH, "head", "v" },
+	{ "GET", "/b/q/c/d", NULL, NULL, MAN_NO_KEY, NULL, NULL },
+};
+
+static void request_gets_its_kind_and_key(void **state)
+{
+	struct err err = { 0 };
+	struct man *m = parse(VALID, &err);
+
+	(void)state;
+	assert_non_null(m);
+	for (size_t i = 0; i < sizeof(lookups) / sizeof(lookups[0]); i++) {
+		const struct lookup *l = &lookups[i];
+		struct man_request req = { .method = l->method,
+					   .path = l->path,
+					   .query = l->query,
+					   .header = header,
+					   .arg = (void *)l->header };
+		struct man_match match;
+		enum man_verdict v = man_match(m, &req, &match);
+
+		if (v != l->verdict)
+			print_message("%s %s: %d\n", l->method, l->path, v);
+		assert_int_equal(v, l->verdict);
+		if (v != MAN_MATCH)
+			continue;
+		assert_string_equal(match.service->kinds[match.kind].name,
+				    l->kind);
+		assert_string_equal(match.key, l->key);
+		assert_int_equal(match.key_len, strlen(l->key));
+	}
+	man_destroy(m);
+}
+
+static void longest_key_fits_and_a_longer_one_is_refused(void **state)
+{
+	struct err err = { 0 };
+	struct man *m = parse(VALID, &err);
+	char path[MAN_KEY_MAX + 16];
+	struct man_request req = { .method = "GET", .path = path };
+	struct man_match match;
+
+	(void)state;
+	snprintf(path, sizeof(path), "/a/%0*d/x", MAN_KEY_MAX - 1, 1);
+	assert_int_equal(man_match(m, &req, &match), MAN_MATCH);
+	assert_int_equal(match.key_len, MAN_KEY_MAX - 1);
+	snprintf(path, sizeof(path), "/a/%0*d/x", MAN_KEY_MAX, 1);
+	assert_int_equal(man_match(m, &req, &match), MAN_NO_KEY);
+	man_destroy(m);
+}
+
+static void caller_needs_a_network_of_its_group(void **state)
+{
+	struct err err = { 0 };
+	struct man *m = parse(VALID, &err);
+	const struct man_service *a = man_service_at(m, 0);
+	const struct man_kind *put = &a->kinds[2];
+
+	(void)state;
+	assert_true(man_may_call(m, &a->kinds[0], "192.0.2.1"));
+	assert_true(man_may_call(m, put, "10.1.255.9"));
+	assert_true(man_may_call(m, put, "::ffff:10.1.2.3"));
+	assert_true(man_may_call(m, put, "fd01::5"));
+	assert_false(man_may_call(m, put, "10.2.0.1"));
+	assert_false(man_may_call(m, put, "fd01:0:0:1::5"));
+	assert_false(man_may_call(m, put, "10.1.0"));
+	assert_false(man_may_call(m, put, ""));
+	man_destroy(m);
+}
+
+static void older_version_and_other_partitions_do_not_follow(void **state)
+{
+	struct err err = { 0 };
+	char text[sizeof(VALID)];
+	struct man *old = parse(VALID, &err), *new;
+
+	(void)state;
+	strcpy(text, VALID);
+	assert_false(man_follows(old, old, &err));
+	*strstr(text, "version: 5") = 'v';
+	strstr(text, "version: 5")[9] = '6';
+	new = parse(text, &err);
+	assert_true(man_follows(old, new, &err));
+	assert_false(man_follows(new, old, &err));
+	man_destroy(new);
+	strstr(text, "partitions: 8")[12] = '9';
+	new = parse(text, &err);
+	assert_false(man_follows(old, new, &err));
+	assert_non_null(strstr(err.text, "services[0].partitions"));
+	man_destroy(new);
+	man_destroy(old);
+}
+
+#define WIDE_KINDS 64
+
+static void every_kind_of_64_services_is_found(void **state)
+{
+	char *text = malloc(MAN_BYTES_MAX);
+	struct err err = { 0 };
+	uint64_t start, rounds = 0;
+	struct man_match match;
+	struct man *m;
+	char path[64];
+	int n = sprintf(text, "format: 1\nversion: 1\nservices:\n");
+
+	(void)state;
+	for (int s = 0; s < MAN_SERVICES_MAX; s++) {
+		n += sprintf(text + n,
+			     "- { id: %d, name: s%d, partitions: 1, "
+			     "checks_fences: true, " POLICY ", kinds: [",
+			     s + 1, s);
+		for (int k = 0; k < WIDE_KINDS; k++)
+			n += sprintf(
+				text + n,
+				"%s" KIND("k%d", "GET", "/s%d/{key}/k%d", ""),
+				k ? "," : "", k, s, k);
+		n += sprintf(text + n, "] }\n");
+	}
+	m = man_parse("m", text, (size_t)n, &err);
+	free(text);
+	assert_non_null(m);
+	start = clk_mono_us(clk_system());
+	for (int s = 0; s < MAN_SERVICES_MAX; s++) {
+		for (int k = 0; k < WIDE_KINDS; k++, rounds++) {
+			struct man_request req = { .method = "GET",
+						   .path = path };
+
+			sprintf(path, "/s%d/key/k%d", s, k);
+			assert_int_equal(man_match(m, &req, &match), MAN_MATCH);
+			assert_int_equal(match.service->id, s + 1);
+			assert_int_equal(match.kind, k);
+		}
+	}
+	print_message("%.0f ns for each match of 4096 kinds\n",
+		      1000.0 * (double)(clk_mono_us(clk_system()) - start) /
+			      (double)rounds);
+	man_destroy(m);
+}
+
+/* A small generator with a fixed seed, so that a failure can be repeated. */
+static uint32_t next_random(uint64_t *s)
+{
+	*s = *s * 6364136223846793005ULL + 1442695040888963407ULL;
+	return (uint32_t)(*s >> 33);
+}
+
+/* Parses a copy without spare bytes, so that reading past the end is seen. */
+static struct man *parse_exact(const char *text, size_t len, struct err *err)
+{
+	char *copy = malloc(len);
+	struct man *m;
+
+	assert_true(copy || len == 0);
+	if (len > 0)
+		memcpy(copy, text, len);
+	m = man_parse("m", copy, len, err);
+	free(copy);
+	return m;
+}
+
+static void random_bytes_are_refused(void **state)
+{
+	uint64_t s = SEED;
+	char *text = malloc(RANDOM_BYTES_MAX);
+
+	(void)state;
+	print_message("seed %u\n", SEED);
+	for (int i = 0; i < RANDOM_TEXTS; i++) {
+		size_t len = next_random(&s) % RANDOM_BYTES_MAX;
+		struct err err = { 0 };
+
+		for (size_t j = 0; j < len; j++)
+			text[j] = (char)next_random(&s);
+		assert_null(parse_exact(text, len, &err));
+		assert_int_equal(err.layer, ERR_MANIFEST);
+	}
+	free(text);
+}
+
+/* Changes, removes or repeats some bytes; returns the new length. */
+static size_t mutate(char *text, size_t len, uint64_t *s)
+{
+	static const char marks[] = "{}[]:,&*!|>'\"#%@-? \n\t\\0129\xff";
+
+	for (uint32_t n = next_random(s) % 4 + 1; n > 0; n--) {
+		size_t at = next_random(s) % len;
+		size_t part = next_random(s) % 40;
+
+		if (at + part > len)
+			part = len - at;
+		switch (next_random(s) % 3) {
+		case 0:
+			text[at] = marks[next_random(s) % (sizeof(marks) - 1)];
+			break;
+		case 1:
+			memmove(text + at, text + at + part, len - at - part);
+			len -= part;
+			break;
+		default:
+			memmove(text + at + part, text + at, len - at);
+			len += part;
+		}
+	}
+	return len;
+}
+
+static void mutated_manifests_are_refused_or_work(void **state)
+{
+	uint64_t s = SEED;
+	char text[sizeof(VALID) + 200];
+	int accepted = 0;
+
+	(void)state;
+	print_message("seed %u\n", SEED);
+	for (int i = 0; i < MUTANTS; i++) {
+		struct man_request req = { .method = "GET", .path = "/a/k/x" };
+		struct err err = { 0 };
+		struct man_match match;
+		struct man *m;
+		size_t len;
+
+		memcpy(text, VALID, sizeof(VALID));
+		len = mutate(text, sizeof(VALID) - 1, &s);
+		m = parse_exact(text, len, &err);
+		if (!m) {
+			assert_non_null(strstr(err.text, "(allowed: "));
+			continue;
+		}
+		accepted++;
+		if (man_match(m, &req, &match) == MAN_MATCH)
+			assert_true(match.key_len > 0);
+		man_destroy(m);
+	}
+	print_message("%d of %d mutants accepted\n", accepted, MUTANTS);
+	assert_true(accepted < MUTANTS);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(examples_are_valid),
+		cmocka_unit_test(bad_manifest_is_refused_with_place_and_range),
+		cmocka_unit_test(large_text_is_refused),
+		cmocka_unit_test(request_gets_its_kind_and_key),
+		cmocka_unit_test(longest_key_fits_and_a_longer_one_is_refused),
+		cmocka_unit_test(caller_needs_a_network_of_its_group),
+		cmocka_unit_test(
+			older_version_and_other_partitions_do_not_follow),
+		cmocka_unit_test(every_kind_of_64_services_is_found),
+		cmocka_unit_test(random_bytes_are_refused),
+		cmocka_unit_test(mutated_manifests_are_refused_or_work),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/packages/config/tests/test_set.c
@@ -0,0 +1,198 @@
+/*
+ * Guards against settings that are accepted although they are wrong, and
+ * against errors that do not say where the fault is and what is allowed.
+ */
+
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <setjmp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#include "set.h"
+
+#define VALID                                                      \
+	"instance: 7\nname: bookings-3\ndata_centre: kingston-1\n" \
+	"region: caribbean\naddress: 10.20.1.7\nhttp_port: 8080\n" \
+	"peer_port: 8081\nadmin_port: 8082\n"                      \
+	"platform: { address: 10.20.0.2, port: 7000 }\n"           \
+	"seeds:\n- { address: 10.20.1.8, port: 8081 }\n"           \
+	"- { address: \"fd20::9\", port: 8081 }\n"
+
+static void valid_settings_get_defaults(void **state)
+{
+	struct err err = { 0 };
+	struct set set;
+
+	(void)state;
+	assert_true(set_parse("s", VALID, strlen(VALID), &set, &err));
+	assert_int_equal(set.instance, 7);
+	assert_string_equal(set.name, "bookings-3");
+	assert_int_equal(set.platform.port, 7000);
+	assert_int_equal(set.seed_count, 2);
+	assert_string_equal(set.seeds[1].address, "fd20::9");
+	assert_string_equal(set.chart_dir, "charts");
+	assert_string_equal(set.trace_file, "");
+	assert_int_equal(set.log_level, LOG_LEVEL_INFO);
+	assert_int_equal(set.max_callers, 10000);
+	assert_int_equal(set.max_body_bytes, 128 << 20);
+	assert_true(set_check(&set, "s", &err));
+}
+
+struct bad {
+	const char *text;
+	int code;
+	const char *shown; /* in the message */
+};
+
+static const struct bad bads[] = {
+	{ VALID "colour: red\n", SET_UNKNOWN_FIELD, "s:13: colour: " },
+	{ VALID "max_callers: 0\n", SET_BAD_VALUE, "(allowed: 1 to 60000)" },
+	{ VALID "max_callers: 60001\n", SET_BAD_VALUE, "s:13: max_callers: " },
+	{ VALID "max_callers: -1\n", SET_BAD_VALUE, "not a whole number" },
+	{ VALID "max_callers: \"5\"\n", SET_BAD_VALUE, "not a whole number" },
+	{ VALID "max_callers: [5]\n", SET_BAD_VALUE, "not a whole number" },
+	{ VALID "max_callers: 99999999999999999999999\n", SET_BAD_VALUE,
+	  "out of range" },
+	{ VALID "log_level: loud\n", SET_BAD_VALUE,
+	  "(allowed: debug, info, warn, error)" },
+	{ VALID "chart_dir: \"\"\n", SET_BAD_VALUE, "chart_dir" },
+	{ VALID "chart_dir: \"a\\0b\"\n", SET_BAD_VALUE, "not a text" },
+	{ VALID "instance: 8\n", SET_BAD_VALUE, "repeated" },
+	{ "instance: 1\n", SET_MISSING_FIELD, "s:1: name: " },
+	{ "instance: 1\nname: a b\n", SET_BAD_VALUE, "s:2: name: " },
+	{ "platform: { address: host, port: 1 }\n", SET_MISSING_FIELD,
+	  "instance" },
+	{ "instance: &a 1\nname: *a\n", SET_SYNTAX, "s:1:" },
+	{ "instance: !!str 1\n", SET_SYNTAX, "tags" },
+	{ "a: 1\n---\nb: 1\n", SET_SYNTAX, "one document" },
+	{ "", SET_SYNTAX, "no document" },
+	{ "instance: [", SET_SYNTAX, "s:2: " },
+	{ "- 1\n", SET_BAD_VALUE, "not a mapping" },
+	{ "[[[[[[[[[[[[[[[[[[[[[[[[1", SET_SYNTAX, "16 levels" },
+};
+
+static void bad_settings_are_refused_with_place_and_range(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < sizeof(bads) / sizeof(bads[0]); i++) {
+		struct set set = { .instance = 42 };
+		struct err err = { 0 };
+
+		assert_false(set_parse("s", bads[i].text, strlen(bads[i].text),
+				       &set, &err));
+		if (err.code != bads[i].code ||
+		    !strstr(err.text, bads[i].shown))
+			print_message("%zu: %d %s\n", i, err.code, err.text);
+		assert_int_equal(err.layer, ERR_SETTINGS);
+		assert_int_equal(err.code, bads[i].code);
+		assert_non_null(strstr(err.text, bads[i].shown));
+		assert_non_null(strstr(err.text, "(allowed: "));
+		assert_int_equal(set.instance, 42);
+	}
+}
+
+static void bad_endpoints_name_the_nested_field(void **state)
+{
+	static const char *const values[] = {
+		"platform={ address: host, port: 1 }",
+		"platform.address=::",
+		"platform.port=0",
+		"platform.port=65536",
+		"seeds=[{ port: 1 }]",
+		"http_port=",
+		"platform={}",
+		"address=0.0.0.0"
+	};
+	static const char *const fields[] = { "platform.address",
+					      "address",
+					      "port",
+					      "port",
+					      "seeds[0].address",
+					      "document",
+					      "platform.address",
+					      "address" };
+	struct err err = { 0 };
+	struct set set;
+
+	(void)state;
+	assert_true(set_parse("s", VALID, strlen(VALID), &set, &err));
+	for (size_t i = 0; i < sizeof(values) / sizeof(values[0]); i++) {
+		struct set before = set;
+
+		err_clear(&err);
+		assert_false(set_override(&set, values[i], &err));
+		if (!strstr(err.text, fields[i]))
+			print_message("%s: %s\n", values[i], err.text);
+		assert_non_null(strstr(err.text, fields[i]));
+		assert_memory_equal(&before, &set, sizeof(set));
+	}
+}
+
+static void flags_replace_fields(void **state)
+{
+	struct err err = { 0 };
+	struct set set;
+
+	(void)state;
+	assert_true(set_parse("s", VALID, strlen(VALID), &set, &err));
+	assert_true(set_override(&set, "platform.port=7001", &err));
+	assert_int_equal(set.platform.port, 7001);
+	assert_true(set_override(&set, "log_level=debug", &err));
+	assert_int_equal(set.log_level, LOG_LEVEL_DEBUG);
+	assert_true(set_override(&set, "seeds=[]", &err));
+	assert_int_equal(set.seed_count, 0);
+	assert_false(set_override(&set, "platform.host=a", &err));
+	assert_int_equal(err.code, SET_UNKNOWN_FIELD);
+	assert_false(set_override(&set, "name", &err));
+	assert_int_equal(err.code, SET_SYNTAX);
+}
+
+static void equal_ports_are_refused(void **state)
+{
+	struct err err = { 0 };
+	struct set set;
+
+	(void)state;
+	assert_true(set_parse("s", VALID, strlen(VALID), &set, &err));
+	set.admin_port = set.http_port;
+	assert_false(set_check(&set, "s", &err));
+	assert_non_null(strstr(err.text, "admin_port"));
+}
+
+static void file_is_read_or_named_in_the_error(void **state)
+{
+	char path[] = "/tmp/set_XXXXXX";
+	int fd = mkstemp(path);
+	struct err err = { 0 };
+	struct set set;
+
+	(void)state;
+	assert_int_equal(write(fd, VALID, strlen(VALID)), strlen(VALID));
+	close(fd);
+	assert_true(set_load(path, &set, &err));
+	unlink(path);
+	assert_false(set_load(path, &set, &err));
+	assert_int_equal(err.code, SET_UNREADABLE);
+	assert_non_null(strstr(err.text, path));
+	assert_false(set_load("/tmp", &set, &err));
+	assert_int_equal(err.code, SET_UNREADABLE);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(valid_settings_get_defaults),
+		cmocka_unit_test(bad_settings_are_refused_with_place_and_range),
+		cmocka_unit_test(bad_endpoints_name_the_nested_field),
+		cmocka_unit_test(flags_replace_fields),
+		cmocka_unit_test(equal_ports_are_refused),
+		cmocka_unit_test(file_is_read_or_named_in_the_error),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
