--- a/packages/base/src/clk.h
+++ b/packages/base/src/clk.h
@@ -5,9 +5,9 @@
 
 #include <stdint.h>
 
-#define US_PER_MS 1000ULL
-#define US_PER_S 1000000ULL
-#define MS_PER_S 1000ULL
+#define US_PER_MS UINT64_C(1000)
+#define US_PER_S UINT64_C(1000000)
+#define MS_PER_S UINT64_C(1000)
 
 struct clk_ops {
 	uint64_t (*mono_us)(void *arg); /* monotonic time in microseconds */
