Count the rows of a view through a compact list of processes

Cause: making a view of 65,536 rows and 6,700 members took 41 ms, mostly cache misses on members that the search passes. Excluded: a hash over the members, which needs memory for each view. Also: a draining owner takes the successor only while that is not over the mean.

--- a/packages/place/src/plc.c
+++ b/packages/place/src/plc.c
@@ -51,16 +51,59 @@
 		second->witnesses += (uint32_t)step;
 }
 
-static void count_rows(const struct mir *mir, uint16_t service,
+static int compare_procs(const void *a, const void *b)
+{
+	const struct proc *left = a;
+	const struct proc *right = b;
+
+	return (left->instance > right->instance) -
+	       (left->instance < right->instance);
+}
+
+/* Returns the place of a process in the view, count if it is not there. */
+static size_t find_place(const struct proc *procs, size_t count,
+			 const struct proc *p)
+{
+	const struct proc *found = NULL;
+
+	if (p->incarnation && count)
+		found = bsearch(p, procs, count, sizeof(*procs), compare_procs);
+	return found && proc_equal(found, p) ? (size_t)(found - procs) : count;
+}
+
+/* The extra entry at the end counts for processes that are not members. */
+static void count_row(struct plc_view *view, const struct proc *procs,
+		      const struct row_set *set)
+{
+	const struct proc *successor = &set->witness[ROW_SUCCESSOR];
+	size_t count = view->count;
+
+	view->members[find_place(procs, count, &set->owner)].owned++;
+	view->members[find_place(procs, count, successor)].succeeds++;
+	view->members[find_place(procs, count, &set->witness[1])].witnesses++;
+}
+
+/*
+ * Searches a list of the processes alone, which is small enough for the cache;
+ * with 65,536 rows the members themselves are not.
+ */
+static bool count_rows(const struct mir *mir, uint16_t service,
 		       struct plc_view *view)
 {
+	struct proc *procs = calloc(view->count + 1, sizeof(*procs));
 	const struct row *row;
 	size_t pos = 0;
 
+	if (!procs)
+		return false;
+	for (size_t i = 0; i < view->count; i++)
+		procs[i] = view->members[i].member->proc;
 	while ((row = mir_next_row(mir, &pos))) {
 		if (part_service(row->part) == service)
-			count_set(view, &row->set, 1);
+			count_row(view, procs, &row->set);
 	}
+	free(procs);
+	return true;
 }
 
 /* Reads all members and counts the rows of the service. */
@@ -84,8 +127,10 @@
 	}
 	qsort(view->members, view->count, sizeof(*view->members),
 	      compare_members);
-	count_rows(mir, service, view);
-	return true;
+	if (count_rows(mir, service, view))
+		return true;
+	plc_view_free(view);
+	return false;
 }
 
 /* Frees the list of members; the view can be made again. */
--- a/packages/place/src/plc.h
+++ b/packages/place/src/plc.h
@@ -114,8 +114,7 @@
 
 /*
  * As plc_drain_target(), for a row that is known: a policy that weighs churn
- * takes the successor, unless it is over the tolerance and so would have to
- * move the partition on.
+ * takes the successor, unless its load is over the mean.
  */
 bool plc_drain_row(const struct plc_view *view, const struct proc *self,
 		   uint64_t part, const struct row_set *set,
--- a/packages/place/src/plc_balance.c
+++ b/packages/place/src/plc_balance.c
@@ -143,7 +143,10 @@
 	return true;
 }
 
-/* The successor is a member of the row already and so has the row's state. */
+/*
+ * A successor over the mean is no target, as for any other move: the partition
+ * would soon be moved on, and the policy would pay for two moves.
+ */
 bool plc_drain_row(const struct plc_view *view, const struct proc *self,
 		   uint64_t part, const struct row_set *set,
 		   const struct plc_policy *policy, struct proc *target)
@@ -155,7 +158,7 @@
 	if (policy->weigh == PLC_CHURN && successor &&
 	    successor->member->proc.instance != self->instance &&
 	    rank_serves(successor, service) &&
-	    successor->load <= load_limit(rank_mean(view, service), policy)) {
+	    successor->load <= rank_mean(view, service)) {
 		*target = successor->member->proc;
 		return true;
 	}
