Test placement against its policy and two placements without state

Cause: a row without a live successor refuses callers, and moves cost shoppers wrong advice. Excluded: bounds from a run; each bound follows from the tolerance, the rate of moves, or the load of one partition. Before: no tests.

--- /dev/null
+++ b/packages/place/tests/test_plc.c
@@ -0,0 +1,257 @@
+/*
+ * Guards against rows without a live successor after a loss, and against churn
+ * or imbalance over what the policy allows.
+ */
+
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <setjmp.h>
+#include <cmocka.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "plc.h"
+#include "plc_sim.h"
+
+#define SERVICE 1
+#define SEEDS 5
+
+static const struct plc_policy available = { PLC_UNAVAILABLE_TIME, 25, 4 };
+static const struct plc_policy churn = { PLC_CHURN, 25, 4 };
+
+static struct proc proc_of(uint32_t instance)
+{
+	return (struct proc){ instance, instance * 100ULL };
+}
+
+/* Another service and a former incarnation do not count as load. */
+static void view_counts_the_rows_of_the_service(void **state)
+{
+	struct mir *mir = mir_create();
+	struct mir_entry e = { .version = 1 };
+	struct plc_view view;
+
+	(void)state;
+	for (uint32_t i = 3; i > 0; i--) {
+		struct member m = { .proc = proc_of(i),
+				    .address = "127.0.0.1",
+				    .service = SERVICE };
+
+		member_key(i, e.key);
+		e.seq++;
+		e.value = member_encode(&m);
+		assert_int_equal(mir_apply(mir, &e, NULL), MIR_NEW);
+		free(e.value);
+	}
+	for (uint16_t service = 1; service <= 2; service++) {
+		struct row row = {
+			.part = part_id(service, 0),
+			.set = { 1, proc_of(1), { proc_of(2), { 3, 1 } } }
+		};
+
+		row_key(row.part, e.key);
+		e.seq++;
+		e.value = row_encode(&row);
+		assert_int_equal(mir_apply(mir, &e, NULL), MIR_NEW);
+		free(e.value);
+	}
+	assert_true(plc_view_make(mir, SERVICE, NULL, NULL, &view));
+	assert_int_equal(view.count, 3);
+	for (uint32_t i = 0; i < 3; i++) {
+		assert_int_equal(view.members[i].member->proc.instance, i + 1);
+		assert_int_equal(view.members[i].owned, i == 0);
+		assert_int_equal(view.members[i].succeeds, i == 1);
+		assert_int_equal(view.members[i].witnesses, 0);
+	}
+	plc_view_free(&view);
+	mir_destroy(mir);
+}
+
+/*
+ * A member stays over the tolerance only if every partition that may move would
+ * lift the target as high, so by at most one partition over the mean; under
+ * churn also by half a partition over the tolerance.
+ */
+static double imbalance_bound(const struct plc_policy *policy,
+			      const struct sim_result *r)
+{
+	double limit = 1 + policy->imbalance_tolerance_pct / 100.0;
+
+	if (policy->weigh == PLC_CHURN)
+		limit += r->granularity / 2;
+	return fmax(limit, 1 + r->granularity) + 1e-9;
+}
+
+/* The share of a joiner plus the tolerance. */
+static double join_bound(const struct sim_config *c, uint32_t members)
+{
+	return (double)c->partitions / members *
+	       (1 + c->policy.imbalance_tolerance_pct / 100.0);
+}
+
+/* A partition that lost its owner may be moved on once by the balance. */
+static double churn_bound(const struct sim_config *c, enum sim_event event,
+			  uint32_t members, const struct sim_result *r)
+{
+	switch (event) {
+	case SIM_HOT_SET:
+		return (double)r->minutes * members *
+		       c->policy.moves_per_minute;
+	case SIM_JOIN:
+		return join_bound(c, members + 1);
+	case SIM_LEAVE:
+	case SIM_CRASH:
+		return 2.0 * r->forced;
+	default:
+		return 2.0 * r->forced + members * join_bound(c, members + 1);
+	}
+}
+
+static void run_layout(const struct sim_config *c, bool print)
+{
+	struct sim *sims[SIM_PLACEMENTS];
+	struct sim_result r[SIM_PLACEMENTS];
+	uint32_t members = c->members;
+
+	for (int p = 0; p < SIM_PLACEMENTS; p++) {
+		sims[p] = sim_create(c, (enum sim_placement)p);
+		assert_non_null(sims[p]);
+	}
+	for (int e = 0; e < SIM_EVENTS; e++) {
+		enum sim_event event = (enum sim_event)e;
+
+		for (int p = 0; p < SIM_PLACEMENTS; p++) {
+			sim_run(sims[p], event, &r[p]);
+			if (print)
+				printf("%u+%u %-10s %-19s imbalance %.2f "
+				       "churn %u\n",
+				       c->members, c->others,
+				       sim_placement_name(
+					       (enum sim_placement)p),
+				       sim_event_name(event), r[p].imbalance,
+				       r[p].churn);
+		}
+		assert_true(r[0].churn >= r[0].forced);
+		assert_true(r[0].churn <=
+			    churn_bound(c, event, members, &r[0]));
+		assert_true(r[0].imbalance <= imbalance_bound(&c->policy, r));
+		if (event != SIM_HOT_SET)
+			assert_true(r[0].churn < r[SIM_MODULO].churn);
+		members += event == SIM_JOIN;
+		members -= event == SIM_LEAVE || event == SIM_CRASH;
+	}
+	for (int p = 0; p < SIM_PLACEMENTS; p++)
+		sim_destroy(sims[p]);
+}
+
+static void run_seeds(struct sim_config c)
+{
+	for (c.seed = 1; c.seed <= SEEDS; c.seed++) {
+		c.policy.weigh = PLC_UNAVAILABLE_TIME;
+		run_layout(&c, c.seed == 1 && c.members == 8);
+		c.policy.weigh = PLC_CHURN;
+		run_layout(&c, c.seed == 1 && c.members == 9);
+	}
+}
+
+static void valeting_layout_keeps_to_the_policy(void **state)
+{
+	(void)state;
+	run_seeds((struct sim_config){ .members = 8,
+				       .others = 3,
+				       .data_centres = 3,
+				       .regions = 1,
+				       .slots = 6,
+				       .partitions = 256,
+				       .policy = available });
+}
+
+static void fitting_layout_keeps_to_the_policy(void **state)
+{
+	(void)state;
+	run_seeds((struct sim_config){ .members = 9,
+				       .others = 3,
+				       .data_centres = 3,
+				       .regions = 1,
+				       .slots = 9,
+				       .partitions = 256,
+				       .policy = churn });
+}
+
+static bool is_up(const struct sim *s, const struct proc *p)
+{
+	const struct plc_view *view = sim_view(s);
+	const struct member *m = view->members[p->instance - 1].member;
+
+	return p->incarnation && proc_equal(&m->proc, p) &&
+	       m->state == MEMBER_UP;
+}
+
+static const char *centre_of(const struct sim *s, const struct proc *p)
+{
+	return sim_view(s)->members[p->instance - 1].member->data_centre;
+}
+
+/* The three processes of a row are up and in three data centres. */
+static void check_row(const struct sim *s, uint32_t i)
+{
+	const struct row_set *set = sim_set(s, i);
+
+	assert_true(plc_is_armed(sim_view(s), set));
+	for (int w = 0; w < ROW_WITNESSES; w++) {
+		assert_true(is_up(s, &set->witness[w]));
+		assert_string_not_equal(centre_of(s, &set->owner),
+					centre_of(s, &set->witness[w]));
+	}
+	assert_string_not_equal(centre_of(s, &set->witness[0]),
+				centre_of(s, &set->witness[1]));
+}
+
+static void lost_centre_leaves_live_successors(void **state)
+{
+	struct sim_config c = { .members = 6700,
+				.data_centres = 10,
+				.regions = 4,
+				.slots = 6,
+				.partitions = 10000,
+				.seed = 1,
+				.policy = { PLC_UNAVAILABLE_TIME, 25, 0 } };
+	struct sim *s = sim_create(&c, SIM_STICKY);
+	uint32_t lost = 0;
+
+	(void)state;
+	assert_non_null(s);
+	for (uint32_t i = 0; i < c.partitions; i++)
+		check_row(s, i);
+	sim_lose_centre(s, 0);
+	for (uint32_t i = 0; i < c.partitions; i++) {
+		const struct row_set *set = sim_set(s, i);
+		bool owner = is_up(s, &set->owner);
+		bool successor = is_up(s, &set->witness[ROW_SUCCESSOR]);
+		bool second = is_up(s, &set->witness[1]);
+
+		assert_true(owner + successor + second >= 2);
+		lost += !owner || !successor || !second;
+	}
+	assert_int_equal(sim_rearm(s), lost);
+	assert_int_equal(sim_rearm(s), 0);
+	for (uint32_t i = 0; i < c.partitions; i++)
+		check_row(s, i);
+	printf("670 of 6,700 members lost: %u of %u rows written\n", lost,
+	       c.partitions);
+	sim_destroy(s);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(view_counts_the_rows_of_the_service),
+		cmocka_unit_test(valeting_layout_keeps_to_the_policy),
+		cmocka_unit_test(fitting_layout_keeps_to_the_policy),
+		cmocka_unit_test(lost_centre_leaves_live_successors),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/packages/place/tests/test_plc_rules.c
@@ -0,0 +1,313 @@
+/*
+ * Guards against sets whose witnesses share a data centre or are leaving, and
+ * moves that swap the load or move a hot key about.
+ */
+
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <setjmp.h>
+#include <cmocka.h>
+#include <math.h>
+#include <stdio.h>
+
+#include "plc.h"
+
+#define SERVICE 1
+#define MEMBERS_MAX 12
+#define PART part_id(SERVICE, 0)
+
+static const struct plc_policy available = { PLC_UNAVAILABLE_TIME, 25, 4 };
+static const struct plc_policy churn = { PLC_CHURN, 25, 4 };
+
+struct bench {
+	struct member members[MEMBERS_MAX];
+	struct plc_member entries[MEMBERS_MAX];
+	struct plc_view view;
+};
+
+static struct proc proc_of(uint32_t instance)
+{
+	return (struct proc){ instance, instance * 100ULL };
+}
+
+/* Adds the next instance; a place is "region/centre". */
+static void add(struct bench *b, uint16_t service, const char *place)
+{
+	size_t i = b->view.count++;
+	struct member *m = &b->members[i];
+
+	m->proc = proc_of((uint32_t)i + 1);
+	m->service = service;
+	m->slots = 6;
+	snprintf(m->data_centre, sizeof(m->data_centre), "%s", place);
+	snprintf(m->region, sizeof(m->region), "%.1s", place);
+	b->entries[i].member = m;
+	b->view.members = b->entries;
+}
+
+static bool arm(const struct bench *b, const struct row_set *old,
+		uint32_t owner, const struct plc_policy *policy,
+		struct row_set *set)
+{
+	struct proc p = proc_of(owner);
+
+	return plc_arm(&b->view, PART, old, &p, policy, set);
+}
+
+static void successor_stays_in_the_region(void **state)
+{
+	struct bench b = { 0 };
+	struct row_set set;
+
+	(void)state;
+	add(&b, SERVICE, "a/1");
+	add(&b, SERVICE, "a/1");
+	add(&b, SERVICE, "a/2");
+	add(&b, SERVICE, "b/1");
+	b.entries[2].succeeds = 50;
+	assert_true(arm(&b, NULL, 1, &available, &set));
+	assert_int_equal(set.witness[ROW_SUCCESSOR].instance, 3);
+	assert_int_equal(set.witness[1].instance, 4);
+	b.members[2].state = MEMBER_DRAINING;
+	assert_true(arm(&b, NULL, 1, &available, &set));
+	assert_int_equal(set.witness[ROW_SUCCESSOR].instance, 4);
+	assert_int_equal(set.witness[1].instance, 2);
+}
+
+/* The second witness may be any daemon, but in a third data centre. */
+static void second_witness_is_in_a_third_centre(void **state)
+{
+	struct bench b = { 0 };
+	struct row_set set;
+
+	(void)state;
+	add(&b, SERVICE, "a/1");
+	add(&b, SERVICE, "a/2");
+	add(&b, 2, "a/2");
+	add(&b, 2, "a/1");
+	assert_true(arm(&b, NULL, 1, &available, &set));
+	assert_int_equal(set.witness[ROW_SUCCESSOR].instance, 2);
+	assert_int_equal(set.witness[1].instance, 3);
+	add(&b, 2, "b/3");
+	assert_true(arm(&b, &set, 1, &available, &set));
+	assert_int_equal(set.witness[1].instance, 5);
+	assert_int_equal(set.version, 2);
+}
+
+static void witnesses_that_suit_are_kept(void **state)
+{
+	struct bench b = { 0 };
+	struct row_set old;
+	struct row_set set;
+
+	(void)state;
+	for (int i = 0; i < 3; i++) {
+		add(&b, SERVICE, "a/1");
+		add(&b, SERVICE, "a/2");
+		add(&b, SERVICE, "a/3");
+	}
+	assert_true(arm(&b, NULL, 1, &churn, &old));
+	b.entries[old.witness[0].instance - 1].succeeds = 9;
+	b.entries[old.witness[1].instance - 1].witnesses = 9;
+	assert_true(arm(&b, &old, 1, &churn, &set));
+	assert_true(proc_equal(&set.witness[0], &old.witness[0]));
+	assert_true(proc_equal(&set.witness[1], &old.witness[1]));
+	/* More than its share: the policy on unavailable time spreads it. */
+	assert_true(arm(&b, &old, 1, &available, &set));
+	assert_int_not_equal(set.witness[0].instance, old.witness[0].instance);
+	/* A restarted witness has forgotten its promises. */
+	b.members[old.witness[1].instance - 1].proc.incarnation++;
+	assert_false(plc_is_armed(&b.view, &old));
+	assert_true(arm(&b, &old, 1, &churn, &set));
+	assert_true(plc_is_armed(&b.view, &set));
+	assert_false(proc_equal(&set.witness[1], &old.witness[1]));
+	assert_true(proc_equal(&set.witness[0], &old.witness[0]));
+}
+
+static void new_successor_succeeds_the_fewest(void **state)
+{
+	struct bench b = { 0 };
+	struct row_set set;
+
+	(void)state;
+	add(&b, SERVICE, "a/1");
+	for (int i = 0; i < 8; i++)
+		add(&b, SERVICE, "a/2");
+	for (size_t i = 0; i < b.view.count; i++)
+		b.entries[i].succeeds = 3;
+	b.entries[5].succeeds = 2;
+	arm(&b, NULL, 1, &available, &set);
+	assert_int_equal(set.witness[ROW_SUCCESSOR].instance, 6);
+}
+
+static void lone_members_get_what_there_is(void **state)
+{
+	struct bench b = { 0 };
+	struct row_set set;
+
+	(void)state;
+	assert_false(plc_choose(&b.view, PART, 1, &churn, &set));
+	add(&b, SERVICE, "a/1");
+	assert_false(arm(&b, NULL, 1, &churn, &set));
+	assert_int_equal(set.owner.instance, 1);
+	assert_int_equal(set.witness[0].incarnation, 0);
+	assert_int_equal(set.witness[1].incarnation, 0);
+	assert_false(plc_is_armed(&b.view, &set));
+	assert_true(plc_choose(&b.view, PART, 7, &churn, &set));
+	assert_int_equal(set.version, 7);
+	add(&b, 2, "a/1");
+	assert_false(arm(&b, NULL, 1, &churn, &set));
+	assert_int_equal(set.witness[0].incarnation, 0);
+	assert_int_equal(set.witness[1].instance, 2);
+}
+
+static void leaving_members_get_nothing_new(void **state)
+{
+	struct bench b = { 0 };
+	struct plc_load loads[] = { { PART, 1 }, { PART + 1, 1 } };
+	struct row_set set;
+	struct proc target;
+	uint64_t part;
+
+	(void)state;
+	for (int i = 0; i < 3; i++)
+		add(&b, SERVICE, "a/1");
+	b.entries[0].load = 2;
+	b.members[1].state = MEMBER_DRAINING;
+	b.members[2].state = MEMBER_GONE;
+	for (uint32_t i = 0; i < 64; i++) {
+		assert_true(plc_choose(&b.view, PART + i, 1, &churn, &set));
+		assert_int_equal(set.owner.instance, 1);
+		assert_int_equal(set.witness[0].incarnation, 0);
+		assert_true(plc_is_creator(&b.view, PART + i, &set.owner));
+		assert_false(
+			plc_drain_target(&b.view, &set.owner, PART, &target));
+	}
+	assert_false(plc_next_move(&b.view, &set.owner, loads, 2, &available,
+				   &part, &target));
+}
+
+static void only_one_member_creates_a_row(void **state)
+{
+	struct bench b = { 0 };
+
+	(void)state;
+	for (int i = 0; i < 8; i++)
+		add(&b, i < 6 ? SERVICE : 2, "a/1");
+	for (uint32_t part = 0; part < 100; part++) {
+		int creators = 0;
+
+		for (uint32_t i = 1; i <= 8; i++) {
+			struct proc p = proc_of(i);
+
+			creators += plc_is_creator(&b.view, PART + part, &p);
+		}
+		assert_int_equal(creators, 1);
+	}
+}
+
+static bool next_move(struct bench *b, const double *loads, size_t count,
+		      const struct plc_policy *policy, uint64_t *part,
+		      struct proc *target)
+{
+	struct proc self = proc_of(1);
+	struct plc_load list[8];
+
+	b->entries[0].load = 0;
+	for (size_t i = 0; i < count; i++) {
+		list[i] = (struct plc_load){ PART + i, loads[i] };
+		b->entries[0].load += loads[i];
+	}
+	return plc_next_move(&b->view, &self, list, count, policy, part,
+			     target);
+}
+
+static void moves_shrink_the_imbalance(void **state)
+{
+	static const double hot[] = { 0.3, 0.1, 0.1, 0.1 };
+	static const double alone[] = { 0.9 };
+	static const double pair[] = { 0.4, 0.4 };
+	static const double swap[] = { 0.5, 0.5 };
+	static const double small_excess[] = { 0.2, 0.2, 0.22 };
+	struct plc_policy still = { PLC_CHURN, 25, 0 };
+	struct bench b = { 0 };
+	struct proc target;
+	uint64_t part;
+
+	(void)state;
+	for (int i = 0; i < 3; i++)
+		add(&b, SERVICE, "a/1");
+	b.entries[1].load = 0.1;
+	/* Moving the hottest would shrink the imbalance most. */
+	assert_true(next_move(&b, hot, 4, &available, &part, &target));
+	assert_int_equal(part, PART + 1);
+	assert_int_equal(target.instance, 3);
+	assert_false(next_move(&b, hot, 4, &still, &part, &target));
+	assert_false(next_move(&b, alone, 1, &available, &part, &target));
+	assert_true(next_move(&b, pair, 2, &churn, &part, &target));
+	/* A target that gets as much as self had is a swap. */
+	b.entries[1].load = b.entries[2].load = 0.5;
+	assert_false(next_move(&b, swap, 2, &available, &part, &target));
+	/* 0.62 is 0.003 over the limit: under churn not worth a move of 0.2. */
+	b.entries[1].load = 0.56;
+	b.entries[2].load = 0.3;
+	assert_true(next_move(&b, small_excess, 3, &available, &part, &target));
+	assert_false(next_move(&b, small_excess, 3, &churn, &part, &target));
+}
+
+static void drain_prefers_the_successor_under_churn(void **state)
+{
+	struct bench b = { 0 };
+	struct row_set set = { .owner = proc_of(1), .witness = { proc_of(2) } };
+	struct proc self = proc_of(1);
+	struct proc target;
+
+	(void)state;
+	for (int i = 0; i < 3; i++)
+		add(&b, SERVICE, "a/1");
+	b.members[0].state = MEMBER_DRAINING;
+	b.entries[1].load = 0.5;
+	b.entries[2].load = 0.4;
+	assert_true(
+		plc_drain_row(&b.view, &self, PART, &set, &available, &target));
+	assert_int_equal(target.instance, 3);
+	b.entries[1].load = 0.4;
+	assert_true(plc_drain_row(&b.view, &self, PART, &set, &churn, &target));
+	assert_int_equal(target.instance, 2);
+	b.entries[1].load = 0.9;
+	assert_true(plc_drain_row(&b.view, &self, PART, &set, &churn, &target));
+	assert_int_equal(target.instance, 3);
+}
+
+static void small_functions(void **state)
+{
+	static const double loads[] = { 1, 2, 3 };
+
+	(void)state;
+	assert_true(fabs(plc_imbalance(loads, 3) - 1.5) < 1e-9);
+	assert_true(plc_imbalance(NULL, 0) == 1);
+	/* The published XXH3 of an empty input, so that callers can rely on it. */
+	assert_int_equal(plc_partition("", 0, 65536),
+			 0x2d06800538d394c2ULL % 65536);
+	assert_int_equal(plc_partition("", 0, 0), 0);
+	assert_int_equal(plc_modulo(part_id(3, 10), 4), 2);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(successor_stays_in_the_region),
+		cmocka_unit_test(second_witness_is_in_a_third_centre),
+		cmocka_unit_test(witnesses_that_suit_are_kept),
+		cmocka_unit_test(new_successor_succeeds_the_fewest),
+		cmocka_unit_test(lone_members_get_what_there_is),
+		cmocka_unit_test(leaving_members_get_nothing_new),
+		cmocka_unit_test(only_one_member_creates_a_row),
+		cmocka_unit_test(moves_shrink_the_imbalance),
+		cmocka_unit_test(drain_prefers_the_successor_under_churn),
+		cmocka_unit_test(small_functions),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
