Add traces and tests of counters

Cause: each hop needs a span with the caller's traceparent passed on, and the promises of the histogram had no test. Excluded: one write for each span, which costs a system call for each request; a format string for the JSON, which does not escape names. Spans are timed by the monotonic clock plus an offset that is renewed each second, as the clock tells Unix time in milliseconds only. Before: trc.h only. Conclusion: the interface of trc.h is in place, unchanged.

--- /dev/null
+++ b/packages/base/src/trc.c
@@ -0,0 +1,308 @@
+#include "trc.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define BUFFER_BYTES 32768
+#define FLUSH_US US_PER_S
+#define FILE_MODE 0644
+#define PER_MILLION 1000000
+
+#define VERSION_CHARS 2
+#define TRACE_ID_CHARS (2 * TRC_TRACE_ID_BYTES)
+#define SPAN_ID_CHARS (2 * TRC_SPAN_ID_BYTES)
+#define TRACE_ID_AT (VERSION_CHARS + 1)
+#define SPAN_ID_AT (TRACE_ID_AT + TRACE_ID_CHARS + 1)
+#define FLAGS_AT (SPAN_ID_AT + SPAN_ID_CHARS + 1)
+#define PARENT_CHARS (FLAGS_AT + 2)
+#define FLAG_SAMPLED 1
+
+/* Values of OTLP. */
+#define KIND_SERVER 2
+#define STATUS_OK 1
+#define STATUS_ERROR 2
+#define OUTCOME_DONE "done"
+
+struct trc {
+	const struct clk *clk;
+	int fd; /* -1 writes nothing */
+	uint32_t sample_per_million;
+	char *service;
+	bool cut; /* the last write has ended inside a line */
+	uint64_t first_us; /* monotonic time of the oldest line in the buffer */
+	uint64_t wall_offset_us; /* Unix time less monotonic time */
+	uint64_t offset_us; /* monotonic time when the offset was taken */
+	size_t used;
+	char buffer[BUFFER_BYTES];
+};
+
+/*
+ * The clock tells Unix time in milliseconds only. Spans are timed by the
+ * monotonic clock, which is finer and is never set back during a span.
+ */
+static void take_offset(struct trc *t, uint64_t mono_us)
+{
+	t->wall_offset_us = clk_wall_ms(t->clk) * US_PER_MS - mono_us;
+	t->offset_us = mono_us;
+}
+
+/* Opens the file and prepares the buffer. */
+struct trc *trc_create(const char *path, const char *service,
+		       uint32_t sample_per_million, const struct clk *clk,
+		       struct err *err)
+{
+	struct trc *t = calloc(1, sizeof(*t));
+	int fd = -1;
+
+	if (t)
+		t->service = strdup(service);
+	if (!t || !t->service) {
+		free(t);
+		err_set(err, ERR_SYSTEM, ENOMEM, "traces: out of memory");
+		return NULL;
+	}
+	if (path) {
+		fd = open(path, O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC,
+			  FILE_MODE);
+		if (fd < 0) {
+			err_set(err, ERR_SYSTEM, errno,
+				"%s: cannot be opened: %s", path,
+				strerror(errno));
+			free(t->service);
+			free(t);
+			return NULL;
+		}
+	}
+	t->fd = fd;
+	t->clk = clk;
+	t->sample_per_million = sample_per_million;
+	take_offset(t, clk_mono_us(clk));
+	return t;
+}
+
+/*
+ * Writes the buffer with one call. What does not fit on the disk is lost, as
+ * traces must not hold up requests; a line that was cut is closed by the next
+ * write, so that only this line is unreadable.
+ */
+static void flush(struct trc *t)
+{
+	ssize_t n;
+
+	if (t->used == 0)
+		return;
+	n = write(t->fd, t->buffer, t->used);
+	if (n > 0)
+		t->cut = t->buffer[n - 1] != '\n';
+	t->used = 0;
+}
+
+/* Writes what is left and closes the file. */
+void trc_destroy(struct trc *t)
+{
+	if (!t)
+		return;
+	if (t->fd >= 0) {
+		flush(t);
+		close(t->fd);
+	}
+	free(t->service);
+	free(t);
+}
+
+static int digit(char c)
+{
+	if (c >= '0' && c <= '9')
+		return c - '0';
+	return c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
+}
+
+/* Reads hexadecimal digits in lower case, as the standard demands. */
+static bool read_hex(const char *text, uint8_t *out, size_t bytes)
+{
+	for (size_t i = 0; i < bytes; i++) {
+		int high = digit(text[2 * i]);
+		int low = high < 0 ? -1 : digit(text[2 * i + 1]);
+
+		if (low < 0)
+			return false;
+		out[i] = (uint8_t)(high << 4 | low);
+	}
+	return true;
+}
+
+static void write_hex(const uint8_t *bytes, size_t count, char *out)
+{
+	for (size_t i = 0; i < count; i++)
+		snprintf(out + 2 * i, 3, "%02x", bytes[i]);
+}
+
+static bool is_zero(const uint8_t *bytes, size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (bytes[i])
+			return false;
+	}
+	return true;
+}
+
+/* Checks length and separators; later versions may append fields. */
+static bool has_form(const char *s)
+{
+	size_t len = strnlen(s, PARENT_CHARS + 1);
+	uint8_t version;
+
+	if (len < PARENT_CHARS || !read_hex(s, &version, 1) || version == 0xff)
+		return false;
+	if (s[TRACE_ID_AT - 1] != '-' || s[SPAN_ID_AT - 1] != '-' ||
+	    s[FLAGS_AT - 1] != '-')
+		return false;
+	return len == PARENT_CHARS || (version > 0 && s[PARENT_CHARS] == '-');
+}
+
+/* Takes trace, parent and flags from a traceparent. */
+static bool read_parent(const char *s, struct trc_span *span)
+{
+	uint8_t flags;
+
+	if (!s || !has_form(s) ||
+	    !read_hex(s + TRACE_ID_AT, span->trace_id, TRC_TRACE_ID_BYTES) ||
+	    !read_hex(s + SPAN_ID_AT, span->parent_id, TRC_SPAN_ID_BYTES) ||
+	    !read_hex(s + FLAGS_AT, &flags, 1))
+		return false;
+	span->sampled = flags & FLAG_SAMPLED;
+	return !is_zero(span->trace_id, TRC_TRACE_ID_BYTES) &&
+	       !is_zero(span->parent_id, TRC_SPAN_ID_BYTES);
+}
+
+/* Draws an id; an id of zeros is not valid. */
+static void draw_id(struct trc *t, uint8_t *out, size_t bytes)
+{
+	for (size_t i = 0; i < bytes; i += sizeof(uint64_t)) {
+		uint64_t v = clk_random(t->clk);
+
+		memcpy(out + i, &v, sizeof(v));
+	}
+	if (is_zero(out, bytes))
+		out[bytes - 1] = 1;
+}
+
+/* Continues the trace of the caller or begins one. */
+void trc_start(struct trc *t, const char *traceparent, struct trc_span *span)
+{
+	uint64_t now_us = clk_mono_us(t->clk);
+
+	memset(span, 0, sizeof(*span));
+	if (!read_parent(traceparent, span)) {
+		memset(span, 0, sizeof(*span));
+		draw_id(t, span->trace_id, TRC_TRACE_ID_BYTES);
+		span->sampled = clk_random_below(t->clk, PER_MILLION) <
+				t->sample_per_million;
+	}
+	draw_id(t, span->span_id, TRC_SPAN_ID_BYTES);
+	if (now_us - t->offset_us >= FLUSH_US)
+		take_offset(t, now_us);
+	span->start_us = now_us + t->wall_offset_us;
+}
+
+/* Writes version 00 of the standard. */
+void trc_parent(const struct trc_span *span, char out[TRC_PARENT_MAX])
+{
+	char trace[TRACE_ID_CHARS + 1], id[SPAN_ID_CHARS + 1];
+
+	write_hex(span->trace_id, TRC_TRACE_ID_BYTES, trace);
+	write_hex(span->span_id, TRC_SPAN_ID_BYTES, id);
+	snprintf(out, TRC_PARENT_MAX, "00-%s-%s-%02x", trace, id,
+		 span->sampled ? FLAG_SAMPLED : 0);
+}
+
+/* Returns the JSON of one span; 64-bit numbers are texts in OTLP. */
+static json_t *span_json(const struct trc_span *span, uint64_t end_us,
+			 const char *name, const char *outcome, int status)
+{
+	char trace[TRACE_ID_CHARS + 1], id[SPAN_ID_CHARS + 1];
+	char parent[SPAN_ID_CHARS + 1] = "";
+	char start[24], end[24], code[12];
+	bool done = strcmp(outcome, OUTCOME_DONE) == 0;
+
+	write_hex(span->trace_id, TRC_TRACE_ID_BYTES, trace);
+	write_hex(span->span_id, TRC_SPAN_ID_BYTES, id);
+	if (!is_zero(span->parent_id, TRC_SPAN_ID_BYTES))
+		write_hex(span->parent_id, TRC_SPAN_ID_BYTES, parent);
+	snprintf(start, sizeof(start), "%" PRIu64, span->start_us * 1000);
+	snprintf(end, sizeof(end), "%" PRIu64, end_us * 1000);
+	snprintf(code, sizeof(code), "%d", status);
+	return json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:s,"
+			 " s:[{s:s, s:{s:s}}, {s:s, s:{s:s}}], s:{s:i}}",
+			 "traceId", trace, "spanId", id, "parentSpanId", parent,
+			 "name", name, "kind", KIND_SERVER, "startTimeUnixNano",
+			 start, "endTimeUnixNano", end, "attributes", "key",
+			 "geraniumspoke.outcome", "value", "stringValue",
+			 outcome, "key", "http.response.status_code", "value",
+			 "intValue", code, "status", "code",
+			 done ? STATUS_OK : STATUS_ERROR);
+}
+
+/* Returns the line of a span around its JSON, which is used up. */
+static json_t *line_json(const char *service, json_t *span)
+{
+	return json_pack("{s:[{s:{s:[{s:s, s:{s:s}}]},"
+			 " s:[{s:{s:s}, s:[o]}]}]}",
+			 "resourceSpans", "resource", "attributes", "key",
+			 "service.name", "value", "stringValue", service,
+			 "scopeSpans", "scope", "name", "geraniumspoke",
+			 "spans", span);
+}
+
+/* Appends a line; one that cannot fit into the buffer is left out. */
+static void append(struct trc *t, const json_t *line, uint64_t now_us)
+{
+	size_t len = json_dumpb(line, NULL, 0, JSON_COMPACT);
+	size_t need = len + 2;
+
+	if (len == 0 || need > sizeof(t->buffer))
+		return;
+	if (t->used + need > sizeof(t->buffer))
+		flush(t);
+	if (t->used == 0) {
+		t->first_us = now_us;
+		if (t->cut)
+			t->buffer[t->used++] = '\n';
+		t->cut = false;
+	}
+	t->used += json_dumpb(line, t->buffer + t->used,
+			      sizeof(t->buffer) - t->used, JSON_COMPACT);
+	t->buffer[t->used++] = '\n';
+}
+
+/*
+ * Adds the span to the buffer, which is written when it is full or its oldest
+ * line has waited for a second.
+ */
+void trc_end(struct trc *t, const struct trc_span *span, const char *name,
+	     const char *outcome, int status)
+{
+	uint64_t now_us = clk_mono_us(t->clk);
+	uint64_t end_us = now_us + t->wall_offset_us;
+	json_t *line;
+
+	if (t->fd < 0)
+		return;
+	if (span->sampled) {
+		if (end_us < span->start_us)
+			end_us = span->start_us;
+		line = line_json(t->service, span_json(span, end_us, name,
+						       outcome, status));
+		if (line)
+			append(t, line, now_us);
+		json_decref(line);
+	}
+	if (t->used > 0 && now_us - t->first_us >= FLUSH_US)
+		flush(t);
+}
--- /dev/null
+++ b/packages/base/tests/test_ctr.c
@@ -0,0 +1,134 @@
+/*
+ * Guards against counters that scrapers cannot read, against writing past a
+ * short buffer, and against quantiles that are off by more than is promised.
+ */
+
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <setjmp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "ctr.h"
+
+#define SEED 20261204u
+#define VALUES 20000
+#define PARTS (1u << HST_SUB_BITS) /* the error is below 1/PARTS */
+
+static uint32_t next_random(uint64_t *s)
+{
+	*s = *s * 6364136223846793005ULL + 1442695040888963407ULL;
+	return (uint32_t)(*s >> 33);
+}
+
+static void counters_are_written_with_help_and_type(void **state)
+{
+	char text[16384];
+
+	(void)state;
+	ctr_reset();
+	ctr_add(CTR_REQUESTS, 2);
+	ctr_add(CTR_REQUESTS, 3);
+	assert_int_equal(ctr_get(CTR_REQUESTS), 5);
+	assert_true(ctr_write(text, sizeof(text)) < sizeof(text));
+	assert_non_null(strstr(text, "# TYPE geraniumspoke_requests_total "
+				     "counter\ngeraniumspoke_requests_total "
+				     "5\n"));
+	ctr_set(CTR_REQUESTS, 1);
+	assert_int_equal(ctr_get(CTR_REQUESTS), 1);
+	ctr_reset();
+	assert_int_equal(ctr_get(CTR_REQUESTS), 0);
+}
+
+static void short_buffer_cuts_the_text(void **state)
+{
+	size_t whole = ctr_write(NULL, 0);
+
+	(void)state;
+	for (size_t size = 1; size <= whole + 1; size += 7) {
+		char *buf = malloc(size);
+
+		assert_int_equal(ctr_write(buf, size), whole);
+		assert_true(strlen(buf) < size);
+		free(buf);
+	}
+}
+
+static void quantile_of_one_value_is_near_it(void **state)
+{
+	static struct hst h;
+	uint64_t s = SEED;
+
+	(void)state;
+	print_message("seed %u\n", SEED);
+	for (int i = 0; i < VALUES; i++) {
+		uint64_t v = next_random(&s) >> next_random(&s) % 31;
+		uint64_t got;
+
+		memset(&h, 0, sizeof(h));
+		hst_add(&h, v);
+		hst_add(&h, HST_MAX_US);
+		got = hst_quantile(&h, 0.0);
+		assert_true(got >= v);
+		assert_true((got - v) * PARTS < (v ? v : 1));
+	}
+}
+
+static int compare(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static void quantiles_of_many_values_are_near_the_exact_ones(void **state)
+{
+	static const double quantiles[] = { 0.0, 0.5, 0.9, 0.99, 0.999 };
+	static uint64_t values[VALUES];
+	static struct hst h;
+	uint64_t s = SEED;
+
+	(void)state;
+	memset(&h, 0, sizeof(h));
+	for (int i = 0; i < VALUES; i++) {
+		values[i] = next_random(&s) >> next_random(&s) % 24;
+		hst_add(&h, values[i]);
+	}
+	qsort(values, VALUES, sizeof(values[0]), compare);
+	for (size_t i = 0; i < sizeof(quantiles) / sizeof(quantiles[0]); i++) {
+		uint64_t exact = values[(size_t)(quantiles[i] * VALUES)];
+		uint64_t got = hst_quantile(&h, quantiles[i]);
+
+		assert_true(got >= exact);
+		assert_true((got - exact) * PARTS < (exact ? exact : 1));
+	}
+	assert_int_equal(hst_quantile(&h, 1.0), values[VALUES - 1]);
+}
+
+static void empty_and_too_large_are_handled(void **state)
+{
+	static struct hst h;
+
+	(void)state;
+	memset(&h, 0, sizeof(h));
+	assert_int_equal(hst_quantile(&h, 0.5), 0);
+	hst_add(&h, UINT64_MAX);
+	assert_true(hst_quantile(&h, 0.5) == HST_MAX_US);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(counters_are_written_with_help_and_type),
+		cmocka_unit_test(short_buffer_cuts_the_text),
+		cmocka_unit_test(quantile_of_one_value_is_near_it),
+		cmocka_unit_test(
+			quantiles_of_many_values_are_near_the_exact_ones),
+		cmocka_unit_test(empty_and_too_large_are_handled),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
