Keep a slot for idle kinds during slow start; drop counters in use elsewhere

Cause: with a limit of one slot, one slow request (an archive, a stalled check) held back every other kind until its deadline. The daemon also defines counters for retries, strikes and shed requests with the same names. Excluded: a higher first limit, which the design rules out; a limit that grows with time alone, which pushes an upstream that answers nothing up to all its slots. After 250 ms without a result each idle kind with a share may take one slot over the limit. Before: a lookup behind a stalled check on a cold upstream waited for the check. After: it runs after 250 ms (stall_during_slow_start_leaves_a_slot); test_adm 13 tests pass under ASan and UBSan. Conclusion: adm_running() may be over adm_limit(), never over the slots.

--- a/packages/route/src/adm.c
+++ b/packages/route/src/adm.c
@@ -12,6 +12,15 @@
 #define LOAD_SMOOTHING_US (3 * US_PER_S)
 #define MEAN_WEIGHT 8 /* a new service time counts 1/8 */
 #define FAILURES_TO_HALVE 4 /* one after the other */
+
+/*
+ * While the limit is low, one slow request can hold every slot. After this time
+ * without a result each idle kind with a share may take a slot over the limit.
+ * It is half of the shortest deadline in use, so that a request can still be in
+ * time.
+ */
+#define STALL_US (250 * US_PER_MS)
+
 #define HINT_FACTOR 2 /* slower growth while the upstream reports trouble */
 
 struct kind {
@@ -38,6 +47,7 @@
 	uint32_t running;
 	uint32_t successes; /* since the limit has changed */
 	uint32_t failures; /* one after the other */
+	uint64_t progress_us; /* when a slot was last taken or freed */
 	uint32_t stale; /* running requests that say nothing about the limit */
 	double load;
 	uint64_t load_us; /* time of the load */
@@ -173,18 +183,29 @@
 	return sum < most ? sum : most;
 }
 
+/* True if all slots of the limit are held by requests that do not end. */
+static bool is_stalled(const struct adm *a, uint64_t now_us)
+{
+	return a->limit > 0 && a->running < a->slots &&
+	       a->running < a->shared_count &&
+	       now_us >= a->progress_us + STALL_US;
+}
+
 /*
  * A kind that runs nothing takes the slot that was kept for it. Below its
  * share it leaves a slot for each kind that runs nothing. Over its share it
  * borrows and leaves what the others are likely to need.
  */
-static bool may_run(const struct adm *a, const struct kind *k)
+static bool may_run(const struct adm *a, const struct kind *k, uint64_t now_us)
 {
 	bool below = k->running < guaranteed(a, k);
+	bool idle = k->share_pct > 0 && k->running == 0;
 
-	if (!a->attached || a->running >= a->limit)
+	if (!a->attached)
 		return false;
-	if (k->share_pct > 0 && k->running == 0)
+	if (a->running >= a->limit)
+		return idle && is_stalled(a, now_us);
+	if (idle)
 		return true;
 	return a->limit - a->running - 1 >= reserve(a, k, !below);
 }
@@ -194,6 +215,7 @@
 	update_load(a, now_us);
 	a->running++;
 	k->running++;
+	a->progress_us = now_us;
 	note_demand(a, k, now_us);
 }
 
@@ -213,7 +235,7 @@
  * Returns the kind whose first request runs next: kinds below their share
  * before those that borrow, then the earliest deadline.
  */
-static struct kind *pick(struct adm *a)
+static struct kind *pick(struct adm *a, uint64_t now_us)
 {
 	struct kind *best = NULL;
 	uint64_t best_deadline = 0;
@@ -224,7 +246,7 @@
 		const struct que_entry *e = a->queue.heads[i];
 		bool below = k->running < guaranteed(a, k);
 
-		if (!e || !may_run(a, k))
+		if (!e || !may_run(a, k, now_us))
 			continue;
 		if (!best || (below && !best_below) ||
 		    (below == best_below && e->deadline_us < best_deadline)) {
@@ -251,7 +273,7 @@
 		note_demand(a, &a->kinds[i], now_us);
 		drop_late(a, i, now_us);
 	}
-	while ((k = pick(a))) {
+	while ((k = pick(a, now_us))) {
 		void *request = que_pop(&a->queue, (uint32_t)(k - a->kinds));
 
 		take_slot(a, k, now_us);
@@ -315,12 +337,6 @@
 	return now_us + ahead / slots * mean + mean < deadline_us;
 }
 
-static enum adm_verdict shed(void)
-{
-	ctr_add(CTR_ADMISSION_SHED, 1);
-	return ADM_SHED;
-}
-
 /* Takes a slot, queues or refuses. */
 enum adm_verdict adm_enter(struct adm *a, uint32_t kind, uint64_t deadline_us,
 			   void *request, uint64_t now_us)
@@ -328,17 +344,17 @@
 	struct kind *k;
 
 	if (kind >= a->kind_count || !a->attached || deadline_us <= now_us)
-		return shed();
+		return ADM_SHED;
 	k = &a->kinds[kind];
 	note_demand(a, k, now_us);
-	if (!a->queue.heads[kind] && may_run(a, k)) {
+	if (!a->queue.heads[kind] && may_run(a, k, now_us)) {
 		take_slot(a, k, now_us);
 		return ADM_RUN;
 	}
 	if (a->queue.lengths[kind] >= k->queue_max ||
 	    !can_be_in_time(a, kind, deadline_us, now_us) ||
 	    !que_add(&a->queue, kind, deadline_us, request))
-		return shed();
+		return ADM_SHED;
 	return ADM_QUEUED;
 }
 
@@ -429,6 +445,7 @@
 	update_load(a, now_us);
 	k->running--;
 	a->running--;
+	a->progress_us = now_us;
 	measure(k, result, service_us);
 	adapt(a, result);
 	dispatch(a, now_us);
--- a/packages/route/src/qtn.c
+++ b/packages/route/src/qtn.c
@@ -134,7 +134,6 @@
 	if (is_old(n, now_ms))
 		n->entry.strikes = 0;
 	set_strikes(n, n->entry.strikes + 1, now_ms);
-	ctr_add(CTR_STRIKES, 1);
 	return n->entry.strikes;
 }
 
--- a/packages/route/src/ret.c
+++ b/packages/route/src/ret.c
@@ -64,7 +64,6 @@
 		return false;
 	}
 	r->budget -= RETRY_COST;
-	ctr_add(CTR_RETRIES, 1);
 	return true;
 }
 
--- a/packages/route/tests/test_adm.c
+++ b/packages/route/tests/test_adm.c
@@ -197,6 +197,37 @@
 	}
 }
 
+/* Half of the shortest deadline of the example manifests, 500 ms. */
+#define STALL_US (250 * US_PER_MS)
+
+/* A slow request that meets a cold upstream must not hold its only slot. */
+static void stall_during_slow_start_leaves_a_slot(void **state)
+{
+	static const struct adm_kind kinds[] = { { 50, 8 }, { 10, 8 } };
+	struct calls c = { 0 };
+	struct adm *a = adm_create(kinds, 2, &ops, &c);
+
+	(void)state;
+	adm_attach(a, SLOTS, 0);
+	assert_int_equal(adm_enter(a, 1, FAR, NULL, 0), ADM_RUN);
+	for (int i = 0; i < 2; i++)
+		assert_int_equal(adm_enter(a, 0, FAR, &marks[i], 0),
+				 ADM_QUEUED);
+	assert_int_equal(adm_enter(a, 1, FAR, &marks[2], 0), ADM_QUEUED);
+	adm_tick(a, STALL_US - 1);
+	assert_int_equal(c.run_count, 0);
+	adm_tick(a, STALL_US);
+	assert_int_equal(c.run_count, 1);
+	assert_ptr_equal(c.ran[0], &marks[0]);
+	adm_tick(a, 10 * STALL_US);
+	assert_int_equal(c.run_count, 1);
+	adm_done(a, 0, ADM_OK, 1, 10 * STALL_US);
+	adm_tick(a, 11 * STALL_US);
+	assert_ptr_equal(c.ran[1], &marks[1]);
+	assert_int_equal(adm_limit(a), 1);
+	adm_destroy(a);
+}
+
 static const struct adm_kind one[] = { { 100, 8 } };
 
 static void queue_runs_the_earliest_deadline_first(void **state)
@@ -482,6 +513,7 @@
 		cmocka_unit_test(stalled_kind_leaves_a_slot_for_each_share),
 		cmocka_unit_test(share_in_use_is_not_lent),
 		cmocka_unit_test(few_slots_are_still_shared),
+		cmocka_unit_test(stall_during_slow_start_leaves_a_slot),
 		cmocka_unit_test(queue_runs_the_earliest_deadline_first),
 		cmocka_unit_test(requests_that_cannot_be_in_time_do_not_wait),
 		cmocka_unit_test(queues_are_bounded_for_each_kind),
