Lease: an instance without upstream claims nothing; requests survive a rearm

Cause: reading the merged lease module against the design. A new version of a row with the same owner stopped and started the owner, which would have cut requests in flight and forgotten the duplicate window; a successor without an upstream would have claimed. Excluded: keeping requests beyond the end of the old term: a successor of the new version may act from then on. Before: each rearm cuts what runs. After: what runs may go on until the end of the old term, and the window is kept when nobody else can have acted. Conclusion: to be shown by the tests over separate processes.

--- a/packages/daemon/src/exe.c
+++ b/packages/daemon/src/exe.c
@@ -155,7 +155,6 @@
 			exe_run_abandon(r);
 		r = next;
 	}
-	dup_close(e->duplicates, part);
 }
 
 /* Counts the runs. */
--- a/packages/daemon/src/own.c
+++ b/packages/daemon/src/own.c
@@ -40,6 +40,16 @@
 	UT_hash_handle hh;
 };
 
+/* A partition whose duplicate window this process keeps. */
+struct window {
+	uint64_t part;
+	uint64_t fence; /* that it acted with last */
+	uint64_t next_fence; /* of its own newer version, 0 if there is none */
+	uint32_t timer; /* end of the time for requests that run on */
+	struct own *own;
+	UT_hash_handle hh;
+};
+
 /* Messages that leave together for one process. */
 struct batch {
 	struct proc to;
@@ -53,6 +63,7 @@
 	struct lse *lease;
 	struct heard *heard;
 	struct transfer *transfers;
+	struct window *windows;
 	struct batch batches[DESTINATIONS_MAX];
 	size_t batch_count;
 	size_t acting;
@@ -161,6 +172,48 @@
 	free(t);
 }
 
+static struct window *find_window(struct own *o, uint64_t part)
+{
+	struct window *w;
+
+	HASH_FIND(hh, o->windows, &part, sizeof(part), w);
+	return w;
+}
+
+/* Remembers that this process keeps a duplicate window of the partition. */
+static void add_window(struct own *o, uint64_t part, uint64_t fence)
+{
+	struct window *w = find_window(o, part);
+
+	if (!w) {
+		w = calloc(1, sizeof(*w));
+		if (!w)
+			return;
+		w->own = o;
+		w->part = part;
+		HASH_ADD(hh, o->windows, part, sizeof(w->part), w);
+	}
+	w->fence = fence;
+}
+
+static void drop_window(struct own *o, struct window *w)
+{
+	tmr_cancel(o->n->timers, w->timer);
+	HASH_DEL(o->windows, w);
+	free(w);
+}
+
+/*
+ * True if nobody else can have acted since this process last did: it acts
+ * again with the same fence, or has taken up a newer version of its own.
+ */
+static bool keeps_window(struct own *o, uint64_t part, uint64_t fence)
+{
+	const struct window *w = find_window(o, part);
+
+	return w && (w->fence == fence || w->next_fence == fence);
+}
+
 /*
  * This process acts from now on. Without a window from the former owner it
  * cannot know what ran before, so its window begins now.
@@ -170,30 +223,81 @@
 	struct own *o = arg;
 	struct transfer *t = find_transfer(o, part);
 	bool imported = t && t->step == TRANSFER_IMPORTED;
+	bool kept = keeps_window(o, part, fence);
 
 	o->acting++;
 	ctr_set(CTR_PARTITIONS_ACTING, o->acting);
 	log_emit(LOG_LEASE_STARTED,
 		 "service=%u partition=%u fence=%" PRIu64 " window=%s",
 		 part_service(part), part_index(part), fence,
-		 imported ? "handed_over" : "new");
+		 imported ? "handed_over" :
+		 kept	  ? "kept" :
+			    "new");
 	if (imported)
 		drop_transfer(o, t);
-	else
+	else if (!kept)
 		dup_open(exe_duplicates(o->n->exec), part,
 			 clk_wall_ms(o->n->clk));
+	add_window(o, part, fence);
+}
+
+/* The time for requests of an older version is over. */
+static void grace_over(void *arg, uint64_t now_us)
+{
+	struct window *w = arg;
+	struct lse_term term;
+
+	(void)now_us;
+	w->timer = 0;
+	if (!own_may_act(w->own, w->part, &term))
+		exe_abandon(w->own->n->exec, w->part);
 }
 
-/* This process no longer acts; what still runs is ended. */
+/* The fence of this process in the newest row, 0 if it is not the owner. */
+static uint64_t newest_fence(const struct own *o, uint64_t part)
+{
+	const struct row *row = mir_row(o->n->mirror, part);
+
+	if (!row || !proc_equal(&row->set.owner, &o->n->self))
+		return 0;
+	return row_fence(&row->set);
+}
+
+/*
+ * This process no longer acts. What still runs is ended, unless it only takes
+ * up a newer version of its own, which has not begun yet.
+ */
 static void on_stopped(void *arg, uint64_t part, uint64_t fence)
 {
 	struct own *o = arg;
+	struct window *w = find_window(o, part);
+	uint64_t grace_us = lse_grace_us(o->lease, part);
+	bool goes_on = grace_us > nod_now_us(o->n);
 
 	o->acting -= o->acting > 0;
 	ctr_set(CTR_PARTITIONS_ACTING, o->acting);
 	log_emit(LOG_LEASE_STOPPED, "service=%u partition=%u fence=%" PRIu64,
 		 part_service(part), part_index(part), fence);
-	exe_abandon(o->n->exec, part);
+	if (w) {
+		w->fence = fence;
+		w->next_fence = goes_on ? newest_fence(o, part) : 0;
+		tmr_cancel(o->n->timers, w->timer);
+		w->timer = 0;
+	}
+	if (goes_on && w)
+		w->timer = tmr_at(o->n->timers, grace_us, grace_over, w);
+	else
+		exe_abandon(o->n->exec, part);
+}
+
+/* Another process owns the partition and has the window now. */
+static void close_window(struct own *o, uint64_t part)
+{
+	struct window *w = find_window(o, part);
+
+	if (w)
+		drop_window(o, w);
+	dup_close(exe_duplicates(o->n->exec), part);
 }
 
 /* The window has arrived at the new owner, or could not be sent. */
@@ -210,6 +314,7 @@
 			 t->new_owner.instance);
 	drop_transfer(o, t);
 	lse_drained(o->lease, part, nod_now_us(o->n));
+	close_window(o, part);
 }
 
 /* Sends the duplicate window; the lease is kept until it has arrived. */
@@ -382,6 +487,8 @@
 	struct heard *next_heard;
 	struct transfer *t;
 	struct transfer *next_transfer;
+	struct window *w;
+	struct window *next_window;
 
 	if (!o)
 		return;
@@ -392,6 +499,9 @@
 	HASH_ITER(hh, o->transfers, t, next_transfer) {
 		drop_transfer(o, t);
 	}
+	HASH_ITER(hh, o->windows, w, next_window) {
+		drop_window(o, w);
+	}
 	lse_destroy(o->lease);
 	cht_destroy(o->chart);
 	free(o);
--- a/packages/lease/src/lse.c
+++ b/packages/lease/src/lse.c
@@ -291,6 +291,20 @@
 	return none;
 }
 
+/* Notes whether there is an upstream; see lse_watch_owner(). */
+void lse_set_able(struct lse *l, bool able)
+{
+	l->unable = !able;
+}
+
+/* Returns the end of the term that was cut by a newer version. */
+uint64_t lse_grace_us(const struct lse *l, uint64_t part)
+{
+	const struct part *p = find_part(l, part);
+
+	return p && p->phase == PHASE_RENEWING ? p->grace_us : 0;
+}
+
 /* Walks over the partitions in the order in which they were learned. */
 bool lse_next_part(const struct lse *l, size_t *pos, uint64_t *part)
 {
--- a/packages/lease/src/lse.h
+++ b/packages/lease/src/lse.h
@@ -140,6 +140,18 @@
  */
 bool lse_is_active(const struct lse *l, uint64_t part);
 
+/*
+ * Without an upstream this process claims nothing. The default is able. A
+ * process that is able again asks for a new version of what it has released.
+ */
+void lse_set_able(struct lse *l, bool able);
+
+/*
+ * After ops.stopped(): until when requests that run may go on, because the
+ * process only takes up a newer version of its own; 0 if they may not.
+ */
+uint64_t lse_grace_us(const struct lse *l, uint64_t part);
+
 /* Returns the process that this one believes acts; incarnation 0 if unknown. */
 struct proc lse_actor(const struct lse *l, uint64_t part, uint64_t now_us);
 
--- a/packages/lease/src/lse_hold.c
+++ b/packages/lease/src/lse_hold.c
@@ -101,10 +101,10 @@
 	bool owes = lse_owes(l, p, &set->owner, set->version, now_us);
 	bool sealed = p->sealed_below > set->version;
 
-	if (p->phase == PHASE_WATCHING && !owes && !sealed &&
+	if (p->phase == PHASE_WATCHING && !owes && !sealed && !l->unable &&
 	    p->active >= set->version)
 		lse_fire(l, p, EVENT_OVERDUE, now_us);
-	else if (p->phase == PHASE_CLAIMING && (owes || sealed) &&
+	else if (p->phase == PHASE_CLAIMING && (owes || sealed || l->unable) &&
 		 l->fault != LSE_FAULT_LATE_GRANT)
 		lse_fire(l, p, EVENT_RENEWED, now_us);
 }
--- a/packages/lease/src/lse_part.h
+++ b/packages/lease/src/lse_part.h
@@ -71,6 +71,7 @@
 	bool drained;
 	struct row_set held;
 	uint64_t until_us; /* end of the term in the set held */
+	uint64_t grace_us; /* see lse_grace_us() */
 	uint64_t quiet_us; /* requests of the last term have ended by then */
 	uint64_t lead_us; /* a claim that was granted is used from then on */
 	uint64_t next_ask_us; /* RENEW or CLAIM */
@@ -96,6 +97,7 @@
 	struct lse_ops ops;
 	void *arg;
 	enum lse_fault fault;
+	bool unable; /* has no upstream */
 	struct part *parts;
 	struct ended *ended;
 };
--- a/packages/lease/src/lse_phase.c
+++ b/packages/lease/src/lse_phase.c
@@ -58,6 +58,8 @@
 	struct step *s = arg;
 
 	hold_newest(s, false);
+	if (!s->stopped)
+		s->p->grace_us = 0;
 	s->p->until_us = 0;
 	s->p->next_ask_us = s->now_us;
 }
@@ -84,6 +86,7 @@
 	struct part *p = s->p;
 
 	s->stopped = true;
+	p->grace_us = p->until_us;
 	s->stopped_fence = held_fence(p);
 	p->acting = false;
 	if (p->until_us > s->now_us)
@@ -96,6 +99,7 @@
 	struct step *s = arg;
 
 	s->p->holds = false;
+	s->p->grace_us = 0;
 	s->p->until_us = 0;
 }
 
--- a/packages/lease/src/lse_want.c
+++ b/packages/lease/src/lse_want.c
@@ -26,6 +26,10 @@
 		*want = LSE_WANT_WITNESS;
 		return is_lost(l, p, 1, now_us) || is_lost(l, p, 2, now_us);
 	}
+	if (p->phase == PHASE_GIVEN_UP && p->released == set->version) {
+		*want = LSE_WANT_REARM;
+		return !l->unable;
+	}
 	*want = LSE_WANT_REASSIGN;
 	if (lse_is_self(l, &set->witness[ROW_SUCCESSOR]))
 		return is_lost(l, p, 0, now_us) && is_lost(l, p, 2, now_us);
