--- a/packages/base/tests/test_ctr.c
+++ b/packages/base/tests/test_ctr.c
@@ -14,6 +14,9 @@
 
 #include "ctr.h"
 
+/* Head of a test that needs no state of its group. */
+#define PLAIN(name) static void name(void **state __attribute__((unused)))
+
 #define SEED 20261204u
 #define VALUES 20000
 #define PARTS (1u << HST_SUB_BITS) /* the error is below 1/PARTS */
@@ -24,11 +27,10 @@
 	return (uint32_t)(*s >> 33);
 }
 
-static void counters_are_written_with_help_and_type(void **state)
+PLAIN(counters_are_written_with_help_and_type)
 {
 	char text[16384];
 
-	(void)state;
 	ctr_reset();
 	ctr_add(CTR_REQUESTS, 2);
 	ctr_add(CTR_REQUESTS, 3);
@@ -43,11 +45,10 @@
 	assert_int_equal(ctr_get(CTR_REQUESTS), 0);
 }
 
-static void short_buffer_cuts_the_text(void **state)
+PLAIN(short_buffer_cuts_the_text)
 {
 	size_t whole = ctr_write(NULL, 0);
 
-	(void)state;
 	for (size_t size = 1; size <= whole + 1; size += 7) {
 		char *buf = malloc(size);
 
@@ -57,12 +58,11 @@
 	}
 }
 
-static void quantile_of_one_value_is_near_it(void **state)
+PLAIN(quantile_of_one_value_is_near_it)
 {
 	static struct hst h;
 	uint64_t s = SEED;
 
-	(void)state;
 	print_message("seed %u\n", SEED);
 	for (int i = 0; i < VALUES; i++) {
 		uint64_t v = next_random(&s) >> next_random(&s) % 31;
@@ -84,14 +84,13 @@
 	return x < y ? -1 : x > y;
 }
 
-static void quantiles_of_many_values_are_near_the_exact_ones(void **state)
+PLAIN(quantiles_of_many_values_are_near_the_exact_ones)
 {
 	static const double quantiles[] = { 0.0, 0.5, 0.9, 0.99, 0.999 };
 	static uint64_t values[VALUES];
 	static struct hst h;
 	uint64_t s = SEED;
 
-	(void)state;
 	memset(&h, 0, sizeof(h));
 	for (int i = 0; i < VALUES; i++) {
 		values[i] = next_random(&s) >> next_random(&s) % 24;
@@ -108,11 +107,10 @@
 	assert_int_equal(hst_quantile(&h, 1.0), values[VALUES - 1]);
 }
 
-static void empty_and_too_large_are_handled(void **state)
+PLAIN(empty_and_too_large_are_handled)
 {
 	static struct hst h;
 
-	(void)state;
 	memset(&h, 0, sizeof(h));
 	assert_int_equal(hst_quantile(&h, 0.5), 0);
 	hst_add(&h, UINT64_MAX);
--- a/packages/config/src/man.c
+++ b/packages/config/src/man.c
@@ -1,6 +1,7 @@
 #include "man_impl.h"
 
 #include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -94,3 +95,33 @@
 	}
 	return longest;
 }
+
+/* Warns of one kind if its deadline delays the successor too long. */
+static void warn_kind(const struct man_service *s, uint32_t kind,
+		      man_warn_fn fn, void *arg)
+{
+	const struct man_kind *k = &s->kinds[kind];
+	char text[ERR_TEXT_MAX];
+
+	if (k->idempotent || k->deadline_ms <= MAN_UNFENCED_DEADLINE_MAX_MS)
+		return;
+	snprintf(text, sizeof(text),
+		 "service %s, kind %s: deadline_ms %" PRIu32
+		 " is over %d and the upstreams do not check fences: a key may "
+		 "be unavailable for more than 3 s after a loss",
+		 s->name, k->name, k->deadline_ms,
+		 MAN_UNFENCED_DEADLINE_MAX_MS);
+	fn(arg, text);
+}
+
+/* Goes over the services whose upstreams do not check fences. */
+void man_warn(const struct man *m, man_warn_fn fn, void *arg)
+{
+	for (size_t i = 0; i < m->service_count; i++) {
+		const struct man_service *s = &m->services[i];
+
+		for (uint32_t k = 0; !s->checks_fences && k < s->kind_count;
+		     k++)
+			warn_kind(s, k, fn, arg);
+	}
+}
--- a/packages/config/src/man.h
+++ b/packages/config/src/man.h
@@ -135,4 +135,15 @@
  */
 uint32_t man_longest_unrepeatable_ms(const struct man_service *s);
 
+/*
+ * The longest deadline with which a service whose upstreams do not check fences
+ * is served again within 3 s of a loss.
+ */
+#define MAN_UNFENCED_DEADLINE_MAX_MS 1000
+
+typedef void (*man_warn_fn)(void *arg, const char *text);
+
+/* Gives fn a text for each non-idempotent kind over that deadline. */
+void man_warn(const struct man *m, man_warn_fn fn, void *arg);
+
 #endif
--- a/packages/config/tests/test_man.c
+++ b/packages/config/tests/test_man.c
@@ -16,6 +16,9 @@
 #include "clk.h"
 #include "man.h"
 
+/* Head of a test that needs no state of its group. */
+#define PLAIN(name) static void name(void **state __attribute__((unused)))
+
 #define SEED 20261204u
 #define RANDOM_TEXTS 300
 #define RANDOM_BYTES_MAX 4096
@@ -49,12 +52,11 @@
 	return man_parse("m", text, strlen(text), err);
 }
 
-static void examples_are_valid(void **state)
+PLAIN(examples_are_valid)
 {
 	static const char *const paths[] = { "manifests/association.yaml",
 					     "manifests/sizewell.yaml" };
 
-	(void)state;
 	for (size_t i = 0; i < 2; i++) {
 		struct err err = { 0 };
 		struct man *m = man_load(paths[i], &err);
@@ -77,6 +79,31 @@
 	}
 }
 
+static void keep_warning(void *arg, const char *text)
+{
+	strcat(arg, text);
+}
+
+PLAIN(long_deadline_without_fences_is_warned_of)
+{
+	static const char text[] =
+		"format: 1\nversion: 1\nservices:\n- { id: 1, name: s, "
+		"partitions: 1, checks_fences: false, " POLICY ", kinds: ["
+		"{ name: slow, method: PUT, path: \"/s/{key}\", "
+		"idempotent: false, deadline_ms: 1001 }, "
+		"{ name: fast, method: PUT, path: \"/f/{key}\", "
+		"idempotent: false, deadline_ms: 1000 }] }\n";
+	char out[1024] = "";
+	struct err err = { 0 };
+	struct man *m = parse(text, &err);
+
+	assert_non_null(m);
+	man_warn(m, keep_warning, out);
+	assert_non_null(strstr(out, "kind slow"));
+	assert_null(strstr(out, "kind fast"));
+	man_destroy(m);
+}
+
 struct bad {
 	const char *text;
 	int code;
@@ -143,9 +170,8 @@
 	{ "a: {b: {c: {d: [", MAN_SYNTAX, "m:" },
 };
 
-static void bad_manifest_is_refused_with_place_and_range(void **state)
+PLAIN(bad_manifest_is_refused_with_place_and_range)
 {
-	(void)state;
 	for (size_t i = 0; i < sizeof(bads) / sizeof(bads[0]); i++) {
 		struct err err = { 0 };
 
@@ -160,12 +186,11 @@
 	}
 }
 
-static void large_text_is_refused(void **state)
+PLAIN(large_text_is_refused)
 {
 	char *text = malloc(BIG_BYTES);
 	struct err err = { 0 };
 
-	(void)state;
 	memset(text, '[', BIG_BYTES);
 	assert_null(man_parse("m", text, BIG_BYTES, &err));
 	assert_int_equal(err.code, MAN_TOO_LARGE);
@@ -208,12 +233,11 @@
 	{ "GET", "/b/q/c/d", NULL, NULL, MAN_NO_KEY, NULL, NULL },
 };
 
-static void request_gets_its_kind_and_key(void **state)
+PLAIN(request_gets_its_kind_and_key)
 {
 	struct err err = { 0 };
 	struct man *m = parse(VALID, &err);
 
-	(void)state;
 	assert_non_null(m);
 	for (size_t i = 0; i < sizeof(lookups) / sizeof(lookups[0]); i++) {
 		const struct lookup *l = &lookups[i];
@@ -238,7 +262,7 @@
 	man_destroy(m);
 }
 
-static void longest_key_fits_and_a_longer_one_is_refused(void **state)
+PLAIN(longest_key_fits_and_a_longer_one_is_refused)
 {
 	struct err err = { 0 };
 	struct man *m = parse(VALID, &err);
@@ -246,7 +270,6 @@
 	struct man_request req = { .method = "GET", .path = path };
 	struct man_match match;
 
-	(void)state;
 	snprintf(path, sizeof(path), "/a/%0*d/x", MAN_KEY_MAX - 1, 1);
 	assert_int_equal(man_match(m, &req, &match), MAN_MATCH);
 	assert_int_equal(match.key_len, MAN_KEY_MAX - 1);
@@ -255,14 +278,13 @@
 	man_destroy(m);
 }
 
-static void caller_needs_a_network_of_its_group(void **state)
+PLAIN(caller_needs_a_network_of_its_group)
 {
 	struct err err = { 0 };
 	struct man *m = parse(VALID, &err);
 	const struct man_service *a = man_service_at(m, 0);
 	const struct man_kind *put = &a->kinds[2];
 
-	(void)state;
 	assert_true(man_may_call(m, &a->kinds[0], "192.0.2.1"));
 	assert_true(man_may_call(m, put, "10.1.255.9"));
 	assert_true(man_may_call(m, put, "::ffff:10.1.2.3"));
@@ -274,13 +296,12 @@
 	man_destroy(m);
 }
 
-static void older_version_and_other_partitions_do_not_follow(void **state)
+PLAIN(older_version_and_other_partitions_do_not_follow)
 {
 	struct err err = { 0 };
 	char text[sizeof(VALID)];
 	struct man *old = parse(VALID, &err), *new;
 
-	(void)state;
 	strcpy(text, VALID);
 	assert_false(man_follows(old, old, &err));
 	*strstr(text, "version: 5") = 'v';
@@ -299,7 +320,7 @@
 
 #define WIDE_KINDS 64
 
-static void every_kind_of_64_services_is_found(void **state)
+PLAIN(every_kind_of_64_services_is_found)
 {
 	char *text = malloc(MAN_BYTES_MAX);
 	struct err err = { 0 };
@@ -309,7 +330,6 @@
 	char path[64];
 	int n = sprintf(text, "format: 1\nversion: 1\nservices:\n");
 
-	(void)state;
 	for (int s = 0; s < MAN_SERVICES_MAX; s++) {
 		n += sprintf(text + n,
 			     "- { id: %d, name: s%d, partitions: 1, "
@@ -364,12 +384,11 @@
 	return m;
 }
 
-static void random_bytes_are_refused(void **state)
+PLAIN(random_bytes_are_refused)
 {
 	uint64_t s = SEED;
 	char *text = malloc(RANDOM_BYTES_MAX);
 
-	(void)state;
 	print_message("seed %u\n", SEED);
 	for (int i = 0; i < RANDOM_TEXTS; i++) {
 		size_t len = next_random(&s) % RANDOM_BYTES_MAX;
@@ -410,13 +429,12 @@
 	return len;
 }
 
-static void mutated_manifests_are_refused_or_work(void **state)
+PLAIN(mutated_manifests_are_refused_or_work)
 {
 	uint64_t s = SEED;
 	char text[sizeof(VALID) + 200];
 	int accepted = 0;
 
-	(void)state;
 	print_message("seed %u\n", SEED);
 	for (int i = 0; i < MUTANTS; i++) {
 		struct man_request req = { .method = "GET", .path = "/a/k/x" };
@@ -445,6 +463,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(examples_are_valid),
+		cmocka_unit_test(long_deadline_without_fences_is_warned_of),
 		cmocka_unit_test(bad_manifest_is_refused_with_place_and_range),
 		cmocka_unit_test(large_text_is_refused),
 		cmocka_unit_test(request_gets_its_kind_and_key),
--- a/packages/config/tests/test_set.c
+++ b/packages/config/tests/test_set.c
@@ -15,6 +15,9 @@
 
 #include "set.h"
 
+/* Head of a test that needs no state of its group. */
+#define PLAIN(name) static void name(void **state __attribute__((unused)))
+
 #define VALID                                                      \
 	"instance: 7\nname: bookings-3\ndata_centre: kingston-1\n" \
 	"region: caribbean\naddress: 10.20.1.7\nhttp_port: 8080\n" \
@@ -23,12 +26,11 @@
 	"seeds:\n- { address: 10.20.1.8, port: 8081 }\n"           \
 	"- { address: \"fd20::9\", port: 8081 }\n"
 
-static void valid_settings_get_defaults(void **state)
+PLAIN(valid_settings_get_defaults)
 {
 	struct err err = { 0 };
 	struct set set;
 
-	(void)state;
 	assert_true(set_parse("s", VALID, strlen(VALID), &set, &err));
 	assert_int_equal(set.instance, 7);
 	assert_string_equal(set.name, "bookings-3");
@@ -76,9 +78,8 @@
 	{ "[[[[[[[[[[[[[[[[[[[[[[[[1", SET_SYNTAX, "16 levels" },
 };
 
-static void bad_settings_are_refused_with_place_and_range(void **state)
+PLAIN(bad_settings_are_refused_with_place_and_range)
 {
-	(void)state;
 	for (size_t i = 0; i < sizeof(bads) / sizeof(bads[0]); i++) {
 		struct set set = { .instance = 42 };
 		struct err err = { 0 };
@@ -96,7 +97,7 @@
 	}
 }
 
-static void bad_endpoints_name_the_nested_field(void **state)
+PLAIN(bad_endpoints_name_the_nested_field)
 {
 	static const char *const values[] = {
 		"platform={ address: host, port: 1 }",
@@ -119,7 +120,6 @@
 	struct err err = { 0 };
 	struct set set;
 
-	(void)state;
 	assert_true(set_parse("s", VALID, strlen(VALID), &set, &err));
 	for (size_t i = 0; i < sizeof(values) / sizeof(values[0]); i++) {
 		struct set before = set;
@@ -133,12 +133,11 @@
 	}
 }
 
-static void flags_replace_fields(void **state)
+PLAIN(flags_replace_fields)
 {
 	struct err err = { 0 };
 	struct set set;
 
-	(void)state;
 	assert_true(set_parse("s", VALID, strlen(VALID), &set, &err));
 	assert_true(set_override(&set, "platform.port=7001", &err));
 	assert_int_equal(set.platform.port, 7001);
@@ -152,26 +151,24 @@
 	assert_int_equal(err.code, SET_SYNTAX);
 }
 
-static void equal_ports_are_refused(void **state)
+PLAIN(equal_ports_are_refused)
 {
 	struct err err = { 0 };
 	struct set set;
 
-	(void)state;
 	assert_true(set_parse("s", VALID, strlen(VALID), &set, &err));
 	set.admin_port = set.http_port;
 	assert_false(set_check(&set, "s", &err));
 	assert_non_null(strstr(err.text, "admin_port"));
 }
 
-static void file_is_read_or_named_in_the_error(void **state)
+PLAIN(file_is_read_or_named_in_the_error)
 {
 	char path[] = "/tmp/set_XXXXXX";
 	int fd = mkstemp(path);
 	struct err err = { 0 };
 	struct set set;
 
-	(void)state;
 	assert_int_equal(write(fd, VALID, strlen(VALID)), strlen(VALID));
 	close(fd);
 	assert_true(set_load(path, &set, &err));
--- a/packages/route/tests/test_adm.c
+++ b/packages/route/tests/test_adm.c
@@ -17,6 +17,9 @@
 #include "clk.h"
 #include "ctr.h"
 
+/* Head of a test that needs no state of its group. */
+#define PLAIN(name) static void name(void **state __attribute__((unused)))
+
 #define SLOTS 9
 #define FAR (1000 * US_PER_S)
 #define EVENTS_MAX 64
@@ -44,20 +47,52 @@
 
 static const struct adm_ops ops = { on_run, on_drop };
 
+/* What the test that runs uses; replaced by use(), freed at the end. */
+static struct calls c;
+static struct adm *a;
+
+static void use(const struct adm_kind *kinds, size_t count)
+{
+	adm_destroy(a);
+	memset(&c, 0, sizeof(c));
+	a = adm_create(kinds, count, &ops, &c);
+	assert_non_null(a);
+}
+
+static int teardown(void **state)
+{
+	(void)state;
+	adm_destroy(a);
+	a = NULL;
+	return 0;
+}
+
 /* Gives each request of a test an address of its own. */
 static char marks[ADM_QUEUE_MAX + 1];
 
-/* Leads the limit up to all slots by successes of one kind. */
-static uint64_t warm(struct adm *a, uint32_t kind, uint32_t slots)
+/* Enters a request that must get a slot at once. */
+static void run(uint32_t kind, uint64_t now)
+{
+	assert_int_equal(adm_enter(a, kind, now + FAR, NULL, now), ADM_RUN);
+}
+
+static const struct adm_kind four[] = { { 50, 0 },
+					{ 20, 0 },
+					{ 20, 0 },
+					{ 10, 0 } };
+#define FOUR (sizeof(four) / sizeof(four[0]))
+
+/* Leads the limit up to all slots by successes of the first kind. */
+static uint64_t warm(uint32_t slots)
 {
 	uint64_t now = 0;
 
+	use(four, FOUR);
 	adm_attach(a, slots, now);
 	while (adm_limit(a) < slots) {
 		now += US_PER_MS;
-		assert_int_equal(adm_enter(a, kind, now + FAR, NULL, now),
-				 ADM_RUN);
-		adm_done(a, kind, ADM_OK, US_PER_MS, now);
+		run(0, now);
+		adm_done(a, 0, ADM_OK, US_PER_MS, now);
 	}
 	now += 10 * US_PER_S;
 	adm_tick(a, now);
@@ -65,7 +100,7 @@
 }
 
 /* Enters requests until one is not run; returns how many run. */
-static uint32_t fill(struct adm *a, uint32_t kind, uint64_t now)
+static uint32_t fill(uint32_t kind, uint64_t now)
 {
 	uint32_t n = 0;
 
@@ -74,126 +109,91 @@
 	return n;
 }
 
-static const struct adm_kind four[] = { { 50, 0 },
-					{ 20, 0 },
-					{ 20, 0 },
-					{ 10, 0 } };
-#define FOUR (sizeof(four) / sizeof(four[0]))
-
-static void limit_starts_at_one_and_rises_by_successes(void **state)
+PLAIN(limit_starts_at_one_and_rises_by_successes)
 {
-	struct calls c = { 0 };
-	struct adm *a = adm_create(four, FOUR, &ops, &c);
-
-	(void)state;
+	use(four, FOUR);
 	assert_int_equal(adm_enter(a, 0, FAR, NULL, 0), ADM_SHED);
 	adm_attach(a, SLOTS, 0);
 	for (uint32_t i = 0; i < SLOTS * ADM_WARM_SUCCESSES * 2; i++) {
 		uint32_t limit = 1 + i / ADM_WARM_SUCCESSES;
 
 		assert_int_equal(adm_limit(a), limit < SLOTS ? limit : SLOTS);
-		assert_int_equal(adm_enter(a, 0, FAR, NULL, i), ADM_RUN);
+		run(0, i);
 		adm_done(a, 0, ADM_OK, 1, i);
 	}
 	adm_resize(a, 3);
 	assert_int_equal(adm_limit(a), 3);
-	adm_destroy(a);
 }
 
-static void shedding_upstream_halves_the_limit_once(void **state)
+PLAIN(shedding_upstream_halves_the_limit_once)
 {
-	struct calls c = { 0 };
-	struct adm *a = adm_create(four, FOUR, &ops, &c);
-	uint64_t now = warm(a, 0, SLOTS);
-	uint32_t n = fill(a, 0, now);
+	uint64_t now = warm(SLOTS);
+	uint32_t n = fill(0, now);
 
-	(void)state;
 	for (uint32_t i = 0; i < n; i++)
 		adm_done(a, 0, ADM_UPSTREAM_SHED, 1, now);
 	assert_int_equal(adm_limit(a), SLOTS / 2);
 	for (int i = 0; i < 5; i++) {
-		assert_int_equal(adm_enter(a, 0, now + 1, NULL, now), ADM_RUN);
+		run(0, now);
 		adm_done(a, 0, ADM_UPSTREAM_SHED, 1, now);
 	}
 	assert_int_equal(adm_limit(a), 1);
-	adm_destroy(a);
 }
 
 /* Healthy reports must not lift a limit that failures have lowered. */
-static void failures_outweigh_reports(void **state)
+PLAIN(failures_outweigh_reports)
 {
-	struct calls c = { 0 };
-	struct adm *a = adm_create(four, FOUR, &ops, &c);
-	uint64_t now = warm(a, 0, SLOTS);
+	uint64_t now = warm(SLOTS);
 
-	(void)state;
 	for (int i = 0; i < 40; i++) {
 		adm_report(a, 0.0, true);
-		assert_int_equal(adm_enter(a, 0, now + 1, NULL, now), ADM_RUN);
+		run(0, now);
 		adm_done(a, 0, ADM_FAILED, 1, now);
 	}
 	assert_int_equal(adm_limit(a), 1);
 	adm_report(a, 9.0, false);
 	for (uint32_t i = 0; i < 2 * SLOTS * ADM_WARM_SUCCESSES; i++) {
-		assert_int_equal(adm_enter(a, 0, now + 1, NULL, now), ADM_RUN);
+		run(0, now);
 		adm_done(a, 0, ADM_OK, 1, now);
 	}
 	assert_int_equal(adm_limit(a), SLOTS);
-	adm_destroy(a);
 }
 
 /* Whatever kind stalls first, each other kind with a share finds a slot. */
-static void stalled_kind_leaves_a_slot_for_each_share(void **state)
+PLAIN(stalled_kind_leaves_a_slot_for_each_share)
 {
-	(void)state;
 	for (uint32_t stalled = 0; stalled < FOUR; stalled++) {
-		struct calls c = { 0 };
-		struct adm *a = adm_create(four, FOUR, &ops, &c);
-		uint64_t now = warm(a, 0, SLOTS);
+		uint64_t now = warm(SLOTS);
 
-		assert_int_equal(fill(a, stalled, now), SLOTS - (FOUR - 1));
+		assert_int_equal(fill(stalled, now), SLOTS - (FOUR - 1));
 		for (uint32_t k = 0; k < FOUR; k++) {
 			if (k != stalled)
-				assert_int_equal(
-					adm_enter(a, k, now + FAR, NULL, now),
-					ADM_RUN);
+				run(k, now);
 		}
-		adm_destroy(a);
 	}
 }
 
-static void share_in_use_is_not_lent(void **state)
+PLAIN(share_in_use_is_not_lent)
 {
-	struct calls c = { 0 };
-	struct adm *a = adm_create(four, FOUR, &ops, &c);
-	uint64_t now = warm(a, 0, SLOTS);
+	uint64_t now = warm(SLOTS);
 	uint32_t share = SLOTS * four[0].share_pct / 100;
 
-	(void)state;
 	for (uint32_t i = 0; i < share; i++)
-		assert_int_equal(adm_enter(a, 0, now + FAR, NULL, now),
-				 ADM_RUN);
+		run(0, now);
 	for (uint32_t i = 0; i < share; i++)
 		adm_done(a, 0, ADM_OK, 1, now);
-	fill(a, 3, now);
+	fill(3, now);
 	for (uint32_t i = 0; i < share; i++)
-		assert_int_equal(adm_enter(a, 0, now + FAR, NULL, now),
-				 ADM_RUN);
-	adm_destroy(a);
+		run(0, now);
 }
 
-static void few_slots_are_still_shared(void **state)
+PLAIN(few_slots_are_still_shared)
 {
-	(void)state;
 	for (uint32_t slots = 2; slots < FOUR; slots++) {
-		struct calls c = { 0 };
-		struct adm *a = adm_create(four, FOUR, &ops, &c);
-		uint64_t now = warm(a, 0, slots);
-
-		assert_int_equal(fill(a, 3, now), slots - 1);
-		assert_int_equal(adm_enter(a, 0, now + FAR, NULL, now),
-				 ADM_RUN);
-		adm_destroy(a);
+		uint64_t now = warm(slots);
+
+		assert_int_equal(fill(3, now), slots - 1);
+		run(0, now);
 	}
 }
 
@@ -201,15 +201,12 @@
 #define STALL_US (250 * US_PER_MS)
 
 /* A slow request that meets a cold upstream must not hold its only slot. */
-static void stall_during_slow_start_leaves_a_slot(void **state)
+PLAIN(stall_during_slow_start_leaves_a_slot)
 {
 	static const struct adm_kind kinds[] = { { 50, 8 }, { 10, 8 } };
-	struct calls c = { 0 };
-	struct adm *a = adm_create(kinds, 2, &ops, &c);
-
-	(void)state;
+	use(kinds, 2);
 	adm_attach(a, SLOTS, 0);
-	assert_int_equal(adm_enter(a, 1, FAR, NULL, 0), ADM_RUN);
+	run(1, 0);
 	for (int i = 0; i < 2; i++)
 		assert_int_equal(adm_enter(a, 0, FAR, &marks[i], 0),
 				 ADM_QUEUED);
@@ -225,21 +222,17 @@
 	adm_tick(a, 11 * STALL_US);
 	assert_ptr_equal(c.ran[1], &marks[1]);
 	assert_int_equal(adm_limit(a), 1);
-	adm_destroy(a);
 }
 
 static const struct adm_kind one[] = { { 100, 8 } };
 
-static void queue_runs_the_earliest_deadline_first(void **state)
+PLAIN(queue_runs_the_earliest_deadline_first)
 {
 	static const uint32_t due[] = { 500, 100, 300, 100, 900 };
 	static const int order[] = { 1, 3, 2, 0, 4 };
-	struct calls c = { 0 };
-	struct adm *a = adm_create(one, 1, &ops, &c);
-
-	(void)state;
+	use(one, 1);
 	adm_attach(a, 1, 0);
-	assert_int_equal(adm_enter(a, 0, FAR, NULL, 0), ADM_RUN);
+	run(0, 0);
 	for (int i = 0; i < 5; i++)
 		assert_int_equal(
 			adm_enter(a, 0, due[i] * US_PER_MS, &marks[i], 0),
@@ -255,16 +248,13 @@
 	}
 	adm_done(a, 0, ADM_OK, 1, 9);
 	assert_int_equal(adm_running(a), 0);
-	adm_destroy(a);
 }
 
-static void requests_that_cannot_be_in_time_do_not_wait(void **state)
+PLAIN(requests_that_cannot_be_in_time_do_not_wait)
 {
-	struct calls c = { 0 };
-	struct adm *a = adm_create(one, 1, &ops, &c);
 	uint64_t now = 0, service = 100 * US_PER_MS;
 
-	(void)state;
+	use(one, 1);
 	adm_attach(a, 1, 0);
 	assert_int_equal(adm_enter(a, 0, now, NULL, now), ADM_SHED);
 	adm_enter(a, 0, FAR, NULL, now);
@@ -279,18 +269,15 @@
 	adm_tick(a, now + 2 * service);
 	assert_int_equal(c.drop_count, 1);
 	assert_ptr_equal(c.dropped[0], &marks[1]);
-	adm_destroy(a);
 }
 
-static void queues_are_bounded_for_each_kind(void **state)
+PLAIN(queues_are_bounded_for_each_kind)
 {
 	static const struct adm_kind kinds[] = { { 50, ADM_QUEUE_MAX },
 						 { 50, ADM_QUEUE_MAX } };
-	struct calls c = { 0 };
-	struct adm *a = adm_create(kinds, 2, &ops, &c);
 	uint32_t queued[2] = { 0 };
 
-	(void)state;
+	use(kinds, 2);
 	adm_attach(a, 1, 0);
 	adm_enter(a, 0, FAR, NULL, 0);
 	for (uint32_t k = 0; k < 2; k++) {
@@ -303,22 +290,17 @@
 	adm_detach(a, 1);
 	assert_int_equal(c.drop_count, ADM_QUEUE_MAX);
 	assert_int_equal(adm_enter(a, 0, FAR, NULL, 1), ADM_SHED);
-	adm_destroy(a);
 }
 
-static void load_follows_what_runs(void **state)
+PLAIN(load_follows_what_runs)
 {
-	struct calls c = { 0 };
-	struct adm *a = adm_create(one, 1, &ops, &c);
-
-	(void)state;
+	use(one, 1);
 	adm_attach(a, 2, 0);
 	adm_enter(a, 0, FAR, NULL, 0);
 	assert_true(adm_load(a, 0) < 0.01);
 	assert_true(adm_load(a, 60 * US_PER_S) > 0.49);
 	adm_done(a, 0, ADM_OK, 1, 60 * US_PER_S);
 	assert_true(adm_load(a, 120 * US_PER_S) < 0.01);
-	adm_destroy(a);
 }
 
 /* A simulated upstream with lookups and checks, in steps of one millisecond. */
@@ -440,12 +422,11 @@
  * lookup waits at most for others of its kind, so with a stall it may take one
  * service time more than without. The deadline bounds both.
  */
-static void stall_of_another_kind_does_not_delay_lookups(void **state)
+PLAIN(stall_of_another_kind_does_not_delay_lookups)
 {
 	struct sim *s = malloc(sizeof(*s));
 	uint64_t calm, stalled;
 
-	(void)state;
 	print_message("seed %u\n", BENCH_SEED);
 	calm = simulate(false, s);
 	print_message("no stall: p99 %llu ms, %u lookups, %u lost\n",
@@ -461,17 +442,15 @@
 }
 
 /* Random calls must never take more slots than the limit or lose a request. */
-static void random_calls_keep_the_limit(void **state)
+PLAIN(random_calls_keep_the_limit)
 {
 	static const struct adm_kind kinds[] = { { 40, 5 },
 						 { 30, 5 },
 						 { 0, 5 } };
-	struct calls c = { 0 };
-	struct adm *a = adm_create(kinds, 3, &ops, &c);
 	uint64_t seed = BENCH_SEED, now = 0;
 	uint32_t queued = 0, running[3] = { 0 };
 
-	(void)state;
+	use(kinds, 3);
 	print_message("seed %u\n", BENCH_SEED);
 	adm_attach(a, SLOTS, 0);
 	for (int i = 0; i < 50000; i++) {
@@ -501,7 +480,6 @@
 	}
 	adm_detach(a, now);
 	assert_int_equal(queued, c.run_count + c.drop_count);
-	adm_destroy(a);
 }
 
 int main(void)
@@ -522,5 +500,5 @@
 		cmocka_unit_test(random_calls_keep_the_limit),
 	};
 
-	return cmocka_run_group_tests(tests, NULL, NULL);
+	return cmocka_run_group_tests(tests, NULL, teardown);
 }
--- a/packages/route/tests/test_qtn.c
+++ b/packages/route/tests/test_qtn.c
@@ -13,13 +13,15 @@
 #include "log.h"
 #include "qtn.h"
 
+/* Head of a test that needs no state of its group. */
+#define PLAIN(name) static void name(void **state __attribute__((unused)))
+
 #define NOW 1000000000ULL
 
-static void second_strike_quarantines_until_lifted(void **state)
+PLAIN(second_strike_quarantines_until_lifted)
 {
 	struct qtn *q = qtn_create();
 
-	(void)state;
 	assert_int_equal(qtn_check(q, 1, NOW), QTN_FREE);
 	assert_int_equal(qtn_strike(q, 1, "fit size k", NOW), 1);
 	assert_int_equal(qtn_check(q, 1, NOW), QTN_SUSPECT);
@@ -32,12 +34,11 @@
 	qtn_destroy(q);
 }
 
-static void old_strikes_are_forgotten(void **state)
+PLAIN(old_strikes_are_forgotten)
 {
 	struct qtn *q = qtn_create();
 	struct qtn_entry out[4];
 
-	(void)state;
 	qtn_strike(q, 1, "a", NOW);
 	assert_int_equal(qtn_check(q, 1, NOW + QTN_STRIKE_TTL_MS - 1),
 			 QTN_SUSPECT);
@@ -50,11 +51,10 @@
 	qtn_destroy(q);
 }
 
-static void learned_strikes_count_and_are_lifted(void **state)
+PLAIN(learned_strikes_count_and_are_lifted)
 {
 	struct qtn *q = qtn_create();
 
-	(void)state;
 	qtn_strike(q, 1, "a", NOW);
 	qtn_learn(q, 1, 1, "a", NOW + QTN_STRIKE_TTL_MS - 1);
 	assert_int_equal(qtn_check(q, 1, NOW + QTN_STRIKE_TTL_MS), QTN_FREE);
@@ -66,11 +66,10 @@
 	qtn_destroy(q);
 }
 
-static void suspects_run_one_at_a_time(void **state)
+PLAIN(suspects_run_one_at_a_time)
 {
 	struct qtn *q = qtn_create();
 
-	(void)state;
 	assert_true(qtn_suspect_begin(q, 1));
 	assert_false(qtn_suspect_begin(q, 1));
 	assert_false(qtn_suspect_begin(q, 2));
@@ -81,11 +80,10 @@
 	qtn_destroy(q);
 }
 
-static void fingerprint_depends_on_every_part(void **state)
+PLAIN(fingerprint_depends_on_every_part)
 {
 	uint64_t f = qtn_fingerprint(1, 2, "/a", "body", 4);
 
-	(void)state;
 	assert_true(f == qtn_fingerprint(1, 2, "/a", "body", 4));
 	assert_true(f != qtn_fingerprint(2, 2, "/a", "body", 4));
 	assert_true(f != qtn_fingerprint(1, 3, "/a", "body", 4));
@@ -95,13 +93,12 @@
 	assert_true(f != qtn_fingerprint(1, 2, "/a", NULL, 0));
 }
 
-static void full_list_keeps_what_is_quarantined(void **state)
+PLAIN(full_list_keeps_what_is_quarantined)
 {
 	struct qtn *q = qtn_create();
 	static struct qtn_entry out[QTN_ENTRIES_MAX + 1];
 	char label[200];
 
-	(void)state;
 	memset(label, 'x', sizeof(label));
 	label[sizeof(label) - 1] = '\0';
 	qtn_learn(q, UINT64_MAX, QTN_STRIKES, label, NOW);
--- a/packages/route/tests/test_ret.c
+++ b/packages/route/tests/test_ret.c
@@ -13,6 +13,9 @@
 #include "clk.h"
 #include "ret.h"
 
+/* Head of a test that needs no state of its group. */
+#define PLAIN(name) static void name(void **state __attribute__((unused)))
+
 #define OFFERED 20000
 #define STEPS 10
 
@@ -24,7 +27,7 @@
 				     .deadline_us = 1000 };
 }
 
-static void outcome_decides_on_repeating(void **state)
+PLAIN(outcome_decides_on_repeating)
 {
 	static const bool repeatable[] = { [RET_NOT_RUN] = true,
 					   [RET_SHED] = false,
@@ -33,7 +36,6 @@
 	struct ret *r = ret_create();
 	struct ret_request safe = request(true), once = request(false);
 
-	(void)state;
 	for (int o = RET_NOT_RUN; o <= RET_UNKNOWN; o++) {
 		assert_true(ret_allows(r, &safe, (enum ret_outcome)o, 0));
 		assert_int_equal(ret_allows(r, &once, (enum ret_outcome)o, 0),
@@ -42,12 +44,11 @@
 	ret_destroy(r);
 }
 
-static void no_retry_without_body_time_or_attempts(void **state)
+PLAIN(no_retry_without_body_time_or_attempts)
 {
 	struct ret *r = ret_create();
 	struct ret_request q = request(true);
 
-	(void)state;
 	assert_false(ret_allows(r, &q, RET_NOT_RUN, 1000));
 	assert_false(ret_allows(r, &q, RET_MOVED, 1000));
 	q.attempts = RET_ATTEMPTS_MAX;
@@ -61,13 +62,12 @@
 	ret_destroy(r);
 }
 
-static void moved_is_free_and_the_budget_ends(void **state)
+PLAIN(moved_is_free_and_the_budget_ends)
 {
 	struct ret *r = ret_create();
 	struct ret_request q = request(true);
 	int allowed = 0;
 
-	(void)state;
 	for (int i = 0; i < 10 * RET_BURST; i++) {
 		assert_true(ret_allows(r, &q, RET_MOVED, 0));
 		allowed += ret_allows(r, &q, RET_NOT_RUN, 0);
@@ -103,13 +103,12 @@
  * The policy allows 10 retries for 100 requests and one burst; without a budget
  * a dead upstream would get three times what is offered.
  */
-static void dying_upstream_gets_no_more_than_the_budget(void **state)
+PLAIN(dying_upstream_gets_no_more_than_the_budget)
 {
 	const uint32_t bound =
 		OFFERED + OFFERED * RET_BUDGET_PCT / 100 + RET_BURST;
 	uint64_t seed = BENCH_SEED;
 
-	(void)state;
 	print_message("seed %u\n", BENCH_SEED);
 	for (uint32_t step = 0; step <= STEPS; step++) {
 		struct ret *r = ret_create();
@@ -123,12 +122,11 @@
 	}
 }
 
-static void delay_grows_and_has_jitter(void **state)
+PLAIN(delay_grows_and_has_jitter)
 {
 	uint64_t seed = BENCH_SEED;
 	uint64_t low = UINT64_MAX, high = 0;
 
-	(void)state;
 	for (int i = 0; i < 1000; i++) {
 		uint64_t d = ret_delay_us(1, bench_random(&seed));
 
