Shorten the tests and derive the bound of the stall test from the policy

Excluded: dropping a check. Replaced by equally strict ones: the two tests of the histogram by one over each of 20,000 ranks; the stall test now asserts that no lookup below its share waits, that none is lost, and that the p99 is at most two service times.

--- a/packages/base/tests/test_ctr.c
+++ b/packages/base/tests/test_ctr.c
@@ -58,25 +58,6 @@
 	}
 }
 
-PLAIN(quantile_of_one_value_is_near_it)
-{
-	static struct hst h;
-	uint64_t s = SEED;
-
-	print_message("seed %u\n", SEED);
-	for (int i = 0; i < VALUES; i++) {
-		uint64_t v = next_random(&s) >> next_random(&s) % 31;
-		uint64_t got;
-
-		memset(&h, 0, sizeof(h));
-		hst_add(&h, v);
-		hst_add(&h, HST_MAX_US);
-		got = hst_quantile(&h, 0.0);
-		assert_true(got >= v);
-		assert_true((got - v) * PARTS < (v ? v : 1));
-	}
-}
-
 static int compare(const void *a, const void *b)
 {
 	uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
@@ -84,25 +65,26 @@
 	return x < y ? -1 : x > y;
 }
 
-PLAIN(quantiles_of_many_values_are_near_the_exact_ones)
+/* Goes through all values, so that each bucket in use is checked. */
+PLAIN(quantiles_are_near_the_exact_ones)
 {
-	static const double quantiles[] = { 0.0, 0.5, 0.9, 0.99, 0.999 };
 	static uint64_t values[VALUES];
 	static struct hst h;
 	uint64_t s = SEED;
 
-	memset(&h, 0, sizeof(h));
+	print_message("seed %u\n", SEED);
 	for (int i = 0; i < VALUES; i++) {
-		values[i] = next_random(&s) >> next_random(&s) % 24;
+		values[i] = next_random(&s) >> next_random(&s) % 31;
 		hst_add(&h, values[i]);
 	}
 	qsort(values, VALUES, sizeof(values[0]), compare);
-	for (size_t i = 0; i < sizeof(quantiles) / sizeof(quantiles[0]); i++) {
-		uint64_t exact = values[(size_t)(quantiles[i] * VALUES)];
-		uint64_t got = hst_quantile(&h, quantiles[i]);
+	for (int i = 0; i < VALUES; i++) {
+		/* The middle of a rank, which rounding cannot move away. */
+		uint64_t got = hst_quantile(&h, (i + 0.5) / VALUES);
 
-		assert_true(got >= exact);
-		assert_true((got - exact) * PARTS < (exact ? exact : 1));
+		assert_true(got >= values[i]);
+		assert_true((got - values[i]) * PARTS <
+			    (values[i] ? values[i] : 1));
 	}
 	assert_int_equal(hst_quantile(&h, 1.0), values[VALUES - 1]);
 }
@@ -122,9 +104,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(counters_are_written_with_help_and_type),
 		cmocka_unit_test(short_buffer_cuts_the_text),
-		cmocka_unit_test(quantile_of_one_value_is_near_it),
-		cmocka_unit_test(
-			quantiles_of_many_values_are_near_the_exact_ones),
+		cmocka_unit_test(quantiles_are_near_the_exact_ones),
 		cmocka_unit_test(empty_and_too_large_are_handled),
 	};
 
--- a/packages/base/tests/test_trc.c
+++ b/packages/base/tests/test_trc.c
@@ -17,92 +17,81 @@
 
 #include "trc.h"
 
+/* Head of a test; its fixture is below. */
+#define PLAIN(name) static void name(void **state __attribute__((unused)))
+
 #define TRACE "0af7651916cd43dd8448eb211c80319c"
 #define PARENT "b7ad6b7169203331"
 #define VALID "00-" TRACE "-" PARENT "-01"
 #define BUFFER_BYTES 32768
 
 /* A clock and a random source that the tests drive. */
-struct fake {
-	uint64_t now_us;
-	uint64_t random;
-};
+static uint64_t now_us, next_random;
 
-static uint64_t fake_mono_us(void *arg)
+static uint64_t fake_mono_us(void *arg __attribute__((unused)))
 {
-	return ((struct fake *)arg)->now_us;
+	return now_us;
 }
 
-static uint64_t fake_wall_ms(void *arg)
+static uint64_t fake_wall_ms(void *arg __attribute__((unused)))
 {
-	return 1700000000000ULL + ((struct fake *)arg)->now_us / US_PER_MS;
+	return 1700000000000ULL + now_us / US_PER_MS;
 }
 
-static uint64_t fake_random(void *arg)
+static uint64_t fake_random(void *arg __attribute__((unused)))
 {
-	return ((struct fake *)arg)->random++;
+	return next_random++;
 }
 
 static const struct clk_ops fake_ops = { fake_mono_us, fake_wall_ms,
 					 fake_random };
-
-struct bench {
-	struct fake fake;
-	struct clk clk;
-	char path[32];
-	struct trc *trc;
-};
+static const struct clk fake = { &fake_ops, NULL };
+static char path[32];
+static struct trc *traces;
 
 static int setup(void **state)
 {
-	struct bench *b = calloc(1, sizeof(*b));
-	struct err err = { 0 };
-
-	b->clk = (struct clk){ &fake_ops, &b->fake };
-	strcpy(b->path, "/tmp/trc_XXXXXX");
-	close(mkstemp(b->path));
-	b->trc = trc_create(b->path, "bookings \"3\"", 0, &b->clk, &err);
-	assert_non_null(b->trc);
-	*state = b;
-	return 0;
+	(void)state;
+	now_us = 0;
+	next_random = 1;
+	strcpy(path, "/tmp/trc_XXXXXX");
+	close(mkstemp(path));
+	traces = trc_create(path, "bookings \"3\"", 0, &fake, NULL);
+	return traces ? 0 : -1;
 }
 
 static int teardown(void **state)
 {
-	struct bench *b = *state;
-
-	trc_destroy(b->trc);
-	unlink(b->path);
-	free(b);
-	return 0;
+	(void)state;
+	trc_destroy(traces);
+	return unlink(path);
 }
 
-static size_t file_size(const struct bench *b)
+static size_t file_size(void)
 {
 	struct stat st;
 
-	assert_int_equal(stat(b->path, &st), 0);
+	assert_int_equal(stat(path, &st), 0);
 	return (size_t)st.st_size;
 }
 
-static void trace_goes_on_with_a_new_span(void **state)
+PLAIN(trace_goes_on_with_a_new_span)
 {
-	struct bench *b = *state;
 	struct trc_span first, second;
 	char out[TRC_PARENT_MAX];
 
-	trc_start(b->trc, VALID, &first);
+	trc_start(traces, VALID, &first);
 	assert_true(first.sampled);
 	trc_parent(&first, out);
 	assert_int_equal(strlen(out), TRC_PARENT_MAX - 1);
 	assert_memory_equal(out, "00-" TRACE "-", 36);
 	assert_null(strstr(out, PARENT));
-	trc_start(b->trc, out, &second);
+	trc_start(traces, out, &second);
 	assert_memory_equal(second.trace_id, first.trace_id, 16);
 	assert_memory_equal(second.parent_id, first.span_id, 8);
 }
 
-static void malformed_parent_begins_a_trace(void **state)
+PLAIN(malformed_parent_begins_a_trace)
 {
 	static const char *const bad[] = {
 		"",
@@ -117,34 +106,33 @@
 		"00-" TRACE "-0000000000000000-01",
 	};
 	static const uint8_t zero[TRC_SPAN_ID_BYTES];
-	struct bench *b = *state;
 	struct trc_span span;
 
 	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
 		char *copy = strdup(bad[i]);
 
-		trc_start(b->trc, copy, &span);
+		trc_start(traces, copy, &span);
 		free(copy);
 		assert_false(span.sampled);
 		assert_memory_equal(span.parent_id, zero, sizeof(zero));
-		assert_int_not_equal(span.trace_id[0], 0x0a);
+		/* The second byte of TRACE; drawn ids are small. */
+		assert_int_not_equal(span.trace_id[1], 0xf7);
 	}
-	trc_start(b->trc, "01-" TRACE "-" PARENT "-01-more", &span);
+	trc_start(traces, "01-" TRACE "-" PARENT "-01-more", &span);
 	assert_true(span.sampled);
 }
 
-static void share_of_new_traces_is_sampled(void **state)
+PLAIN(share_of_new_traces_is_sampled)
 {
-	struct bench *b = *state;
 	struct err err = { 0 };
-	struct trc *all = trc_create(NULL, "s", 1000000, &b->clk, &err);
+	struct trc *all = trc_create(NULL, "s", 1000000, &fake, &err);
 	struct trc_span span;
 
 	trc_start(all, NULL, &span);
 	assert_true(span.sampled);
 	trc_end(all, &span, "GET", "done", 200);
 	trc_destroy(all);
-	trc_start(b->trc, NULL, &span);
+	trc_start(traces, NULL, &span);
 	assert_false(span.sampled);
 }
 
@@ -163,19 +151,18 @@
 			    expected);
 }
 
-static void span_is_a_line_of_otlp(void **state)
+PLAIN(span_is_a_line_of_otlp)
 {
-	struct bench *b = *state;
 	struct trc_span span;
 	json_t *line;
 
-	b->fake.now_us = 1000;
-	trc_start(b->trc, VALID, &span);
-	b->fake.now_us = 3500;
-	trc_end(b->trc, &span, "fit\nsize", "unknown", 502);
-	trc_destroy(b->trc);
-	b->trc = NULL;
-	line = json_load_file(b->path, 0, NULL);
+	now_us = 1000;
+	trc_start(traces, VALID, &span);
+	now_us = 3500;
+	trc_end(traces, &span, "fit\nsize", "unknown", 502);
+	trc_destroy(traces);
+	traces = NULL;
+	line = json_load_file(path, 0, NULL);
 	assert_non_null(line);
 	check_text(span_of(line), "traceId", TRACE);
 	check_text(span_of(line), "parentSpanId", PARENT);
@@ -185,52 +172,46 @@
 	json_decref(line);
 }
 
-static void lines_are_written_together(void **state)
+PLAIN(lines_are_written_together)
 {
-	struct bench *b = *state;
 	struct trc_span span;
 	size_t size = 0, writes = 0;
 
-	trc_start(b->trc, VALID, &span);
+	trc_start(traces, VALID, &span);
 	while (writes < 3) {
-		trc_end(b->trc, &span, "a", "done", 200);
-		if (file_size(b) == size)
+		trc_end(traces, &span, "a", "done", 200);
+		if (file_size() == size)
 			continue;
-		assert_in_range(file_size(b) - size, BUFFER_BYTES / 2,
+		assert_in_range(file_size() - size, BUFFER_BYTES / 2,
 				BUFFER_BYTES);
-		size = file_size(b);
+		size = file_size();
 		writes++;
 	}
-	b->fake.now_us += US_PER_S;
-	trc_end(b->trc, &span, "a", "done", 200);
-	assert_true(file_size(b) > size);
-	size = file_size(b);
-	span.sampled = false;
-	trc_end(b->trc, &span, "a", "done", 200);
-	assert_int_equal(file_size(b), size);
 }
 
 /* A span that was never sampled still lets older lines out in time. */
-static void old_lines_are_written_with_the_next_span(void **state)
+PLAIN(old_lines_are_written_with_the_next_span)
 {
-	struct bench *b = *state;
 	struct trc_span span;
+	size_t size;
 
-	trc_start(b->trc, VALID, &span);
-	trc_end(b->trc, &span, "a", "done", 200);
-	assert_int_equal(file_size(b), 0);
-	b->fake.now_us += US_PER_S;
+	trc_start(traces, VALID, &span);
+	trc_end(traces, &span, "a", "done", 200);
+	assert_int_equal(file_size(), 0);
+	now_us += US_PER_S;
 	span.sampled = false;
-	trc_end(b->trc, &span, "a", "done", 200);
-	assert_true(file_size(b) > 0);
+	trc_end(traces, &span, "a", "done", 200);
+	size = file_size();
+	assert_true(size > 0);
+	trc_end(traces, &span, "a", "done", 200);
+	assert_int_equal(file_size(), size);
 }
 
-static void file_that_cannot_be_opened_is_an_error(void **state)
+PLAIN(file_that_cannot_be_opened_is_an_error)
 {
-	struct bench *b = *state;
 	struct err err = { 0 };
 
-	assert_null(trc_create("/tmp/", "s", 0, &b->clk, &err));
+	assert_null(trc_create("/tmp/", "s", 0, &fake, &err));
 	assert_int_equal(err.layer, ERR_SYSTEM);
 	assert_non_null(strstr(err.text, "/tmp/"));
 }
--- a/packages/config/tests/test_man.c
+++ b/packages/config/tests/test_man.c
@@ -4,21 +4,14 @@
  * and against input that crashes the parser or makes it leak.
  */
 
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <setjmp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <cmocka.h>
 
+#include "check.h"
 #include "clk.h"
 #include "man.h"
 
-/* Head of a test that needs no state of its group. */
-#define PLAIN(name) static void name(void **state __attribute__((unused)))
-
 #define SEED 20261204u
 #define RANDOM_TEXTS 300
 #define RANDOM_BYTES_MAX 4096
@@ -47,11 +40,27 @@
 				"head", "GET", "/b/{any}/c/d",                       \
 				", key: \"header:Id\""))
 
+static struct man *valid; /* of the text above, for all tests */
+
 static struct man *parse(const char *text, struct err *err)
 {
 	return man_parse("m", text, strlen(text), err);
 }
 
+static int setup(void **state)
+{
+	(void)state;
+	valid = parse(VALID, NULL);
+	return valid ? 0 : -1;
+}
+
+static int teardown(void **state)
+{
+	(void)state;
+	man_destroy(valid);
+	return 0;
+}
+
 PLAIN(examples_are_valid)
 {
 	static const char *const paths[] = { "manifests/association.yaml",
@@ -104,15 +113,12 @@
 	man_destroy(m);
 }
 
-struct bad {
-	const char *text;
-	int code;
-	const char *shown;
-};
-
 #define ONE(kind) HEAD SERVICE("1", "a", kind)
 #define OK_KIND KIND("k", "GET", "/a/{key}", "")
 #define PATTERN(p) ONE(KIND("k", "GET", p, ""))
+#define MORE(more) ONE(KIND("k", "GET", "/a/{key}", ", " more))
+#define AND(id, name, path) \
+	ONE(OK_KIND) SERVICE(id, name, KIND("k", "GET", path, ""))
 #define NETWORK(n) \
 	"format: 1\nversion: 1\ncallers:\n- { name: o, networks: [" n "] }\n"
 
@@ -130,29 +136,22 @@
 	{ ONE("{ name: k, path: 3 }"), MAN_MISSING_FIELD,
 	  "services[0].kinds[0].method" },
 	{ ONE(KIND("k", "get", "/a/{key}", "")), MAN_BAD_VALUE, "GET, HEAD" },
-	{ ONE(KIND("k", "GET", "/a/{key}", ", colour: 1")), MAN_UNKNOWN_FIELD,
-	  "services[0].kinds[0].colour" },
-	{ ONE(KIND("k", "GET", "/a/{key}", ", callers: [who]")),
-	  MAN_UNKNOWN_GROUP, "services[0].kinds[0].callers[0]" },
-	{ ONE(KIND("k", "GET", "/a/{key}", ", callers: []")), MAN_BAD_VALUE,
-	  "callers" },
-	{ ONE(KIND("k", "GET", "/a/{key}", ", key: \"cookie:a\"")),
-	  MAN_BAD_VALUE, "query:NAME" },
-	{ ONE(KIND("k", "GET", "/a/{key}", ", key: \"query:a\"")),
-	  MAN_BAD_VALUE, "kinds[0].path" },
-	{ ONE(KIND("k", "GET", "/a/{key}", ", share_pct: 101")), MAN_BAD_VALUE,
-	  "0 to 100" },
+	{ MORE("colour: 1"), MAN_UNKNOWN_FIELD, "services[0].kinds[0].colour" },
+	{ MORE("callers: [who]"), MAN_UNKNOWN_GROUP,
+	  "services[0].kinds[0].callers[0]" },
+	{ MORE("callers: []"), MAN_BAD_VALUE, "callers" },
+	{ MORE("key: \"cookie:a\""), MAN_BAD_VALUE, "query:NAME" },
+	{ MORE("key: \"query:a\""), MAN_BAD_VALUE, "kinds[0].path" },
+	{ MORE("share_pct: 101"), MAN_BAD_VALUE, "0 to 100" },
 	{ ONE(KIND("k", "GET", "/a/{key}", ", share_pct: 60") ", " KIND(
 		  "l", "GET", "/b/{key}", ", share_pct: 41")),
 	  MAN_BAD_VALUE, "add up to 101" },
 	{ ONE(OK_KIND ", " KIND("k", "GET", "/b/{key}", "")), MAN_DUPLICATE,
 	  "kinds[1].name" },
-	{ ONE(OK_KIND) SERVICE("1", "b", KIND("k", "GET", "/b/{key}", "")),
-	  MAN_DUPLICATE, "services[1].id" },
-	{ ONE(OK_KIND) SERVICE("2", "a", KIND("k", "GET", "/b/{key}", "")),
-	  MAN_DUPLICATE, "services[1].name" },
-	{ ONE(OK_KIND) SERVICE("2", "b", KIND("k", "GET", "/{key}/b", "")),
-	  MAN_DUPLICATE, "m:7: services[1].kinds[0].path" },
+	{ AND("1", "b", "/b/{key}"), MAN_DUPLICATE, "services[1].id" },
+	{ AND("2", "a", "/b/{key}"), MAN_DUPLICATE, "services[1].name" },
+	{ AND("2", "b", "/{key}/b"), MAN_DUPLICATE,
+	  "m:7: services[1].kinds[0].path" },
 	{ PATTERN("/a"), MAN_BAD_VALUE, "{key} is missing" },
 	{ PATTERN("/{key}/{key}"), MAN_BAD_VALUE, "twice" },
 	{ PATTERN("/a//{key}"), MAN_BAD_VALUE, "empty segment" },
@@ -176,13 +175,7 @@
 		struct err err = { 0 };
 
 		assert_null(parse(bads[i].text, &err));
-		if (err.code != bads[i].code ||
-		    !strstr(err.text, bads[i].shown))
-			print_message("%zu: %d %s\n", i, err.code, err.text);
-		assert_int_equal(err.layer, ERR_MANIFEST);
-		assert_int_equal(err.code, bads[i].code);
-		assert_non_null(strstr(err.text, bads[i].shown));
-		assert_non_null(strstr(err.text, "(allowed: "));
+		check_error(&err, ERR_MANIFEST, &bads[i]);
 	}
 }
 
@@ -235,10 +228,6 @@
 
 PLAIN(request_gets_its_kind_and_key)
 {
-	struct err err = { 0 };
-	struct man *m = parse(VALID, &err);
-
-	assert_non_null(m);
 	for (size_t i = 0; i < sizeof(lookups) / sizeof(lookups[0]); i++) {
 		const struct lookup *l = &lookups[i];
 		struct man_request req = { .method = l->method,
@@ -247,7 +236,7 @@
 					   .header = header,
 					   .arg = (void *)l->header };
 		struct man_match match;
-		enum man_verdict v = man_match(m, &req, &match);
+		enum man_verdict v = man_match(valid, &req, &match);
 
 		if (v != l->verdict)
 			print_message("%s %s: %d\n", l->method, l->path, v);
@@ -259,63 +248,55 @@
 		assert_string_equal(match.key, l->key);
 		assert_int_equal(match.key_len, strlen(l->key));
 	}
-	man_destroy(m);
 }
 
 PLAIN(longest_key_fits_and_a_longer_one_is_refused)
 {
-	struct err err = { 0 };
-	struct man *m = parse(VALID, &err);
 	char path[MAN_KEY_MAX + 16];
 	struct man_request req = { .method = "GET", .path = path };
 	struct man_match match;
 
 	snprintf(path, sizeof(path), "/a/%0*d/x", MAN_KEY_MAX - 1, 1);
-	assert_int_equal(man_match(m, &req, &match), MAN_MATCH);
+	assert_int_equal(man_match(valid, &req, &match), MAN_MATCH);
 	assert_int_equal(match.key_len, MAN_KEY_MAX - 1);
 	snprintf(path, sizeof(path), "/a/%0*d/x", MAN_KEY_MAX, 1);
-	assert_int_equal(man_match(m, &req, &match), MAN_NO_KEY);
-	man_destroy(m);
+	assert_int_equal(man_match(valid, &req, &match), MAN_NO_KEY);
 }
 
 PLAIN(caller_needs_a_network_of_its_group)
 {
-	struct err err = { 0 };
-	struct man *m = parse(VALID, &err);
-	const struct man_service *a = man_service_at(m, 0);
+	const struct man_service *a = man_service_at(valid, 0);
 	const struct man_kind *put = &a->kinds[2];
 
-	assert_true(man_may_call(m, &a->kinds[0], "192.0.2.1"));
-	assert_true(man_may_call(m, put, "10.1.255.9"));
-	assert_true(man_may_call(m, put, "::ffff:10.1.2.3"));
-	assert_true(man_may_call(m, put, "fd01::5"));
-	assert_false(man_may_call(m, put, "10.2.0.1"));
-	assert_false(man_may_call(m, put, "fd01:0:0:1::5"));
-	assert_false(man_may_call(m, put, "10.1.0"));
-	assert_false(man_may_call(m, put, ""));
-	man_destroy(m);
+	assert_true(man_may_call(valid, &a->kinds[0], "192.0.2.1"));
+	assert_true(man_may_call(valid, put, "10.1.255.9"));
+	assert_true(man_may_call(valid, put, "::ffff:10.1.2.3"));
+	assert_true(man_may_call(valid, put, "fd01::5"));
+	assert_false(man_may_call(valid, put, "10.2.0.1"));
+	assert_false(man_may_call(valid, put, "fd01:0:0:1::5"));
+	assert_false(man_may_call(valid, put, "10.1.0"));
+	assert_false(man_may_call(valid, put, ""));
 }
 
 PLAIN(older_version_and_other_partitions_do_not_follow)
 {
 	struct err err = { 0 };
 	char text[sizeof(VALID)];
-	struct man *old = parse(VALID, &err), *new;
+	struct man *new;
 
 	strcpy(text, VALID);
-	assert_false(man_follows(old, old, &err));
+	assert_false(man_follows(valid, valid, &err));
 	*strstr(text, "version: 5") = 'v';
 	strstr(text, "version: 5")[9] = '6';
 	new = parse(text, &err);
-	assert_true(man_follows(old, new, &err));
-	assert_false(man_follows(new, old, &err));
+	assert_true(man_follows(valid, new, &err));
+	assert_false(man_follows(new, valid, &err));
 	man_destroy(new);
 	strstr(text, "partitions: 8")[12] = '9';
 	new = parse(text, &err);
-	assert_false(man_follows(old, new, &err));
+	assert_false(man_follows(valid, new, &err));
 	assert_non_null(strstr(err.text, "services[0].partitions"));
 	man_destroy(new);
-	man_destroy(old);
 }
 
 #define WIDE_KINDS 64
@@ -476,5 +457,5 @@
 		cmocka_unit_test(mutated_manifests_are_refused_or_work),
 	};
 
-	return cmocka_run_group_tests(tests, NULL, NULL);
+	return cmocka_run_group_tests(tests, setup, teardown);
 }
--- a/packages/config/tests/test_set.c
+++ b/packages/config/tests/test_set.c
@@ -3,21 +3,14 @@
  * against errors that do not say where the fault is and what is allowed.
  */
 
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <setjmp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
-#include <cmocka.h>
 
+#include "check.h"
 #include "set.h"
 
-/* Head of a test that needs no state of its group. */
-#define PLAIN(name) static void name(void **state __attribute__((unused)))
-
 #define VALID                                                      \
 	"instance: 7\nname: bookings-3\ndata_centre: kingston-1\n" \
 	"region: caribbean\naddress: 10.20.1.7\nhttp_port: 8080\n" \
@@ -45,12 +38,6 @@
 	assert_true(set_check(&set, "s", &err));
 }
 
-struct bad {
-	const char *text;
-	int code;
-	const char *shown; /* in the message */
-};
-
 static const struct bad bads[] = {
 	{ VALID "colour: red\n", SET_UNKNOWN_FIELD, "s:13: colour: " },
 	{ VALID "max_callers: 0\n", SET_BAD_VALUE, "(allowed: 1 to 60000)" },
@@ -86,49 +73,34 @@
 
 		assert_false(set_parse("s", bads[i].text, strlen(bads[i].text),
 				       &set, &err));
-		if (err.code != bads[i].code ||
-		    !strstr(err.text, bads[i].shown))
-			print_message("%zu: %d %s\n", i, err.code, err.text);
-		assert_int_equal(err.layer, ERR_SETTINGS);
-		assert_int_equal(err.code, bads[i].code);
-		assert_non_null(strstr(err.text, bads[i].shown));
-		assert_non_null(strstr(err.text, "(allowed: "));
+		check_error(&err, ERR_SETTINGS, &bads[i]);
 		assert_int_equal(set.instance, 42);
 	}
 }
 
-PLAIN(bad_endpoints_name_the_nested_field)
+static const struct bad bad_flags[] = {
+	{ "platform={ address: host, port: 1 }", SET_BAD_VALUE,
+	  ":1: platform.address" },
+	{ "platform.address=::", SET_BAD_VALUE, ":1: address" },
+	{ "platform.port=0", SET_BAD_VALUE, ":1: port" },
+	{ "platform.port=65536", SET_BAD_VALUE, "1 to 65535" },
+	{ "platform={}", SET_MISSING_FIELD, ":1: platform.address" },
+	{ "platform.host=a", SET_UNKNOWN_FIELD, ":1: platform.host" },
+	{ "seeds=[{ port: 1 }]", SET_MISSING_FIELD, "seeds[0].address" },
+	{ "http_port=", SET_SYNTAX, "no document" },
+	{ "address=0.0.0.0", SET_BAD_VALUE, "not the wildcard" },
+	{ "name", SET_SYNTAX, "field=value" },
+};
+
+PLAIN(bad_flag_names_the_field_and_changes_nothing)
 {
-	static const char *const values[] = {
-		"platform={ address: host, port: 1 }",
-		"platform.address=::",
-		"platform.port=0",
-		"platform.port=65536",
-		"seeds=[{ port: 1 }]",
-		"http_port=",
-		"platform={}",
-		"address=0.0.0.0"
-	};
-	static const char *const fields[] = { "platform.address",
-					      "address",
-					      "port",
-					      "port",
-					      "seeds[0].address",
-					      "document",
-					      "platform.address",
-					      "address" };
-	struct err err = { 0 };
-	struct set set;
+	struct set set = { .instance = 42 }, before = set;
 
-	assert_true(set_parse("s", VALID, strlen(VALID), &set, &err));
-	for (size_t i = 0; i < sizeof(values) / sizeof(values[0]); i++) {
-		struct set before = set;
-
-		err_clear(&err);
-		assert_false(set_override(&set, values[i], &err));
-		if (!strstr(err.text, fields[i]))
-			print_message("%s: %s\n", values[i], err.text);
-		assert_non_null(strstr(err.text, fields[i]));
+	for (size_t i = 0; i < sizeof(bad_flags) / sizeof(bad_flags[0]); i++) {
+		struct err err = { 0 };
+
+		assert_false(set_override(&set, bad_flags[i].text, &err));
+		check_error(&err, ERR_SETTINGS, &bad_flags[i]);
 		assert_memory_equal(&before, &set, sizeof(set));
 	}
 }
@@ -145,10 +117,6 @@
 	assert_int_equal(set.log_level, LOG_LEVEL_DEBUG);
 	assert_true(set_override(&set, "seeds=[]", &err));
 	assert_int_equal(set.seed_count, 0);
-	assert_false(set_override(&set, "platform.host=a", &err));
-	assert_int_equal(err.code, SET_UNKNOWN_FIELD);
-	assert_false(set_override(&set, "name", &err));
-	assert_int_equal(err.code, SET_SYNTAX);
 }
 
 PLAIN(equal_ports_are_refused)
@@ -185,7 +153,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(valid_settings_get_defaults),
 		cmocka_unit_test(bad_settings_are_refused_with_place_and_range),
-		cmocka_unit_test(bad_endpoints_name_the_nested_field),
+		cmocka_unit_test(bad_flag_names_the_field_and_changes_nothing),
 		cmocka_unit_test(flags_replace_fields),
 		cmocka_unit_test(equal_ports_are_refused),
 		cmocka_unit_test(file_is_read_or_named_in_the_error),
--- a/packages/route/tests/bench.h
+++ b/packages/route/tests/bench.h
@@ -1,9 +1,16 @@
 #ifndef BENCH_H
 #define BENCH_H
 
-/* What the tests of this package share: a seeded generator and its seed. */
+/* What the tests of this package share: cmocka and a seeded generator. */
 
+#include <stdarg.h>
+#include <stddef.h>
 #include <stdint.h>
+#include <setjmp.h>
+#include <cmocka.h>
+
+/* Head of a test that needs no state of its group. */
+#define PLAIN(name) static void name(void **state __attribute__((unused)))
 
 #define BENCH_SEED 20261204u
 
--- a/packages/route/tests/test_adm.c
+++ b/packages/route/tests/test_adm.c
@@ -4,58 +4,45 @@
  * upstream that gets more than it takes. The clock is driven by the tests.
  */
 
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <setjmp.h>
 #include <stdlib.h>
 #include <string.h>
-#include <cmocka.h>
 
 #include "adm.h"
 #include "bench.h"
 #include "clk.h"
 #include "ctr.h"
 
-/* Head of a test that needs no state of its group. */
-#define PLAIN(name) static void name(void **state __attribute__((unused)))
-
 #define SLOTS 9
 #define FAR (1000 * US_PER_S)
 #define EVENTS_MAX 64
 
-/* Records the calls of admission. */
-struct calls {
+/* Records the calls of admission in the test that runs. */
+static struct {
 	void *ran[EVENTS_MAX];
 	void *dropped[EVENTS_MAX];
 	uint32_t run_count, drop_count;
-};
+} c;
 
-static void on_run(void *arg, void *request)
+static void on_run(void *arg __attribute__((unused)), void *request)
 {
-	struct calls *c = arg;
-
-	c->ran[c->run_count++ % EVENTS_MAX] = request;
+	c.ran[c.run_count++ % EVENTS_MAX] = request;
 }
 
-static void on_drop(void *arg, void *request)
+static void on_drop(void *arg __attribute__((unused)), void *request)
 {
-	struct calls *c = arg;
-
-	c->dropped[c->drop_count++ % EVENTS_MAX] = request;
+	c.dropped[c.drop_count++ % EVENTS_MAX] = request;
 }
 
 static const struct adm_ops ops = { on_run, on_drop };
 
 /* What the test that runs uses; replaced by use(), freed at the end. */
-static struct calls c;
 static struct adm *a;
 
 static void use(const struct adm_kind *kinds, size_t count)
 {
 	adm_destroy(a);
 	memset(&c, 0, sizeof(c));
-	a = adm_create(kinds, count, &ops, &c);
+	a = adm_create(kinds, count, &ops, NULL);
 	assert_non_null(a);
 }
 
@@ -76,6 +63,12 @@
 	assert_int_equal(adm_enter(a, kind, now + FAR, NULL, now), ADM_RUN);
 }
 
+/* Enters a request that must wait. */
+static void queue(uint32_t kind, uint64_t due_us, void *request, uint64_t now)
+{
+	assert_int_equal(adm_enter(a, kind, due_us, request, now), ADM_QUEUED);
+}
+
 static const struct adm_kind four[] = { { 50, 0 },
 					{ 20, 0 },
 					{ 20, 0 },
@@ -204,13 +197,13 @@
 PLAIN(stall_during_slow_start_leaves_a_slot)
 {
 	static const struct adm_kind kinds[] = { { 50, 8 }, { 10, 8 } };
+
 	use(kinds, 2);
 	adm_attach(a, SLOTS, 0);
 	run(1, 0);
 	for (int i = 0; i < 2; i++)
-		assert_int_equal(adm_enter(a, 0, FAR, &marks[i], 0),
-				 ADM_QUEUED);
-	assert_int_equal(adm_enter(a, 1, FAR, &marks[2], 0), ADM_QUEUED);
+		queue(0, FAR, &marks[i], 0);
+	queue(1, FAR, &marks[2], 0);
 	adm_tick(a, STALL_US - 1);
 	assert_int_equal(c.run_count, 0);
 	adm_tick(a, STALL_US);
@@ -230,17 +223,15 @@
 {
 	static const uint32_t due[] = { 500, 100, 300, 100, 900 };
 	static const int order[] = { 1, 3, 2, 0, 4 };
+
 	use(one, 1);
 	adm_attach(a, 1, 0);
 	run(0, 0);
 	for (int i = 0; i < 5; i++)
-		assert_int_equal(
-			adm_enter(a, 0, due[i] * US_PER_MS, &marks[i], 0),
-			ADM_QUEUED);
+		queue(0, due[i] * US_PER_MS, &marks[i], 0);
 	assert_true(adm_leave(a, &marks[2]));
 	assert_false(adm_leave(a, &marks[2]));
-	assert_int_equal(adm_enter(a, 0, due[2] * US_PER_MS, &marks[2], 0),
-			 ADM_QUEUED);
+	queue(0, due[2] * US_PER_MS, &marks[2], 0);
 	for (uint32_t i = 0; i < 5; i++) {
 		adm_done(a, 0, ADM_OK, 1, i);
 		assert_int_equal(c.run_count, i + 1);
@@ -262,8 +253,7 @@
 	adm_enter(a, 0, FAR, NULL, now);
 	assert_int_equal(adm_enter(a, 0, now + service, &marks[0], now),
 			 ADM_SHED);
-	assert_int_equal(adm_enter(a, 0, now + 3 * service, &marks[1], now),
-			 ADM_QUEUED);
+	queue(0, now + 3 * service, &marks[1], now);
 	adm_tick(a, now + 2 * service - 1);
 	assert_int_equal(c.drop_count, 0);
 	adm_tick(a, now + 2 * service);
@@ -306,7 +296,8 @@
 /* A simulated upstream with lookups and checks, in steps of one millisecond. */
 #define LOOKUP 0
 #define CHECK 3
-#define LOOKUP_SERVICE_MS 10 /* the longest; the shortest is half of it */
+#define LOOKUP_SERVICE_MS 10 /* the longest; the shortest is 6 */
+#define LOOKUP_SHARE (SLOTS / 2)
 #define CHECK_SERVICE_MS 20
 #define STALL_SERVICE_MS 5000
 #define LOOKUP_DEADLINE_MS 500
@@ -325,7 +316,8 @@
 	bool stall;
 	struct sim_request requests[REQUESTS_MAX];
 	struct sim_request *running[SLOTS];
-	uint32_t count, lookups, lost;
+	uint32_t count, lookups, lost, running_lookups;
+	uint32_t delayed; /* lookups below their share that got no slot */
 	struct hst waits; /* of lookups after the cold start, in microseconds */
 };
 
@@ -333,18 +325,17 @@
 {
 	struct sim *s = arg;
 	struct sim_request *r = request;
-	uint64_t service =
-		r->kind == LOOKUP ?
-			LOOKUP_SERVICE_MS / 2 +
-				bench_below(&s->seed,
-					    LOOKUP_SERVICE_MS / 2 + 1) :
-		s->stall && s->now_ms >= STALL_FROM_MS ? STALL_SERVICE_MS :
-							 CHECK_SERVICE_MS;
+	uint64_t service = CHECK_SERVICE_MS;
 	int i = 0;
 
+	if (r->kind == LOOKUP)
+		service = LOOKUP_SERVICE_MS - bench_below(&s->seed, 5);
+	else if (s->stall && s->now_ms >= STALL_FROM_MS)
+		service = STALL_SERVICE_MS;
 	while (s->running[i])
 		assert_true(++i < SLOTS);
 	s->running[i] = r;
+	s->running_lookups += r->kind == LOOKUP;
 	r->started_ms = s->now_ms;
 	r->ends_ms = s->now_ms + service;
 }
@@ -366,6 +357,8 @@
 	s->lookups += kind == LOOKUP;
 	v = adm_enter(s->adm, kind, (s->now_ms + deadline_ms) * US_PER_MS, r,
 		      s->now_ms * US_PER_MS);
+	if (kind == LOOKUP && s->now_ms >= STALL_FROM_MS && v != ADM_RUN)
+		s->delayed += s->running_lookups < LOOKUP_SHARE;
 	if (v == ADM_RUN)
 		sim_start(s, r);
 	else if (v == ADM_SHED)
@@ -380,6 +373,7 @@
 		if (!r || r->ends_ms > s->now_ms)
 			continue;
 		s->running[i] = NULL;
+		s->running_lookups -= r->kind == LOOKUP;
 		if (r->kind == LOOKUP && r->arrived_ms >= STALL_FROM_MS)
 			hst_add(&s->waits,
 				(r->ends_ms - r->arrived_ms) * US_PER_MS);
@@ -418,26 +412,24 @@
 }
 
 /*
- * Lookups have half of the slots for themselves and use 2.25 on average. A
- * lookup waits at most for others of its kind, so with a stall it may take one
- * service time more than without. The deadline bounds both.
+ * A lookup below its share never waits. One over it waits until another lookup
+ * ends, so at this load 99 in 100 take at most two service times.
  */
 PLAIN(stall_of_another_kind_does_not_delay_lookups)
 {
 	struct sim *s = malloc(sizeof(*s));
-	uint64_t calm, stalled;
 
 	print_message("seed %u\n", BENCH_SEED);
-	calm = simulate(false, s);
-	print_message("no stall: p99 %llu ms, %u lookups, %u lost\n",
-		      (unsigned long long)calm, s->lookups, s->lost);
-	assert_int_equal(s->lost, 0);
-	stalled = simulate(true, s);
-	print_message("stall:    p99 %llu ms, %u lookups, %u lost\n",
-		      (unsigned long long)stalled, s->lookups, s->lost);
-	assert_int_equal(s->lost, 0);
-	assert_true(stalled <= calm + LOOKUP_SERVICE_MS);
-	assert_true(stalled < LOOKUP_DEADLINE_MS);
+	for (int stall = 0; stall <= 1; stall++) {
+		uint64_t p99 = simulate(stall, s);
+
+		print_message("%s stall: p99 %u ms, %u lookups, %u lost\n",
+			      stall ? "with" : "no", (unsigned int)p99,
+			      s->lookups, s->lost);
+		assert_int_equal(s->lost, 0);
+		assert_int_equal(s->delayed, 0);
+		assert_true(p99 <= 2 * LOOKUP_SERVICE_MS);
+	}
 	free(s);
 }
 
--- a/packages/route/tests/test_qtn.c
+++ b/packages/route/tests/test_qtn.c
@@ -3,25 +3,32 @@
  * harmless requests that are quarantined with it.
  */
 
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <setjmp.h>
 #include <string.h>
-#include <cmocka.h>
 
+#include "bench.h"
 #include "log.h"
 #include "qtn.h"
 
-/* Head of a test that needs no state of its group. */
-#define PLAIN(name) static void name(void **state __attribute__((unused)))
-
 #define NOW 1000000000ULL
 
-PLAIN(second_strike_quarantines_until_lifted)
+static struct qtn *q;
+
+static int setup(void **state)
 {
-	struct qtn *q = qtn_create();
+	(void)state;
+	q = qtn_create();
+	return q ? 0 : -1;
+}
 
+static int teardown(void **state)
+{
+	(void)state;
+	qtn_destroy(q);
+	return 0;
+}
+
+PLAIN(second_strike_quarantines_until_lifted)
+{
 	assert_int_equal(qtn_check(q, 1, NOW), QTN_FREE);
 	assert_int_equal(qtn_strike(q, 1, "fit size k", NOW), 1);
 	assert_int_equal(qtn_check(q, 1, NOW), QTN_SUSPECT);
@@ -31,12 +38,10 @@
 	assert_true(qtn_lift(q, 1));
 	assert_false(qtn_lift(q, 1));
 	assert_int_equal(qtn_check(q, 1, NOW + 1), QTN_FREE);
-	qtn_destroy(q);
 }
 
 PLAIN(old_strikes_are_forgotten)
 {
-	struct qtn *q = qtn_create();
 	struct qtn_entry out[4];
 
 	qtn_strike(q, 1, "a", NOW);
@@ -48,13 +53,10 @@
 	assert_int_equal(qtn_list(q, out, 4), 1);
 	qtn_tick(q, NOW + 2 * QTN_STRIKE_TTL_MS);
 	assert_int_equal(qtn_list(q, out, 4), 0);
-	qtn_destroy(q);
 }
 
 PLAIN(learned_strikes_count_and_are_lifted)
 {
-	struct qtn *q = qtn_create();
-
 	qtn_strike(q, 1, "a", NOW);
 	qtn_learn(q, 1, 1, "a", NOW + QTN_STRIKE_TTL_MS - 1);
 	assert_int_equal(qtn_check(q, 1, NOW + QTN_STRIKE_TTL_MS), QTN_FREE);
@@ -63,13 +65,10 @@
 	assert_int_equal(qtn_check(q, 2, NOW), QTN_QUARANTINED);
 	qtn_learn(q, 2, 0, "b", NOW);
 	assert_int_equal(qtn_check(q, 2, NOW), QTN_FREE);
-	qtn_destroy(q);
 }
 
 PLAIN(suspects_run_one_at_a_time)
 {
-	struct qtn *q = qtn_create();
-
 	assert_true(qtn_suspect_begin(q, 1));
 	assert_false(qtn_suspect_begin(q, 1));
 	assert_false(qtn_suspect_begin(q, 2));
@@ -77,7 +76,6 @@
 	assert_false(qtn_suspect_begin(q, 2));
 	qtn_suspect_end(q, 1);
 	assert_true(qtn_suspect_begin(q, 2));
-	qtn_destroy(q);
 }
 
 PLAIN(fingerprint_depends_on_every_part)
@@ -95,7 +93,6 @@
 
 PLAIN(full_list_keeps_what_is_quarantined)
 {
-	struct qtn *q = qtn_create();
 	static struct qtn_entry out[QTN_ENTRIES_MAX + 1];
 	char label[200];
 
@@ -110,18 +107,18 @@
 	assert_int_equal(qtn_check(q, UINT64_MAX, NOW), QTN_QUARANTINED);
 	assert_int_equal(qtn_check(q, 1, NOW), QTN_FREE);
 	assert_int_equal(qtn_check(q, 2, NOW), QTN_SUSPECT);
-	qtn_destroy(q);
 }
 
 int main(void)
 {
+#define TEST(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(second_strike_quarantines_until_lifted),
-		cmocka_unit_test(old_strikes_are_forgotten),
-		cmocka_unit_test(learned_strikes_count_and_are_lifted),
-		cmocka_unit_test(suspects_run_one_at_a_time),
-		cmocka_unit_test(fingerprint_depends_on_every_part),
-		cmocka_unit_test(full_list_keeps_what_is_quarantined),
+		TEST(second_strike_quarantines_until_lifted),
+		TEST(old_strikes_are_forgotten),
+		TEST(learned_strikes_count_and_are_lifted),
+		TEST(suspects_run_one_at_a_time),
+		TEST(fingerprint_depends_on_every_part),
+		TEST(full_list_keeps_what_is_quarantined),
 	};
 
 	log_set_level(LOG_LEVEL_ERROR);
--- a/packages/route/tests/test_ret.c
+++ b/packages/route/tests/test_ret.c
@@ -3,19 +3,10 @@
  * and against retries that multiply the load on an upstream that is dying.
  */
 
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <setjmp.h>
-#include <cmocka.h>
-
 #include "bench.h"
 #include "clk.h"
 #include "ret.h"
 
-/* Head of a test that needs no state of its group. */
-#define PLAIN(name) static void name(void **state __attribute__((unused)))
-
 #define OFFERED 20000
 #define STEPS 10
 
--- a/packages/route/tests/test_rte.c
+++ b/packages/route/tests/test_rte.c
@@ -3,13 +3,9 @@
  * that does is known, and against forwards without an end.
  */
 
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <setjmp.h>
 #include <stdlib.h>
-#include <cmocka.h>
 
+#include "bench.h"
 #include "rte.h"
 
 #define VERSION 4
@@ -17,17 +13,16 @@
 static const struct proc owner = { 1, 11 }, successor = { 2, 22 },
 			 witness = { 3, 33 }, other = { 4, 44 };
 
-struct bench {
-	struct mir *mir;
-	struct rte *rte;
-	uint64_t part;
-};
+static struct mir *mirror;
+static struct rte *routes;
+static struct rte_try t;
+static uint64_t part;
 
-/* Puts a row of a version into the mirror; owner and successor may differ. */
-static void put_row(struct bench *b, uint64_t version, const struct proc *own,
+/* Puts a row of a version into the mirror. */
+static void put_row(uint64_t version, const struct proc *own,
 		    const struct proc *succ)
 {
-	struct row row = { .part = b->part, .writer = *own };
+	struct row row = { .part = part, .writer = *own };
 	struct mir_entry e = { .version = version, .seq = version };
 	struct err err = { 0 };
 
@@ -35,137 +30,111 @@
 	row.set.owner = *own;
 	row.set.witness[ROW_SUCCESSOR] = *succ;
 	row.set.witness[1] = witness;
-	row_key(b->part, e.key);
+	row_key(part, e.key);
 	e.value = row_encode(&row);
-	assert_int_equal(mir_apply(b->mir, &e, &err), MIR_NEW);
+	assert_int_equal(mir_apply(mirror, &e, &err), MIR_NEW);
 	free(e.value);
 }
 
 static int setup(void **state)
 {
-	struct bench *b = calloc(1, sizeof(*b));
-
-	b->mir = mir_create();
-	b->rte = rte_create(b->mir);
-	b->part = part_id(7, 5);
-	put_row(b, VERSION, &owner, &successor);
-	*state = b;
+	(void)state;
+	mirror = mir_create();
+	routes = rte_create(mirror);
+	part = part_id(7, 5);
+	t = (struct rte_try){ .part = part };
+	put_row(VERSION, &owner, &successor);
 	return 0;
 }
 
 static int teardown(void **state)
 {
-	struct bench *b = *state;
-
-	rte_destroy(b->rte);
-	mir_destroy(b->mir);
-	free(b);
+	(void)state;
+	rte_destroy(routes);
+	mir_destroy(mirror);
 	return 0;
 }
 
 /* Checks that the next process is the expected one, NULL for none. */
-static void expect(struct bench *b, struct rte_try *t, const struct proc *p)
+static void expect(const struct proc *p)
 {
 	struct proc out = { 0 };
 
-	assert_int_equal(rte_next(b->rte, t, &out), p != NULL);
+	assert_int_equal(rte_next(routes, &t, &out), p != NULL);
 	if (p)
 		assert_true(proc_equal(&out, p));
 }
 
-static void owner_comes_before_successor(void **state)
+PLAIN(owner_comes_before_successor)
 {
-	struct bench *b = *state;
-	struct rte_try t = { .part = b->part };
-
-	expect(b, &t, &owner);
-	expect(b, &t, &successor);
-	expect(b, &t, NULL);
+	expect(&owner);
+	expect(&successor);
+	expect(NULL);
 }
 
-static void hint_and_last_seen_come_first(void **state)
+PLAIN(hint_and_last_seen_come_first)
 {
-	struct bench *b = *state;
-	struct rte_try t = { .part = b->part };
-
-	rte_seen(b->rte, b->part, VERSION, &successor);
-	expect(b, &t, &successor);
+	rte_seen(routes, part, VERSION, &successor);
+	expect(&successor);
 	t.hint = other;
-	expect(b, &t, &other);
-	expect(b, &t, &owner);
-	expect(b, &t, NULL);
+	expect(&other);
+	expect(&owner);
+	expect(NULL);
 }
 
-static void hint_of_a_tried_process_is_not_tried_again(void **state)
+PLAIN(hint_of_a_tried_process_is_not_tried_again)
 {
-	struct bench *b = *state;
-	struct rte_try t = { .part = b->part };
-
-	expect(b, &t, &owner);
+	expect(&owner);
 	t.hint = owner;
-	expect(b, &t, &successor);
-	expect(b, &t, NULL);
+	expect(&successor);
+	expect(NULL);
 }
 
-static void forwards_end_after_three(void **state)
+PLAIN(forwards_end_after_three)
 {
-	struct bench *b = *state;
-	struct rte_try t = { .part = b->part };
-
 	for (uint32_t i = 0; i < RTE_FORWARDS_MAX; i++) {
 		t.hint = (struct proc){ 100 + i, 1 };
-		expect(b, &t, &t.hint);
+		expect(&t.hint);
 	}
 	t.hint = other;
-	expect(b, &t, NULL);
+	expect(NULL);
 }
 
-static void process_that_failed_is_not_preferred(void **state)
+PLAIN(process_that_failed_is_not_preferred)
 {
-	struct bench *b = *state;
-	struct rte_try t = { .part = b->part };
-
-	rte_seen(b->rte, b->part, VERSION, &successor);
-	rte_failed(b->rte, b->part, &other);
-	rte_failed(b->rte, b->part, &successor);
-	expect(b, &t, &owner);
+	rte_seen(routes, part, VERSION, &successor);
+	rte_failed(routes, part, &other);
+	rte_failed(routes, part, &successor);
+	expect(&owner);
 }
 
-static void newer_row_replaces_what_was_seen(void **state)
+PLAIN(newer_row_replaces_what_was_seen)
 {
-	struct bench *b = *state;
-	struct rte_try t = { .part = b->part };
-
-	rte_seen(b->rte, b->part, VERSION, &successor);
-	put_row(b, VERSION + 1, &other, &owner);
-	expect(b, &t, &other);
-	expect(b, &t, &owner);
-	expect(b, &t, NULL);
+	rte_seen(routes, part, VERSION, &successor);
+	put_row(VERSION + 1, &other, &owner);
+	expect(&other);
+	expect(&owner);
+	expect(NULL);
 }
 
-static void late_answer_of_an_older_version_changes_nothing(void **state)
+PLAIN(late_answer_of_an_older_version_changes_nothing)
 {
-	struct bench *b = *state;
-	struct rte_try t = { .part = b->part };
-
-	rte_seen(b->rte, b->part, VERSION + 1, &other);
-	rte_seen(b->rte, b->part, VERSION, &successor);
-	expect(b, &t, &other);
-	rte_seen(b->rte, b->part, VERSION + 1, &owner);
-	t = (struct rte_try){ .part = b->part };
-	expect(b, &t, &owner);
-	expect(b, &t, &successor);
+	rte_seen(routes, part, VERSION + 1, &other);
+	rte_seen(routes, part, VERSION, &successor);
+	expect(&other);
+	rte_seen(routes, part, VERSION + 1, &owner);
+	t = (struct rte_try){ .part = part };
+	expect(&owner);
+	expect(&successor);
 }
 
-static void partition_without_row_has_only_hints(void **state)
+PLAIN(partition_without_row_has_only_hints)
 {
-	struct bench *b = *state;
-	struct rte_try t = { .part = part_id(7, 6) };
-
-	expect(b, &t, NULL);
+	t.part = part_id(7, 6);
+	expect(NULL);
 	t.hint = other;
-	expect(b, &t, &other);
-	expect(b, &t, NULL);
+	expect(&other);
+	expect(NULL);
 }
 
 int main(void)
