Compare first segments by hash when patterns are checked

Cause: the check for ambiguous patterns compares all pairs of kinds; a manifest is parsed on the thread of the event loop. Excluded: a search through the tree of segments, which finds pairs with fewer comparisons but has to follow wildcards on both sides.

--- a/packages/config/src/man_impl.h
+++ b/packages/config/src/man_impl.h
@@ -25,6 +25,8 @@
 	uint16_t kind; /* index in its kinds */
 	uint8_t count; /* of segments */
 	uint8_t key_segment; /* MAN_NO_SEGMENT if the key is not in the path */
+	uint32_t
+		first; /* hash of the first segment, 0 if it matches anything */
 	uint16_t wild; /* bit set of the segments that match anything */
 	uint8_t start[MAN_SEGMENTS_MAX];
 	uint8_t len[MAN_SEGMENTS_MAX];
--- a/packages/config/src/man_path.c
+++ b/packages/config/src/man_path.c
@@ -62,6 +62,9 @@
 			return reason;
 		s += 1 + len;
 	}
+	rule->first = 0;
+	if (!(rule->wild & 1))
+		rule->first = (uint32_t)XXH3_64bits(path + 1, rule->len[0]) | 1;
 	return NULL;
 }
 
--- a/packages/config/src/man_read.c
+++ b/packages/config/src/man_read.c
@@ -210,6 +210,12 @@
 	       yml_fail_field(y, node, "path", YML_BAD, PATH_ALLOWED, reason);
 }
 
+/* Most kinds differ in their first segment, which is compared by its hash. */
+static bool first_differs(const struct man_rule *a, const struct man_rule *b)
+{
+	return a->first && b->first && a->first != b->first;
+}
+
 /* Refuses a kind that some path would match together with an earlier kind. */
 static bool check_ambiguous(struct yml *y, const yaml_node_t *node,
 			    const struct man_kind *k, const struct man_rule *r)
@@ -220,8 +226,11 @@
 	for (size_t i = 0; i < m->rule_count; i++) {
 		const struct man_rule *o = &m->rules[i];
 		const struct man_service *s = &m->services[o->service];
-		const struct man_kind *other = &s->kinds[o->kind];
+		const struct man_kind *other;
 
+		if (first_differs(o, r))
+			continue;
+		other = &s->kinds[o->kind];
 		if (strcmp(other->method, k->method) != 0 ||
 		    !man_ambiguous(k->path, r, other->path, o))
 			continue;
