Mutate a manifest of block style as well

Cause: the mutants came from a text of flow style only, which the YAML parser reads with other code than the block style of the pipeline. Excluded: a corpus of files, which would have to be kept up to date. Conclusion: both styles are covered.

--- a/packages/config/tests/test_man.c
+++ b/packages/config/tests/test_man.c
@@ -15,7 +15,7 @@
 #define SEED 20261204u
 #define RANDOM_TEXTS 300
 #define RANDOM_BYTES_MAX 4096
-#define MUTANTS 500
+#define MUTANTS 2000
 #define BIG_BYTES 10000000
 
 #define CALLERS \
@@ -410,22 +410,28 @@
 	return len;
 }
 
+/* Changes a manifest of flow style and one of block style in turn. */
 PLAIN(mutated_manifests_are_refused_or_work)
 {
+	FILE *f = fopen("manifests/association.yaml", "rb");
+	struct man_request req = { .method = "GET", .path = "/a/k/x" };
+	char block[8192], text[sizeof(block) + 200];
+	size_t block_len;
 	uint64_t s = SEED;
-	char text[sizeof(VALID) + 200];
 	int accepted = 0;
 
+	assert_non_null(f);
+	block_len = fread(block, 1, sizeof(block), f);
+	fclose(f);
 	print_message("seed %u\n", SEED);
 	for (int i = 0; i < MUTANTS; i++) {
-		struct man_request req = { .method = "GET", .path = "/a/k/x" };
+		size_t len = i % 2 ? block_len : sizeof(VALID) - 1;
 		struct err err = { 0 };
 		struct man_match match;
 		struct man *m;
-		size_t len;
 
-		memcpy(text, VALID, sizeof(VALID));
-		len = mutate(text, sizeof(VALID) - 1, &s);
+		memcpy(text, i % 2 ? block : VALID, len);
+		len = mutate(text, len, &s);
 		m = parse_exact(text, len, &err);
 		if (!m) {
 			assert_non_null(strstr(err.text, "(allowed: "));
