Routes: processes that are skipped do not count as forwards

Cause: a request looked at three processes at most, and those known to have ended counted, so that after two losses the successor was not tried. Excluded: a longer list alone, which would allow more than three forwards. Before: hint, last seen and owner all ended: successor not tried. After: it is. Conclusion: the limit of three forwards holds for what was sent.

--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -10,15 +10,15 @@
 #define LINE_MAX_BYTES 1024
 
 struct event_info {
-	int number;
 	const char *name;
-	enum log_level level;
 	const char *text;
+	int number;
+	enum log_level level;
 };
 
 static const struct event_info events[LOG_EVENTS] = {
 #define EVENT(number, name, level, text, action) \
-	{ number, #name, LOG_LEVEL_##level, text },
+	{ #name, text, number, LOG_LEVEL_##level },
 #include "log_events.def"
 #undef EVENT
 };
--- a/packages/ctl/src/ctl_publish.c
+++ b/packages/ctl/src/ctl_publish.c
@@ -30,6 +30,12 @@
 	return text;
 }
 
+static void print_warning(void *arg, const char *text)
+{
+	(void)arg;
+	fprintf(stderr, "geraniumspokectl: warning: %s\n", text);
+}
+
 /* Checks a file with the code that the daemons use. */
 enum ctl_exit ctl_validate(struct ctl *c)
 {
@@ -40,6 +46,7 @@
 		fprintf(stderr, "geraniumspokectl: %s\n", err.text);
 		return CTL_EXIT_REFUSED;
 	}
+	man_warn(man, print_warning, NULL);
 	printf("version %" PRIu64 ", %zu services: correct\n", man_version(man),
 	       man_service_count(man));
 	man_destroy(man);
--- a/packages/daemon/src/bal.c
+++ b/packages/daemon/src/bal.c
@@ -347,13 +347,15 @@
 {
 	struct bal *b = arg;
 	size_t max = own_acting_count(b->n->own);
+	struct plc_policy policy;
 	struct plc_load *held;
 	struct plc_view view;
 	struct proc target;
 
 	(void)now_us;
 	if (mem_state(b->n->member) != MEMBER_DRAINING || !max ||
-	    !syn_platform_up(b->n->syn))
+	    !syn_platform_up(b->n->syn) ||
+	    !get_policy(b, mem_service(b->n->member), &policy))
 		return;
 	held = calloc(max, sizeof(*held));
 	if (!held)
@@ -361,8 +363,12 @@
 	max = list_held(b, held, max);
 	if (make_view(b, mem_service(b->n->member), &view)) {
 		for (size_t i = 0; i < max; i++) {
-			if (plc_drain_target(&view, &b->n->self, held[i].part,
-					     &target))
+			const struct row *row =
+				mir_row(b->n->mirror, held[i].part);
+
+			if (row &&
+			    plc_drain_row(&view, &b->n->self, held[i].part,
+					  &row->set, &policy, &target))
 				write_armed(b, &view, held[i].part, &target,
 					    "drain");
 		}
--- a/packages/daemon/src/ing.c
+++ b/packages/daemon/src/ing.c
@@ -129,6 +129,14 @@
 	ing_attempt(c);
 }
 
+/* Makes every candidate one that was not tried. */
+static void forget_tries(struct call *c)
+{
+	c->route.count = 0;
+	c->route.skipped = 0;
+	c->route.hint.incarnation = 0;
+}
+
 /* Waits for a takeover or a move, then goes through the candidates again. */
 static void wait_round(struct call *c)
 {
@@ -141,8 +149,7 @@
 			 "the owner of the key cannot be reached");
 		return;
 	}
-	c->route.count = 0;
-	c->route.hint.incarnation = 0;
+	forget_tries(c);
 	c->timer = tmr_at(n->timers, now + ROUND_PAUSE_US, round_due, c);
 }
 
@@ -234,23 +241,27 @@
 void ing_attempt(struct call *c)
 {
 	struct nod *n = c->ing->n;
+	struct lse_term term;
 	struct proc to;
 
 	c->started = true;
 	c->can_send = false;
 	while (rte_next(c->ing->routes, &c->route, &to)) {
-		if (prb_has_ended(n->probes, &to))
+		if (prb_has_ended(n->probes, &to)) {
+			rte_skip(&c->route);
 			continue;
+		}
 		if (!proc_equal(&to, &n->self)) {
 			ing_out_open(c, &to);
 			return;
 		}
-		if (own_may_act(n->own, c->part, NULL) ||
+		if (own_may_act(n->own, c->part, &term) ||
 		    own_is_named(n->own, c->part)) {
 			c->target_proc = to;
 			run_here(c);
 			return;
 		}
+		rte_skip(&c->route);
 	}
 	wait_round(c);
 }
@@ -271,7 +282,7 @@
 	if (now + CLOSE_TO_DEADLINE_US < c->deadline_us &&
 	    ret_allows(c->ing->retries, &c->retry, outcome, now)) {
 		ctr_add(CTR_RETRIES, 1);
-		c->route.count = 0;
+		forget_tries(c);
 		c->timer = tmr_at(n->timers,
 				  now + ret_delay_us(c->retry.attempts,
 						     clk_random(n->clk)),
@@ -361,21 +372,29 @@
 	c->deadline_us = c->started_us + ms * US_PER_MS;
 }
 
+/* Joins path and query; false if they are too long to be forwarded. */
+static bool take_target(struct call *c)
+{
+	const char *query = htp_query(c->req);
+	int len = snprintf(c->target, sizeof(c->target), "%s%s%s",
+			   htp_path(c->req), query[0] ? "?" : "", query);
+
+	return len > 0 && (size_t)len < sizeof(c->target);
+}
+
 /* Copies what the request needs from the manifest, which may be replaced. */
 static void take_match(struct call *c, const struct man_match *m)
 {
 	const struct man_kind *kind = &m->service->kinds[m->kind];
 	const char *id = htp_header(c->req, "idempotency-key");
-	const char *query = htp_query(c->req);
 
 	c->part =
 		part_id(m->service->id, plc_partition(m->key, m->key_len,
 						      m->service->partitions));
 	c->route.part = c->part;
 	snprintf(c->kind, sizeof(c->kind), "%s", kind->name);
-	snprintf(c->key, sizeof(c->key), "%s", m->key);
-	snprintf(c->target, sizeof(c->target), "%s%s%s", htp_path(c->req),
-		 query[0] ? "?" : "", query);
+	snprintf(c->key, sizeof(c->key), "%.*s", (int)sizeof(c->key) - 1,
+		 m->key);
 	c->request_id = !kind->idempotent && id ? id : "";
 	c->retry.idempotent = kind->idempotent;
 	set_deadline(c, kind);
@@ -412,6 +431,10 @@
 	default:
 		break;
 	}
+	if (!take_target(c)) {
+		ing_tell(c, OUTCOME_INVALID, 414, 0, "the target is too long");
+		return false;
+	}
 	kind = &m.service->kinds[m.kind];
 	if (!man_may_call(man, kind, htp_peer(c->req))) {
 		ing_tell(c, OUTCOME_FORBIDDEN, 403, 0,
--- a/packages/daemon/src/ing_out.c
+++ b/packages/daemon/src/ing_out.c
@@ -174,10 +174,12 @@
 	cancel_stream(c);
 	prb_ask(c->ing->n->probes, &c->target_proc);
 	rte_failed(c->ing->routes, c->part, &c->target_proc);
-	if (failure == PER_REFUSED || failure == PER_NOT_SENT)
+	if (failure == PER_REFUSED || failure == PER_NOT_SENT) {
+		rte_skip(&c->route);
 		ing_failed(c, RET_MOVED, 0);
-	else
+	} else {
 		ing_failed(c, RET_UNKNOWN, 0);
+	}
 }
 
 /*
@@ -227,6 +229,7 @@
 	uint64_t left = c->deadline_us > now ? c->deadline_us - now : 1;
 
 	if (!m || !proc_equal(&m->proc, to)) {
+		rte_skip(&c->route);
 		ing_failed(c, RET_MOVED, 0);
 		return;
 	}
--- a/packages/route/src/rte.c
+++ b/packages/route/src/rte.c
@@ -136,7 +136,8 @@
 	const struct row *row = mir_row(r->mir, t->part);
 	struct seen *s = find(r, t->part);
 
-	if (t->count >= RTE_FORWARDS_MAX)
+	if (t->count - t->skipped >= RTE_FORWARDS_MAX ||
+	    t->count >= RTE_TRIED_MAX)
 		return false;
 	if (s && row && s->version < row->set.version) {
 		forget(r, s);
@@ -151,3 +152,9 @@
 	return take(t, &row->set.owner, out) ||
 	       take(t, &row->set.witness[ROW_SUCCESSOR], out);
 }
+
+/* Leaves the process among those that were tried. */
+void rte_skip(struct rte_try *t)
+{
+	t->skipped++;
+}
--- a/packages/route/src/rte.h
+++ b/packages/route/src/rte.h
@@ -8,11 +8,15 @@
 
 #define RTE_FORWARDS_MAX 3
 
+/* Processes that one request looks at, with those that are skipped. */
+#define RTE_TRIED_MAX 8
+
 /* State of one request while its owner is being found. */
 struct rte_try {
 	uint64_t part;
-	struct proc tried[RTE_FORWARDS_MAX];
+	struct proc tried[RTE_TRIED_MAX];
 	uint32_t count;
+	uint32_t skipped; /* of them, those that nothing was sent to */
 	struct proc hint; /* from a MOVED answer; incarnation 0 if none */
 	uint64_t hint_version;
 };
@@ -37,4 +41,10 @@
  */
 bool rte_next(struct rte *r, struct rte_try *t, struct proc *out);
 
+/*
+ * The process given last is known to have ended or cannot be reached, and
+ * nothing was sent to it: it does not count as a forward.
+ */
+void rte_skip(struct rte_try *t);
+
 #endif
