--- a/packages/daemon/src/exe_run.h
+++ b/packages/daemon/src/exe_run.h
@@ -78,6 +78,15 @@
 void exe_unlink(struct exe *e, struct exe_run *r);
 struct nod *exe_node(struct exe *e);
 
+struct nod *exe_run_node(const struct exe_run *r);
+void exe_run_release(struct exe_run *r, enum adm_result result);
+void exe_run_refuse(struct exe_run *r, enum peer_status status,
+		    uint32_t retry_after_ms, const struct dup_response *stored);
+void exe_run_destroy(struct exe_run *r);
+void exe_run_end_span(struct exe_run *r, const char *outcome, int status);
+void exe_run_end_unknown(struct exe_run *r);
+void exe_run_launch(struct exe_run *r);
+
 /* The partition is lost while the request waits for a slot or runs. */
 void exe_run_abandon(struct exe_run *r);
 
--- a/packages/daemon/src/own.c
+++ b/packages/daemon/src/own.c
@@ -1,218 +1,17 @@
-#include "own.h"
+#include "own_int.h"
 
 #include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include <uthash.h>
-
 #include "bal.h"
 #include "ctr.h"
 #include "exe.h"
 #include "log.h"
-#include "mem.h"
-#include "prb.h"
 #include "pub.h"
-#include "upd.h"
 
 #define TICK_US (50 * US_PER_MS)
-#define HANDOVER_TIMEOUT_US (2 * US_PER_S)
-#define DESTINATIONS_MAX 16
-
-/* When a process was last heard. */
-struct heard {
-	struct proc proc;
-	uint64_t at_us;
-	UT_hash_handle hh;
-};
-
-/* A partition that is being handed over, or was taken over with a window. */
-struct transfer {
-	uint64_t part;
-	uint64_t version; /* IMPORTED: of the row that the window is for */
-	enum {
-		TRANSFER_DRAINING,
-		TRANSFER_SENDING,
-		TRANSFER_IMPORTED
-	} step;
-	struct proc new_owner;
-	struct own *own;
-	UT_hash_handle hh;
-};
-
-/* A partition whose duplicate window this process keeps. */
-struct window {
-	uint64_t part;
-	uint64_t fence; /* that it acted with last */
-	uint64_t next_fence; /* of its own newer version, 0 if there is none */
-	uint32_t timer; /* end of the time for requests that run on */
-	struct own *own;
-	UT_hash_handle hh;
-};
-
-/* Messages that leave together for one process. */
-struct batch {
-	struct proc to;
-	u_int count;
-	struct peer_lease_msg msgs[PEER_LEASE_MAX];
-};
-
-struct own {
-	struct nod *n;
-	struct cht *chart;
-	struct lse *lease;
-	struct heard *heard;
-	struct transfer *transfers;
-	struct window *windows;
-	struct batch batches[DESTINATIONS_MAX];
-	size_t batch_count;
-	size_t acting;
-	bool flush_pending;
-};
-
-/* Sends the messages of one batch in one datagram. */
-static void send_batch(struct own *o, const struct batch *b)
-{
-	const struct member *m = mir_member(o->n->mirror, b->to.instance);
-	struct peer_lease lease = { .from = nod_to_peer(&o->n->self),
-				    .to = nod_to_peer(&b->to) };
-	struct per_address to;
-
-	if (!m || !proc_equal(&m->proc, &b->to))
-		return;
-	lease.msgs.msgs_len = b->count;
-	lease.msgs.msgs_val = (peer_lease_msg *)b->msgs;
-	nod_peer_address(m, &to);
-	ctr_add(CTR_LEASE_DATAGRAMS, 1);
-	per_notify(o->n->peers, &to, PEER_LEASE, &lease);
-}
-
-static void flush(struct own *o)
-{
-	for (size_t i = 0; i < o->batch_count; i++)
-		send_batch(o, &o->batches[i]);
-	o->batch_count = 0;
-}
-
-static void flush_due(void *arg, uint64_t now_us)
-{
-	struct own *o = arg;
-
-	(void)now_us;
-	o->flush_pending = false;
-	flush(o);
-}
-
-/* Finds or makes the batch of a destination. */
-static struct batch *batch_for(struct own *o, const struct proc *to)
-{
-	struct batch *b;
-
-	for (size_t i = 0; i < o->batch_count; i++) {
-		b = &o->batches[i];
-		if (proc_equal(&b->to, to) && b->count < PEER_LEASE_MAX)
-			return b;
-	}
-	if (o->batch_count == DESTINATIONS_MAX)
-		flush(o);
-	b = &o->batches[o->batch_count++];
-	b->to = *to;
-	b->count = 0;
-	return b;
-}
-
-/* Collects a message; it leaves in the same step of the loop. */
-static void on_send(void *arg, const struct proc *to, const struct lse_msg *msg)
-{
-	struct own *o = arg;
-	struct batch *b = batch_for(o, to);
-	struct peer_lease_msg *m = &b->msgs[b->count++];
-
-	m->type = msg->type;
-	m->part = msg->part;
-	m->row_version = msg->version;
-	m->seq = msg->seq;
-	m->active = msg->active;
-	m->claimed = msg->claimed;
-	m->sealed_below = msg->sealed_below;
-	m->promised_to = nod_to_peer(&msg->promised_to);
-	m->promise_left_us = (u_int)msg->promise_left_us;
-	if (!o->flush_pending) {
-		o->flush_pending = true;
-		tmr_at(o->n->timers, nod_now_us(o->n), flush_due, o);
-	}
-}
-
-static struct transfer *find_transfer(struct own *o, uint64_t part)
-{
-	struct transfer *t;
-
-	HASH_FIND(hh, o->transfers, &part, sizeof(part), t);
-	return t;
-}
-
-static struct transfer *add_transfer(struct own *o, uint64_t part)
-{
-	struct transfer *t = find_transfer(o, part);
-
-	if (t)
-		return t;
-	t = calloc(1, sizeof(*t));
-	if (!t)
-		return NULL;
-	t->part = part;
-	t->own = o;
-	HASH_ADD(hh, o->transfers, part, sizeof(t->part), t);
-	return t;
-}
-
-static void drop_transfer(struct own *o, struct transfer *t)
-{
-	HASH_DEL(o->transfers, t);
-	free(t);
-}
-
-static struct window *find_window(struct own *o, uint64_t part)
-{
-	struct window *w;
-
-	HASH_FIND(hh, o->windows, &part, sizeof(part), w);
-	return w;
-}
-
-/* Remembers that this process keeps a duplicate window of the partition. */
-static void add_window(struct own *o, uint64_t part, uint64_t fence)
-{
-	struct window *w = find_window(o, part);
-
-	if (!w) {
-		w = calloc(1, sizeof(*w));
-		if (!w)
-			return;
-		w->own = o;
-		w->part = part;
-		HASH_ADD(hh, o->windows, part, sizeof(w->part), w);
-	}
-	w->fence = fence;
-}
-
-static void drop_window(struct own *o, struct window *w)
-{
-	tmr_cancel(o->n->timers, w->timer);
-	HASH_DEL(o->windows, w);
-	free(w);
-}
-
-/*
- * True if nobody else can have acted since this process last did: it acts
- * again with the same fence, or has taken up a newer version of its own.
- */
-static bool keeps_window(struct own *o, uint64_t part, uint64_t fence)
-{
-	const struct window *w = find_window(o, part);
-
-	return w && (w->fence == fence || w->next_fence == fence);
-}
 
 /*
  * This process acts from now on. Without a window from the former owner it
@@ -221,9 +20,9 @@
 static void on_started(void *arg, uint64_t part, uint64_t fence)
 {
 	struct own *o = arg;
-	struct transfer *t = find_transfer(o, part);
+	struct transfer *t = own_find_transfer(o, part);
 	bool imported = t && t->step == TRANSFER_IMPORTED;
-	bool kept = keeps_window(o, part, fence);
+	bool kept = own_keeps_window(o, part, fence);
 
 	o->acting++;
 	ctr_set(CTR_PARTITIONS_ACTING, o->acting);
@@ -234,11 +33,11 @@
 		 kept	  ? "kept" :
 			    "new");
 	if (imported)
-		drop_transfer(o, t);
+		own_drop_transfer(o, t);
 	else if (!kept)
 		dup_open(exe_duplicates(o->n->exec), part,
 			 clk_wall_ms(o->n->clk));
-	add_window(o, part, fence);
+	own_add_window(o, part, fence);
 }
 
 /* The time for requests of an older version is over. */
@@ -270,7 +69,7 @@
 static void on_stopped(void *arg, uint64_t part, uint64_t fence)
 {
 	struct own *o = arg;
-	struct window *w = find_window(o, part);
+	struct window *w = own_find_window(o, part);
 	uint64_t grace_us = lse_grace_us(o->lease, part);
 	bool goes_on = grace_us > nod_now_us(o->n);
 
@@ -290,90 +89,6 @@
 		exe_abandon(o->n->exec, part);
 }
 
-/* Another process owns the partition and has the window now. */
-static void close_window(struct own *o, uint64_t part)
-{
-	struct window *w = find_window(o, part);
-
-	if (w)
-		drop_window(o, w);
-	dup_close(exe_duplicates(o->n->exec), part);
-}
-
-/* The window has arrived at the new owner, or could not be sent. */
-static void handed_over(void *arg, enum per_failure failure, void *result)
-{
-	struct transfer *t = arg;
-	struct own *o = t->own;
-	struct peer_answer *answer = result;
-	uint64_t part = t->part;
-
-	if (failure != PER_OK || answer->status != PEER_OK)
-		log_emit(LOG_HANDOVER_FAILED, "service=%u partition=%u to=%u",
-			 part_service(part), part_index(part),
-			 t->new_owner.instance);
-	drop_transfer(o, t);
-	lse_drained(o->lease, part, nod_now_us(o->n));
-	close_window(o, part);
-}
-
-/* Sends the duplicate window; the lease is kept until it has arrived. */
-static void send_window(struct own *o, struct transfer *t)
-{
-	const struct member *m =
-		mir_member(o->n->mirror, t->new_owner.instance);
-	const struct row *row = mir_row(o->n->mirror, t->part);
-	char *window = dup_export(exe_duplicates(o->n->exec), t->part);
-	struct peer_handover args = { .from = nod_to_peer(&o->n->self),
-				      .to = nod_to_peer(&t->new_owner),
-				      .part = t->part };
-	struct per_address to;
-	bool sent = false;
-
-	t->step = TRANSFER_SENDING;
-	if (m && row && window && strlen(window) <= PEER_BODY_MAX) {
-		args.row_version = row->set.version;
-		args.window.window_val = window;
-		args.window.window_len = (u_int)strlen(window);
-		nod_peer_address(m, &to);
-		sent = per_call(o->n->peers, &to, PEER_HANDOVER, &args,
-				HANDOVER_TIMEOUT_US, handed_over, t) != 0;
-	}
-	free(window);
-	if (!sent)
-		handed_over(t, PER_NOT_SENT, NULL);
-}
-
-static void drain_check_due(void *arg, uint64_t now_us)
-{
-	struct own *o = arg;
-	struct transfer *t;
-	struct transfer *next;
-
-	(void)now_us;
-	HASH_ITER(hh, o->transfers, t, next) {
-		if (t->step == TRANSFER_DRAINING &&
-		    exe_is_idle(o->n->exec, t->part))
-			send_window(o, t);
-	}
-}
-
-/* Another process shall own the partition: finish what runs, then hand over. */
-static void on_drain(void *arg, uint64_t part, const struct proc *new_owner)
-{
-	struct own *o = arg;
-	struct transfer *t = find_transfer(o, part);
-
-	if (t && t->step != TRANSFER_IMPORTED)
-		return;
-	t = add_transfer(o, part);
-	if (!t)
-		return;
-	t->step = TRANSFER_DRAINING;
-	t->new_owner = *new_owner;
-	tmr_at(o->n->timers, nod_now_us(o->n), drain_check_due, o);
-}
-
 static void on_want_row(void *arg, uint64_t part, enum lse_want want)
 {
 	struct own *o = arg;
@@ -382,10 +97,10 @@
 }
 
 static const struct lse_ops lease_ops = {
-	.send = on_send,
+	.send = own_on_send,
 	.started = on_started,
 	.stopped = on_stopped,
-	.drain = on_drain,
+	.drain = own_on_drain,
 	.want_row = on_want_row,
 };
 
@@ -475,8 +190,8 @@
 	mir_subscribe(n->mirror, row_changed, o);
 	pub_subscribe(n->pub, manifest_changed, o);
 	tmr_every(n->timers, nod_now_us(n) + TICK_US, TICK_US, tick_due, o);
-	tmr_every(n->timers, nod_now_us(n) + TICK_US, TICK_US, drain_check_due,
-		  o);
+	tmr_every(n->timers, nod_now_us(n) + TICK_US, TICK_US,
+		  own_drain_check_due, o);
 	return o;
 }
 
@@ -497,10 +212,10 @@
 		free(h);
 	}
 	HASH_ITER(hh, o->transfers, t, next_transfer) {
-		drop_transfer(o, t);
+		own_drop_transfer(o, t);
 	}
 	HASH_ITER(hh, o->windows, w, next_window) {
-		drop_window(o, w);
+		own_drop_window(o, w);
 	}
 	lse_destroy(o->lease);
 	cht_destroy(o->chart);
@@ -554,32 +269,6 @@
 	}
 }
 
-/* Keeps the window for the moment at which this process begins to act. */
-void own_handover(struct own *o, struct per_question *q,
-		  const struct peer_handover *args)
-{
-	struct peer_answer answer = { .status = PEER_INVALID,
-				      .self = nod_to_peer(&o->n->self) };
-	struct proc to = nod_from_peer(&args->to);
-	struct transfer *t = NULL;
-	char *text = NULL;
-
-	if (proc_equal(&to, &o->n->self)) {
-		text = strndup(args->window.window_val,
-			       args->window.window_len);
-		if (text && dup_import(exe_duplicates(o->n->exec), args->part,
-				       text, NULL))
-			t = add_transfer(o, args->part);
-	}
-	if (t) {
-		t->step = TRANSFER_IMPORTED;
-		t->version = args->row_version;
-		answer.status = PEER_OK;
-	}
-	free(text);
-	per_reply(o->n->peers, q, &answer);
-}
-
 /* Asks the lease module. */
 bool own_may_act(const struct own *o, uint64_t part, struct lse_term *term)
 {
@@ -624,15 +313,6 @@
 	return h ? h->at_us : 0;
 }
 
-/* A partition that drains may be idle now. */
-void own_idle(struct own *o, uint64_t part)
-{
-	struct transfer *t = find_transfer(o, part);
-
-	if (t && t->step == TRANSFER_DRAINING)
-		tmr_at(o->n->timers, nod_now_us(o->n), drain_check_due, o);
-}
-
 /* Gives up every partition for which this process may act. */
 void own_release_all(struct own *o)
 {
--- /dev/null
+++ b/packages/daemon/tests/cluster.c
@@ -0,0 +1,393 @@
+#include "cluster_int.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+#define READY_LIMIT_MS 60000
+#define ARGS_MAX 40
+#define CONNECTIONS 8
+
+const struct cluster_params cluster_association = { .bookings = 8,
+						    .documents = 3,
+						    .service_ms = 1,
+						    .fences = true };
+
+const struct cluster_params cluster_small = { .bookings = 4,
+					      .documents = 3,
+					      .service_ms = 1,
+					      .fences = true };
+
+/* Ends the test program when the harness itself fails. */
+static void check(bool ok, const char *what)
+{
+	if (ok)
+		return;
+	fprintf(stderr, "harness: %s: %s\n", what, strerror(errno));
+	exit(99);
+}
+
+/* Milliseconds of the monotonic clock. */
+uint64_t cluster_now_ms(void)
+{
+	return clk_mono_us(clk_system()) / US_PER_MS;
+}
+
+/* A port on which nothing listens now. */
+static uint16_t free_port(void)
+{
+	struct sockaddr_in a = { .sin_family = AF_INET };
+	socklen_t len = sizeof(a);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	check(fd >= 0 && bind(fd, (struct sockaddr *)&a, sizeof(a)) == 0 &&
+		      getsockname(fd, (struct sockaddr *)&a, &len) == 0,
+	      "free port");
+	close(fd);
+	return ntohs(a.sin_port);
+}
+
+/* Starts a program with its output in a file of the folder. */
+static pid_t spawn(struct cluster *c, const char *log, char *const *args)
+{
+	char path[256];
+	char file[128];
+	pid_t pid;
+
+	snprintf(path, sizeof(path), "%s/%s", c->bin, args[0]);
+	snprintf(file, sizeof(file), "%s/%s.log", c->dir, log);
+	pid = fork();
+	check(pid >= 0, "fork");
+	if (pid == 0) {
+		int fd = open(file, O_WRONLY | O_CREAT | O_APPEND, 0644);
+
+		dup2(fd, STDOUT_FILENO);
+		dup2(fd, STDERR_FILENO);
+		execv(path, args);
+		_exit(127);
+	}
+	return pid;
+}
+
+static void start_platform(struct cluster *c)
+{
+	char port[8];
+	char *args[] = { "standin_platform", "--port", port, NULL };
+
+	snprintf(port, sizeof(port), "%u", c->platform_port);
+	c->platform = spawn(c, "platform", args);
+}
+
+/* Data centres are given in turn, so that each service is in all three. */
+static void write_settings(struct cluster *c, size_t i)
+{
+	const struct node *n = &c->nodes[i];
+	char path[128];
+	FILE *f;
+
+	snprintf(path, sizeof(path), "%s/node%zu.yaml", c->dir, i);
+	f = fopen(path, "w");
+	check(f != NULL, path);
+	fprintf(f,
+		"instance: %u\nname: node%zu\ndata_centre: dc%zu\n"
+		"region: kingston\naddress: 127.0.0.1\nhttp_port: %u\n"
+		"peer_port: %u\nadmin_port: %u\n"
+		"platform: { address: 127.0.0.1, port: %u }\n"
+		"chart_dir: charts\nseeds:\n"
+		"  - { address: 127.0.0.1, port: %u }\n",
+		n->instance, i, i % 3 + 1, n->http_port, n->peer_port,
+		n->admin_port, c->platform_port,
+		c->nodes[(i + 1) % c->count].peer_port);
+	fclose(f);
+}
+
+/* Starts the daemon of a node. */
+void cluster_restart_daemon(struct cluster *c, size_t node)
+{
+	char settings[128];
+	char log[32];
+	char *args[] = { "geraniumspoked", "--settings", settings, NULL };
+
+	snprintf(settings, sizeof(settings), "%s/node%zu.yaml", c->dir, node);
+	snprintf(log, sizeof(log), "node%zu", node);
+	c->nodes[node].daemon = spawn(c, log, args);
+}
+
+/* Starts the upstream of a node. */
+void cluster_restart_upstream(struct cluster *c, size_t node)
+{
+	struct node *n = &c->nodes[node];
+	const char *service = n->is_booking ? "bookings" : "documents";
+	bool fences = n->is_booking && c->params.fences;
+	char port[8], name[32], daemon[32], ms[16], journal[128], fence[128];
+	char *args[] = { "standin_upstream",
+			 "--port",
+			 port,
+			 "--service",
+			 (char *)service,
+			 "--instance",
+			 name,
+			 "--slots",
+			 "6",
+			 "--connections",
+			 "120",
+			 "--daemon",
+			 daemon,
+			 "--checks-fences",
+			 fences ? "on" : "off",
+			 "--fence-file",
+			 fence,
+			 "--service-ms",
+			 ms,
+			 "--journal",
+			 journal,
+			 NULL };
+	char log[32];
+
+	snprintf(port, sizeof(port), "%u", n->upstream_port);
+	snprintf(name, sizeof(name), "node%zu", node);
+	snprintf(daemon, sizeof(daemon), "127.0.0.1:%u", n->admin_port);
+	snprintf(ms, sizeof(ms), "%u", c->params.service_ms);
+	snprintf(journal, sizeof(journal), "%s/%s.journal", c->dir, service);
+	snprintf(fence, sizeof(fence), "%s/%s.fences", c->dir, service);
+	snprintf(log, sizeof(log), "upstream%zu", node);
+	n->upstream = spawn(c, log, args);
+}
+
+static void choose_ports(struct cluster *c)
+{
+	c->platform_port = free_port();
+	c->count = c->params.bookings + c->params.documents;
+	check(c->count <= CLUSTER_NODES_MAX, "too many nodes");
+	for (size_t i = 0; i < c->count; i++) {
+		struct node *n = &c->nodes[i];
+
+		n->instance = (uint32_t)i + 1;
+		n->is_booking = i < c->params.bookings;
+		n->http_port = free_port();
+		n->peer_port = free_port();
+		n->admin_port = free_port();
+		n->upstream_port = free_port();
+	}
+}
+
+static void open_pools(struct cluster *c)
+{
+	struct err err = { 0 };
+
+	c->loop = lop_create(clk_system(), 0, &err);
+	check(c->loop != NULL, err.text);
+	c->platform_pool = ups_lws_create(c->loop, "127.0.0.1",
+					  c->platform_port, CONNECTIONS, &err);
+	for (size_t i = 0; i < c->count; i++) {
+		struct node *n = &c->nodes[i];
+
+		n->http = ups_lws_create(c->loop, "127.0.0.1", n->http_port,
+					 CONNECTIONS, &err);
+		n->admin = ups_lws_create(c->loop, "127.0.0.1", n->admin_port,
+					  CONNECTIONS, &err);
+		c->upstream_pools[i] =
+			ups_lws_create(c->loop, "127.0.0.1", n->upstream_port,
+				       CONNECTIONS, &err);
+	}
+}
+
+/* Reads a file of the repository; freed by the caller. */
+static char *read_text(const char *path)
+{
+	char *text = calloc(1, 65536);
+	FILE *f = fopen(path, "r");
+
+	check(text && f && fread(text, 1, 65535, f) > 0, path);
+	fclose(f);
+	return text;
+}
+
+/* Publishes the manifest for loopback through the first daemon. */
+static void publish(struct cluster *c)
+{
+	char *text = read_text("manifests/loopback.yaml");
+	uint64_t limit = cluster_now_ms() + READY_LIMIT_MS;
+	struct reply r = { 0 };
+
+	while (r.status != 200 && cluster_now_ms() < limit) {
+		cluster_send(c, c->nodes[0].admin, "POST", "/-/manifest", NULL,
+			     text, 2000, &r);
+		if (r.status != 200)
+			cluster_sleep(c, 100);
+	}
+	free(text);
+	check(r.status == 200, "the manifest is not accepted");
+}
+
+/* Number of partitions that are held, over all daemons. */
+static json_int_t count_held(struct cluster *c)
+{
+	json_int_t held = 0;
+
+	for (size_t i = 0; i < c->count; i++) {
+		json_t *status = cluster_ask(c, i, "GET", "/-/status");
+
+		held += json_integer_value(
+			json_object_get(status, "partitions"));
+		json_decref(status);
+	}
+	return held;
+}
+
+static void wait_ready(struct cluster *c)
+{
+	json_int_t wanted =
+		(c->params.bookings ? 64 : 0) + (c->params.documents ? 24 : 0);
+	uint64_t limit = cluster_now_ms() + READY_LIMIT_MS;
+
+	while (count_held(c) != wanted) {
+		if (cluster_now_ms() > limit) {
+			fprintf(stderr, "harness: logs in %s\n", c->dir);
+			check(false, "not all partitions are held");
+		}
+		cluster_sleep(c, 100);
+	}
+}
+
+/* Starts platform, daemons and upstreams, and waits until all is served. */
+struct cluster *cluster_start(const struct cluster_params *params)
+{
+	struct cluster *c = calloc(1, sizeof(*c));
+
+	check(c != NULL, "memory");
+	signal(SIGPIPE, SIG_IGN);
+	c->params = *params;
+	c->bin = getenv("GERANIUMSPOKE_BIN");
+	if (!c->bin)
+		c->bin = "build/san/bin";
+	strcpy(c->dir, "/tmp/geraniumspoke_XXXXXX");
+	check(mkdtemp(c->dir) != NULL, "temporary folder");
+	choose_ports(c);
+	open_pools(c);
+	start_platform(c);
+	cluster_sleep(c, 200);
+	for (size_t i = 0; i < c->count; i++) {
+		write_settings(c, i);
+		cluster_restart_daemon(c, i);
+	}
+	publish(c);
+	for (size_t i = 0; i < c->count; i++)
+		cluster_restart_upstream(c, i);
+	wait_ready(c);
+	return c;
+}
+
+static void end_process(pid_t *pid)
+{
+	if (*pid <= 0)
+		return;
+	kill(*pid, SIGKILL);
+	waitpid(*pid, NULL, 0);
+	*pid = 0;
+}
+
+/* Removes the folder unless it is to be kept for a look at the logs. */
+static void remove_files(const struct cluster *c)
+{
+	char command[128];
+
+	if (getenv("KEEP_LOGS")) {
+		fprintf(stderr, "logs in %s\n", c->dir);
+		return;
+	}
+	snprintf(command, sizeof(command), "rm -rf %s", c->dir);
+	if (system(command) != 0)
+		fprintf(stderr, "harness: %s stays\n", c->dir);
+}
+
+/* Ends all processes. */
+void cluster_stop(struct cluster *c)
+{
+	for (size_t i = 0; i < c->count; i++) {
+		end_process(&c->nodes[i].daemon);
+		end_process(&c->nodes[i].upstream);
+		ups_destroy(c->nodes[i].http);
+		ups_destroy(c->nodes[i].admin);
+		ups_destroy(c->upstream_pools[i]);
+	}
+	end_process(&c->platform);
+	ups_destroy(c->platform_pool);
+	lop_destroy(c->loop);
+	remove_files(c);
+	free(c);
+}
+
+/* Number of nodes. */
+size_t cluster_nodes(const struct cluster *c)
+{
+	return c->count;
+}
+
+/* Folder with logs and journals. */
+const char *cluster_dir(const struct cluster *c)
+{
+	return c->dir;
+}
+
+/* Port for callers of a node. */
+uint16_t cluster_http_port(const struct cluster *c, size_t node)
+{
+	return c->nodes[node].http_port;
+}
+
+/* Operators' port of a node. */
+uint16_t cluster_admin_port(const struct cluster *c, size_t node)
+{
+	return c->nodes[node].admin_port;
+}
+
+/* Process id of the daemon of a node. */
+pid_t cluster_daemon_pid(const struct cluster *c, size_t node)
+{
+	return c->nodes[node].daemon;
+}
+
+/* Signals the daemon; a killed one is waited for. */
+void cluster_signal_daemon(struct cluster *c, size_t node, int signo)
+{
+	if (signo == SIGKILL)
+		end_process(&c->nodes[node].daemon);
+	else
+		kill(c->nodes[node].daemon, signo);
+}
+
+/* Signals the upstream; a killed one is waited for. */
+void cluster_signal_upstream(struct cluster *c, size_t node, int signo)
+{
+	if (signo == SIGKILL)
+		end_process(&c->nodes[node].upstream);
+	else
+		kill(c->nodes[node].upstream, signo);
+}
+
+/* Waits for the daemon to end by itself; -1 if it does not. */
+int cluster_wait_daemon(struct cluster *c, size_t node, unsigned int limit_ms)
+{
+	uint64_t limit = cluster_now_ms() + limit_ms;
+	int status = 0;
+
+	while (waitpid(c->nodes[node].daemon, &status, WNOHANG) == 0) {
+		if (cluster_now_ms() > limit)
+			return -1;
+		cluster_sleep(c, 20);
+	}
+	c->nodes[node].daemon = 0;
+	return WIFEXITED(status) ? WEXITSTATUS(status) : 128;
+}
--- /dev/null
+++ b/packages/daemon/tests/cluster.h
@@ -0,0 +1,126 @@
+#ifndef CLUSTER_H
+#define CLUSTER_H
+
+/*
+ * Starts a platform stand-in, daemons and upstream stand-ins as separate
+ * processes on loopback, sends them requests and signals, and reads the
+ * journal of the upstreams. Every failure of the harness itself ends the test.
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <sys/types.h>
+
+#include <jansson.h>
+
+#define CLUSTER_NODES_MAX 128
+
+struct cluster;
+
+struct cluster_params {
+	size_t bookings; /* daemons with an upstream of the service bookings */
+	size_t documents; /* the same of documents */
+	unsigned int service_ms; /* time of a request on an upstream */
+	bool fences; /* the upstreams of bookings check fences */
+};
+
+/* The layout of the Association: 8 and 3 instances. */
+extern const struct cluster_params cluster_association;
+
+/* A layout for tests of failures: 4 and 3 instances. */
+extern const struct cluster_params cluster_small;
+
+/* Starts everything, publishes the manifest and waits until keys are served. */
+struct cluster *cluster_start(const struct cluster_params *params);
+
+/* Ends all processes and removes the files. */
+void cluster_stop(struct cluster *c);
+
+size_t cluster_nodes(const struct cluster *c);
+const char *cluster_dir(const struct cluster *c);
+uint16_t cluster_http_port(const struct cluster *c, size_t node);
+uint16_t cluster_admin_port(const struct cluster *c, size_t node);
+pid_t cluster_daemon_pid(const struct cluster *c, size_t node);
+
+/* Sends a signal to the daemon, the upstream, or the platform stand-in. */
+void cluster_signal_daemon(struct cluster *c, size_t node, int signo);
+void cluster_signal_upstream(struct cluster *c, size_t node, int signo);
+
+/* Waits for the end of a process after a signal; returns its exit status. */
+int cluster_wait_daemon(struct cluster *c, size_t node, unsigned int limit_ms);
+
+/* Starts a process again that has ended. */
+void cluster_restart_daemon(struct cluster *c, size_t node);
+void cluster_restart_upstream(struct cluster *c, size_t node);
+
+/* Sets the behaviour of a stand-in with a JSON text. */
+void cluster_control_platform(struct cluster *c, const char *json);
+void cluster_control_upstream(struct cluster *c, size_t node, const char *json);
+
+struct reply {
+	int status; /* 0 if there was no whole response */
+	bool sent; /* false: proof that no byte left */
+	bool broken; /* the response was cut short */
+	char outcome[24]; /* header geranium-outcome */
+	size_t len;
+	char body[8192]; /* the first bytes, ended by NUL */
+};
+
+/*
+ * Sends a request to a daemon and waits for the end. id is the request id or
+ * NULL. A daemon that cannot be reached gives status 0.
+ */
+void cluster_request(struct cluster *c, size_t node, const char *method,
+		     const char *path, const char *id, const char *body,
+		     unsigned int timeout_ms, struct reply *r);
+
+/* Writes a fresh request id that was first sent now. */
+void cluster_new_id(char *out, size_t size);
+
+/* Asks the operators' port of a daemon; the caller releases the value. */
+json_t *cluster_ask(struct cluster *c, size_t node, const char *method,
+		    const char *target);
+
+/*
+ * Instance (node index) that acts for a key of the service bookings, by what
+ * the daemons say of themselves; -1 if none does.
+ */
+int cluster_owner(struct cluster *c, const char *service, const char *key);
+
+/* Lets the loop run for a while. */
+void cluster_sleep(struct cluster *c, unsigned int ms);
+
+/* Milliseconds of the monotonic clock. */
+uint64_t cluster_now_ms(void);
+
+/* One line of the journal. */
+struct entry {
+	uint64_t at_us;
+	char instance[32];
+	char event[8]; /* start or end */
+	char how[24];
+	uint64_t partition;
+	uint64_t fence;
+	uint64_t number;
+	char path[256];
+	char key[128];
+};
+
+/* Reads the journal of a service in the order of time; freed by the caller. */
+size_t cluster_journal(const struct cluster *c, const char *service,
+		       struct entry **out);
+
+/*
+ * Checks of the journal. Each returns the number of violations and prints
+ * them: two instances running requests of one partition at one time, a fence
+ * that falls, and a request id that started more than once.
+ */
+size_t cluster_check_owners(const struct cluster *c, const char *service);
+size_t cluster_check_once(const struct cluster *c, const char *service);
+
+/* True if the journal has a start of a request with this id. */
+bool cluster_did_run(const struct cluster *c, const char *service,
+		     const char *id);
+
+#endif
--- /dev/null
+++ b/packages/daemon/tests/cluster_http.c
@@ -0,0 +1,174 @@
+#include "cluster_int.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct exchange {
+	struct reply *reply;
+	bool over;
+};
+
+static void on_head(void *arg, const struct ups_response *response)
+{
+	struct exchange *x = arg;
+
+	x->reply->status = response->status;
+	for (size_t i = 0; i < response->header_count; i++) {
+		if (strcmp(response->headers[i].name, "geranium-outcome") == 0)
+			snprintf(x->reply->outcome, sizeof(x->reply->outcome),
+				 "%s", response->headers[i].value);
+	}
+}
+
+static void on_body(void *arg, const void *data, size_t len)
+{
+	struct reply *r = ((struct exchange *)arg)->reply;
+	size_t room = sizeof(r->body) - 1;
+
+	if (r->len < room) {
+		size_t part = len < room - r->len ? len : room - r->len;
+
+		memcpy(r->body + r->len, data, part);
+		r->body[r->len + part] = '\0';
+	}
+	r->len += len;
+}
+
+static void on_end(void *arg)
+{
+	((struct exchange *)arg)->over = true;
+}
+
+static void on_failed(void *arg, enum ups_failure why)
+{
+	struct exchange *x = arg;
+
+	x->over = true;
+	x->reply->sent = why != UPS_NOT_SENT && why != UPS_REFUSED;
+	x->reply->broken = why == UPS_BROKEN;
+	x->reply->status = 0;
+}
+
+static const struct ups_events events = {
+	.head = on_head,
+	.body = on_body,
+	.end = on_end,
+	.failed = on_failed,
+};
+
+/* Sends one request and runs the loop until it has ended. */
+void cluster_send(struct cluster *c, struct ups *pool, const char *method,
+		  const char *path, const char *id, const char *body,
+		  unsigned int timeout_ms, struct reply *r)
+{
+	char timeout[16];
+	struct htp_header headers[] = { { "geranium-timeout-ms", timeout },
+					{ "idempotency-key", id } };
+	size_t len = body ? strlen(body) : 0;
+	struct ups_request req = { .method = method,
+				   .target = path,
+				   .headers = headers,
+				   .header_count = id ? 2 : 1,
+				   .content_length = (long long)len,
+				   .first = body,
+				   .first_len = len,
+				   .end = true,
+				   .timeout_us =
+					   (timeout_ms + 500) * US_PER_MS };
+	struct exchange x = { .reply = r };
+
+	memset(r, 0, sizeof(*r));
+	r->sent = true;
+	snprintf(timeout, sizeof(timeout), "%u", timeout_ms);
+	if (!ups_start(pool, &req, &events, &x)) {
+		r->sent = false;
+		return;
+	}
+	while (!x.over)
+		lop_step(c->loop);
+}
+
+/* Sends a request as a caller of a daemon. */
+void cluster_request(struct cluster *c, size_t node, const char *method,
+		     const char *path, const char *id, const char *body,
+		     unsigned int timeout_ms, struct reply *r)
+{
+	cluster_send(c, c->nodes[node].http, method, path, id, body, timeout_ms,
+		     r);
+}
+
+/* Makes an id whose first part is the time of now. */
+void cluster_new_id(char *out, size_t size)
+{
+	static unsigned int count;
+
+	snprintf(out, size, "%" PRIu64 "-test%u", clk_wall_ms(clk_system()),
+		 ++count);
+}
+
+static json_t *ask_pool(struct cluster *c, struct ups *pool, const char *method,
+			const char *target, const char *body)
+{
+	struct reply r;
+
+	cluster_send(c, pool, method, target, NULL, body, 1000, &r);
+	return r.status == 200 && r.len < sizeof(r.body) ?
+		       json_loads(r.body, 0, NULL) :
+		       NULL;
+}
+
+/* Asks the operators' port. */
+json_t *cluster_ask(struct cluster *c, size_t node, const char *method,
+		    const char *target)
+{
+	return ask_pool(c, c->nodes[node].admin, method, target, NULL);
+}
+
+/* Sets the behaviour of the platform stand-in. */
+void cluster_control_platform(struct cluster *c, const char *json)
+{
+	json_decref(ask_pool(c, c->platform_pool, "POST", "/control", json));
+}
+
+/* Sets the behaviour of an upstream stand-in. */
+void cluster_control_upstream(struct cluster *c, size_t node, const char *json)
+{
+	json_decref(
+		ask_pool(c, c->upstream_pools[node], "POST", "/control", json));
+}
+
+/* Asks each daemon whether it holds the partition of the key. */
+int cluster_owner(struct cluster *c, const char *service, const char *key)
+{
+	char target[256];
+
+	snprintf(target, sizeof(target), "/-/explain?service=%s&key=%s",
+		 service, key);
+	for (size_t i = 0; i < c->count; i++) {
+		json_t *json;
+		bool held;
+
+		if (c->nodes[i].daemon <= 0)
+			continue;
+		json = cluster_ask(c, i, "GET", target);
+		held = json_is_true(json_object_get(
+			json_object_get(json, "row"), "held_here"));
+		json_decref(json);
+		if (held)
+			return (int)i;
+	}
+	return -1;
+}
+
+/* Lets the loop run. */
+void cluster_sleep(struct cluster *c, unsigned int ms)
+{
+	uint64_t until = cluster_now_ms() + ms;
+	struct timespec pause = { .tv_nsec = 2000000 };
+
+	(void)c;
+	while (cluster_now_ms() < until)
+		nanosleep(&pause, NULL);
+}
