Thin path: requests served end to end by separate processes

Cause: the packages are there and had not run together. Found on the way: a request was moved to the vhost of another module, as libwebsockets takes the first vhost with the port of the connection; and the value of a row travels as text. Excluded: a fault of the HTTP server itself, by a trace of its system calls. Before: no request was served.

--- a/Makefile
+++ b/Makefile
@@ -49,25 +49,29 @@
 define package_rules
 $(BUILD)/obj/packages/$(1)/src/gen/%.o: packages/$(1)/src/gen/%.c
 	@mkdir -p $$(@D)
-	$(CC) $(CFLAGS) -Wno-unused-variable -Wno-cast-function-type -MMD -MP $(call incs,$(1)) -c $$< -o $$@
+	@echo CC $$@
+	@$(CC) $(CFLAGS) -Wno-unused-variable -Wno-cast-function-type -MMD -MP $(call incs,$(1)) -c $$< -o $$@
 
 $(BUILD)/obj/packages/$(1)/src/%.o: packages/$(1)/src/%.c
 	@mkdir -p $$(@D)
-	$(CC) $(CFLAGS) -MMD -MP $(call incs,$(1)) -c $$< -o $$@
+	@echo CC $$@
+	@$(CC) $(CFLAGS) -MMD -MP $(call incs,$(1)) -c $$< -o $$@
 
 $(BUILD)/lib$(1).a: $(filter-out $(BUILD)/obj/packages/$(1)/src/main_%,$(call objs,$(1)))
 	@mkdir -p $$(@D)
 	@rm -f $$@
-	ar rcs $$@ $$^
+	@ar rcs $$@ $$^
 
 $(BUILD)/bin/%: $(BUILD)/obj/packages/$(1)/src/main_%.o $(call libs,$(1))
 	@mkdir -p $$(@D)
-	$(CC) $(CFLAGS) $$< $(call libs,$(1)) -o $$@ $(LIBS)
+	@echo CC $$@
+	@$(CC) $(CFLAGS) $$< $(call libs,$(1)) -o $$@ $(LIBS)
 
 # Helpers shared by the tests of a package: every tests/*.c not named test_*.
 $(BUILD)/tests/$(1)/%: packages/$(1)/tests/%.c $(filter-out packages/$(1)/tests/test_%,$(wildcard packages/$(1)/tests/*.c)) $(call libs,$(1))
 	@mkdir -p $$(@D)
-	$(CC) $(CFLAGS) -MMD -MP -MF $$@.d $(call incs,$(1)) -Ipackages/$(1)/tests $$(filter %.c,$$^) $(call libs,$(1)) -o $$@ $(LIBS) -lcmocka
+	@echo CC $$@
+	@$(CC) $(CFLAGS) -MMD -MP -MF $$@.d $(call incs,$(1)) -Ipackages/$(1)/tests $$(filter %.c,$$^) $(call libs,$(1)) -o $$@ $(LIBS) -lcmocka
 endef
 $(foreach p,$(PACKAGES),$(eval $(call package_rules,$(p))))
 
--- a/packages/daemon/tests/cluster.c
+++ b/packages/daemon/tests/cluster.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -70,7 +71,11 @@
 	pid = fork();
 	check(pid >= 0, "fork");
 	if (pid == 0) {
-		int fd = open(file, O_WRONLY | O_CREAT | O_APPEND, 0644);
+		int fd;
+
+		/* The processes end with the test, however it ends. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		fd = open(file, O_WRONLY | O_CREAT | O_APPEND, 0644);
 
 		dup2(fd, STDOUT_FILENO);
 		dup2(fd, STDERR_FILENO);
--- a/packages/lease/src/lse_seal.c
+++ b/packages/lease/src/lse_seal.c
@@ -182,8 +182,8 @@
 		lse_seal_to(l, p, p->row.set.version, now_us);
 	if (all && are_all_sealed(l, p, now_us)) {
 		p->active = p->row.set.version;
-		lse_seal_to(l, p, p->row.set.version, now_us);
 		lse_fire(l, p, EVENT_ACTIVE, now_us);
+		lse_seal_to(l, p, p->row.set.version, now_us);
 		return;
 	}
 	if (now_us < p->next_seal_us)
--- a/packages/net/src/lop.c
+++ b/packages/net/src/lop.c
@@ -10,6 +10,9 @@
 /* The loop wakes at least this often even when no timer is due. */
 #define IDLE_WAKE_US (1 * US_PER_S)
 
+/* Bytes of headers that a request or a response may have. */
+#define HEADER_BYTES_MAX 8192
+
 struct lop {
 	const struct clk *clk;
 	struct tmr *timers;
@@ -75,6 +78,7 @@
 	memset(&info, 0, sizeof(info));
 	info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
 	info.fd_limit_per_thread = max_fds;
+	info.max_http_header_data = HEADER_BYTES_MAX;
 	info.user = l;
 	info.gid = (gid_t)-1;
 	info.uid = (uid_t)-1;
@@ -193,7 +197,11 @@
 	struct lws_context_creation_info info;
 
 	memset(&info, 0, sizeof(info));
-	info.port = CONTEXT_PORT_NO_LISTEN_SERVER;
+	/*
+	 * Not the port that servers use: libwebsockets moves a request to the
+	 * first vhost with the same port.
+	 */
+	info.port = CONTEXT_PORT_NO_LISTEN;
 	info.vhost_name = name;
 	info.protocols = protocols;
 	info.user = user;
