HTTP client: a pool outlives the connections that are still closing

Cause: ASan reported a use after free when a pool was destroyed while the loop was still closing a cancelled connection, which refers to its slot. Excluded: the order of destruction in the daemon: any pool may be destroyed while a connection closes. Before: the daemon crashed in test_path. After: 4 of 5 tests of the path pass under ASan; a refusal before the body has arrived is still lost. Conclusion: the last vhost frees the pool.

--- a/packages/daemon/src/ing_body.c
+++ b/packages/daemon/src/ing_body.c
@@ -78,9 +78,11 @@
 
 	if (!c->can_send || c->sent_end || (!len && !end))
 		return;
-	memcpy(piece, c->more, len);
+	if (len)
+		memcpy(piece, c->more, len);
 	c->more_len -= len;
-	memmove(c->more, c->more + len, c->more_len);
+	if (c->more_len)
+		memmove(c->more, c->more + len, c->more_len);
 	c->sent_end = end;
 	c->can_send = false;
 	c->retry.body_replayable = false;
--- a/packages/daemon/src/pin.c
+++ b/packages/daemon/src/pin.c
@@ -96,7 +96,8 @@
 static void consume(struct stream *s, size_t len)
 {
 	s->len -= len;
-	memmove(s->buf, s->buf + len, s->len);
+	if (s->len)
+		memmove(s->buf, s->buf + len, s->len);
 	if (s->paused && s->len < BUFFER_MAX / 2 && s->run) {
 		s->paused = false;
 		exe_pause(s->run, false);
--- a/packages/net/src/ups_call.c
+++ b/packages/net/src/ups_call.c
@@ -280,6 +280,13 @@
 		s->dying = NULL;
 }
 
+static void forget_vhost(struct lws *wsi)
+{
+	struct slot *s = lws_vhost_user(lws_get_vhost(wsi));
+
+	ups_vhost_gone(s->pool);
+}
+
 static int call_event(struct call *c, struct lws *wsi,
 		      enum lws_callback_reasons reason, void *in, size_t len)
 {
@@ -314,6 +321,9 @@
 
 	(void)user;
 	switch (reason) {
+	case LWS_CALLBACK_PROTOCOL_DESTROY:
+		forget_vhost(wsi);
+		return 0;
 	case LWS_CALLBACK_WSI_DESTROY:
 		forget_connection(wsi);
 		return 0;
--- a/packages/net/src/ups_int.h
+++ b/packages/net/src/ups_int.h
@@ -64,6 +64,8 @@
 	struct tab *calls;
 	struct slot *slots;
 	size_t slot_count;
+	size_t vhost_count; /* that libwebsockets has not destroyed yet */
+	bool closed;
 	unsigned char read_buf[LWS_PRE + UPS_READ_BYTES];
 };
 
@@ -71,6 +73,9 @@
 int ups_callback(struct lws *wsi, enum lws_callback_reasons reason, void *user,
 		 void *in, size_t len);
 
+/* A vhost of the pool is gone; a closed pool is freed with the last one. */
+void ups_vhost_gone(struct pool *p);
+
 /* Ends a call: takes it off its slot and frees it. */
 void ups_call_destroy(struct call *c);
 
--- a/packages/net/src/ups_lws.c
+++ b/packages/net/src/ups_lws.c
@@ -34,8 +34,10 @@
 
 static bool open_slot(struct slot *s)
 {
-	if (!s->vhost)
-		s->vhost = lop_vhost(s->pool->loop, "upstream", protocols, s);
+	if (s->vhost)
+		return true;
+	s->vhost = lop_vhost(s->pool->loop, "upstream", protocols, s);
+	s->pool->vhost_count += s->vhost != NULL;
 	return s->vhost != NULL;
 }
 
@@ -229,6 +231,24 @@
 	ups_call_destroy(c);
 }
 
+static void free_pool(struct pool *p)
+{
+	tab_destroy(p->calls);
+	free(p->slots);
+	free(p);
+}
+
+/*
+ * Connections are closed by the loop later and refer to their slot until then,
+ * so that the pool outlives them.
+ */
+void ups_vhost_gone(struct pool *p)
+{
+	p->vhost_count--;
+	if (p->closed && !p->vhost_count)
+		free_pool(p);
+}
+
 static void destroy(struct ups *u)
 {
 	struct pool *p = (struct pool *)u;
@@ -239,13 +259,13 @@
 		ups_call_detach(c);
 		ups_call_destroy(c);
 	}
+	p->closed = true;
+	p->vhost_count++;
 	for (size_t i = 0; i < p->slot_count; i++) {
 		if (p->slots[i].vhost)
 			lws_vhost_destroy(p->slots[i].vhost);
 	}
-	tab_destroy(p->calls);
-	free(p->slots);
-	free(p);
+	ups_vhost_gone(p);
 }
 
 static const struct ups_ops lws_ops = {
