Ingress: hold a refusal back until a short request body has arrived

Cause: a client of libwebsockets does not read a response that comes while it still sends its body. Excluded: closing the connection early. Before: status 0 for a refused POST.

--- a/packages/daemon/src/ing.c
+++ b/packages/daemon/src/ing.c
@@ -110,7 +110,6 @@
 /* Checks the length of the body; false if the caller was refused. */
 static bool check_length(struct call *c)
 {
-	c->content_length = htp_content_length(c->req);
 	if (c->content_length <= (long long)c->ing->n->set.max_body_bytes)
 		return true;
 	ing_tell(c, OUTCOME_INVALID, 413, 0, "the body is too long");
@@ -135,12 +134,12 @@
 	trc_start(i->n->traces, htp_header(r, "traceparent"), &c->span);
 	trc_parent(&c->span, c->traceparent);
 	ret_request_seen(i->retries);
+	c->content_length = htp_content_length(r);
+	c->body_end = c->content_length == 0;
 	if (!match(c) || !check_length(c))
 		return;
-	if (c->content_length == 0) {
-		c->body_end = true;
+	if (c->body_end)
 		ing_attempt(c);
-	}
 }
 
 static void on_writable(void *arg, struct htp_req *r)
--- a/packages/daemon/src/ing_body.c
+++ b/packages/daemon/src/ing_body.c
@@ -54,6 +54,13 @@
 	(void)arg;
 	if (!c || c->finished || c->body_end)
 		return;
+	if (c->early.text) {
+		c->body_end = end;
+		if (end)
+			ing_tell(c, c->early.outcome, c->early.status,
+				 c->early.retry_after_ms, c->early.text);
+		return;
+	}
 	taken = fill_first(c, data, len);
 	if (len > taken &&
 	    !keep_more(c, (const char *)data + taken, len - taken)) {
--- a/packages/daemon/src/ing_call.h
+++ b/packages/daemon/src/ing_call.h
@@ -23,6 +23,14 @@
 	OUTCOME_QUARANTINED
 };
 
+/* A refusal that waits for the end of a short request body. */
+struct early_refusal {
+	const char *text; /* NULL if there is none */
+	enum outcome outcome;
+	int status;
+	uint32_t retry_after_ms;
+};
+
 struct call {
 	struct ing *ing;
 	struct htp_req *req; /* NULL once the caller has gone */
@@ -62,6 +70,7 @@
 	uint32_t read_call;
 	bool remote_open; /* OPEN was answered with a head */
 
+	struct early_refusal early;
 	bool responded; /* the head was sent to the caller */
 	bool finished; /* the last byte was queued, or the call was aborted */
 	int status;
--- a/packages/daemon/src/ing_try.c
+++ b/packages/daemon/src/ing_try.c
@@ -46,6 +46,24 @@
 		status);
 }
 
+/*
+ * A refusal is held back until a short body has arrived: some clients do not
+ * read a response that comes while they still send, and the connection can be
+ * kept. Returns true if it is held back.
+ */
+static bool waits_for_body(struct call *c, enum outcome outcome, int status,
+			   uint32_t retry_after_ms, const char *text)
+{
+	if (c->started || c->body_end || c->content_length <= 0 ||
+	    c->content_length > PEER_FIRST_MAX)
+		return false;
+	c->early.text = text;
+	c->early.outcome = outcome;
+	c->early.status = status;
+	c->early.retry_after_ms = retry_after_ms;
+	return true;
+}
+
 /* Sends a response of our own. */
 void ing_tell(struct call *c, enum outcome outcome, int status,
 	      uint32_t retry_after_ms, const char *text)
@@ -60,7 +78,8 @@
 	int len = snprintf(body, sizeof(body), "%s: %s\n",
 			   outcome_names[outcome], text);
 
-	if (c->finished)
+	if (c->finished ||
+	    waits_for_body(c, outcome, status, retry_after_ms, text))
 		return;
 	snprintf(retry_after, sizeof(retry_after), "%" PRIu64,
 		 (retry_after_ms + MS_PER_S - 1) / MS_PER_S);
