net: ask for the next write event after the current one has ended

When the system takes only a part of the queue, the rest was asked for inside of the write event, and libwebsockets clears that request when the event returns. Reading was excluded as the cause: the poll entry had no events at all.

The request is now made by a timer that is due after the event.

--- a/packages/net/src/per.c
+++ b/packages/net/src/per.c
@@ -1,7 +1,9 @@
 #include "per_int.h"
 
 #include <arpa/inet.h>
+#include <netinet/in.h>
 #include <string.h>
+#include <unistd.h>
 
 #define CODEC(type) ((xdrproc_t)xdr_peer_##type)
 
@@ -48,6 +50,30 @@
 	return 0;
 }
 
+/* Opens a socket that leaves from the address that this daemon is known by. */
+int per_client_socket(const struct per_lws *l,
+		      const struct sockaddr_storage *to)
+{
+	struct per_address own = l->bind;
+	struct sockaddr_storage from;
+	socklen_t len;
+	int on = 1;
+	int fd = socket(to->ss_family,
+			SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return -1;
+	own.port = 0;
+	len = per_resolve(&own, &from);
+	setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof(on));
+	if (from.ss_family == to->ss_family &&
+	    bind(fd, (struct sockaddr *)&from, len) != 0) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
 /*
  * Returns the first call of a connection. The list functions are apart from
  * the code that frees, since the analyzer cannot follow a list over a loop.
--- a/packages/net/src/per_conn.c
+++ b/packages/net/src/per_conn.c
@@ -123,30 +123,6 @@
 	per_conn_break(c);
 }
 
-/* Opens a socket that leaves from the address that this daemon is known by. */
-static int open_socket(const struct per_lws *l,
-		       const struct sockaddr_storage *to)
-{
-	struct per_address own = l->bind;
-	struct sockaddr_storage from;
-	socklen_t len;
-	int on = 1;
-	int fd = socket(to->ss_family,
-			SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-
-	if (fd < 0)
-		return -1;
-	own.port = 0;
-	len = per_resolve(&own, &from);
-	setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof(on));
-	if (from.ss_family == to->ss_family &&
-	    bind(fd, (struct sockaddr *)&from, len) != 0) {
-		close(fd);
-		return -1;
-	}
-	return fd;
-}
-
 /* Starts an attempt to connect. */
 static struct per_conn *open_client(struct per_lws *l,
 				    const struct per_address *key,
@@ -156,7 +132,7 @@
 	struct sockaddr_storage to;
 	socklen_t len = per_resolve(key, &to);
 	struct per_conn *c;
-	int fd = len ? open_socket(l, &to) : -1;
+	int fd = len ? per_client_socket(l, &to) : -1;
 
 	*why = PER_NOT_SENT;
 	if (fd < 0)
@@ -269,6 +245,30 @@
 	}
 }
 
+/* Asks for the next event in which the connection can be written to. */
+static void on_write_timer(void *arg, uint64_t now_us)
+{
+	struct per_conn *c = arg;
+
+	(void)now_us;
+	c->write_timer = 0;
+	lws_callback_on_writable(c->wsi);
+}
+
+/*
+ * libwebsockets forgets a request made inside of a write event of a raw file,
+ * as it takes the event back afterwards. The request is made after the event.
+ */
+static bool wait_writable(struct per_conn *c)
+{
+	struct lop *l = c->owner->loop;
+
+	if (!c->write_timer)
+		c->write_timer =
+			tmr_at(lop_timers(l), lop_now_us(l), on_write_timer, c);
+	return c->write_timer != 0;
+}
+
 /* Hands queued records to the system; returns -1 when the connection broke. */
 static int flush_queue(struct per_conn *c)
 {
@@ -283,10 +283,8 @@
 			iov[msg.msg_iovlen++].iov_len = o->len - o->sent;
 		}
 		n = sendmsg(c->fd, &msg, MSG_NOSIGNAL);
-		if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
-			lws_callback_on_writable(c->wsi);
-			return 0;
-		}
+		if (n < 0 && (errno == EAGAIN || errno == EINTR))
+			return wait_writable(c) ? 0 : -1;
 		if (n < 0)
 			return -1;
 		take_sent(c, (size_t)n);
@@ -417,6 +415,7 @@
 	unmap(c);
 	DL_DELETE(l->conns, c);
 	tmr_cancel(lop_timers(l->loop), c->connect_timer);
+	tmr_cancel(lop_timers(l->loop), c->write_timer);
 	if (!c->client)
 		l->accepted--;
 	ctr_set(CTR_PEER_CONNECTIONS, ctr_get(CTR_PEER_CONNECTIONS) - 1);
--- a/packages/net/src/per_int.h
+++ b/packages/net/src/per_int.h
@@ -146,6 +146,7 @@
 	size_t question_count;
 	uint64_t active_us;
 	uint32_t connect_timer;
+	uint32_t write_timer;
 };
 
 struct per_lws {
@@ -177,6 +178,10 @@
 socklen_t per_resolve(const struct per_address *a,
 		      struct sockaddr_storage *out);
 
+/* Makes a socket to connect to an address; -1 on an error. */
+int per_client_socket(const struct per_lws *l,
+		      const struct sockaddr_storage *to);
+
 /* Watches a descriptor in the loop; it is closed when that fails. */
 struct lws *per_watch(struct per_lws *l, int fd, const char *protocol,
 		      void *user);
--- a/packages/net/tests/test_per.c
+++ b/packages/net/tests/test_per.c
@@ -169,6 +169,11 @@
 	hello(&at, 1, 50 * US_PER_MS, &o[0]);
 	RUN_UNTIL(o[0].calls);
 	assert_int_equal(o[0].failure, PER_NOT_SENT);
+	hello(&at, 1, CALL_US, &o[0]); /* outlives the attempt to connect */
+	run_for(10);
+	clock_skip_us += PER_CONNECT_US;
+	RUN_UNTIL(o[0].calls);
+	assert_int_equal(o[0].failure, PER_NOT_SENT);
 	strcpy(at.ip, "not an address");
 	hello(&at, 1, CALL_US, &o[0]);
 	assert_int_equal(o[0].calls, 0);
--- a/packages/net/tests/test_per_peers.c
+++ b/packages/net/tests/test_per_peers.c
@@ -140,6 +140,7 @@
 static void peer_that_does_not_read_is_not_read_from(void **state)
 {
 	struct peer_read args = { { 1, 1 }, 1, PEER_CHUNK_MAX };
+	int small = 65536; /* so that the system takes only a part each time */
 	int fd = raw_connect(&b.address);
 	size_t received = 0;
 	size_t len;
@@ -149,10 +150,11 @@
 			      PEER_READ, (xdrproc_t)xdr_peer_read, &args, NULL);
 	rpc_write_mark(message, len);
 	len += RPC_MARK_BYTES;
-	for (int i = 0; i < UNREAD_CALLS; i++) {
+	RUN_UNTIL(((struct per_lws *)b.per)->conns);
+	setsockopt(((struct per_lws *)b.per)->conns->fd, SOL_SOCKET, SO_SNDBUF,
+		   &small, sizeof(small));
+	for (int i = 0; i < UNREAD_CALLS; i++)
 		raw_send(fd, len);
-		lop_step(loop);
-	}
 	run_for(50);
 	assert_in_range(b.served, 1, UNREAD_CALLS - 1);
 	while (received < (size_t)UNREAD_CALLS * PEER_CHUNK_MAX) {
