net: HTTP server on libwebsockets

The server streams bodies both ways over the HTTP role of libwebsockets 4.1.6. Four faults of that version shaped it; each was seen in a trace or in a small program of its own:

- While input is held back with lws_rx_flow_control() no writable socket is reported either, and while a response is due input is polled for but not read, so that a hang-up makes the loop spin.
An epoll instance watched by the loop reports writable sockets and hang-ups, and the response is sent on the socket itself.
- A request with a body that waits behind another makes lws_service() repeat LWS_CALLBACK_HTTP_BODY_COMPLETION without end (60,594 times in about a second).
- Chunked request bodies are passed on with their framing, and no request can follow one.
- Path and query are decoded before they can be read; they are encoded again. htp.h now says so: an encoded slash becomes a plain one.

lop: a wake-up that ran just before the poll was lost, and the loop then slept until the next timer of libwebsockets (29,987 ms was seen). It now ends the poll. Heads may have 8,192 bytes.

--- /dev/null
+++ b/packages/net/src/htp.c
@@ -0,0 +1,210 @@
+#include "htp_int.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Connections that wait to be accepted. */
+#define BACKLOG 1024
+
+/* Time limits are checked this many times in the shortest of them. */
+#define SWEEPS_PER_TIMEOUT 4
+#define SWEEP_MIN_MS 10
+#define SWEEP_MAX_MS 1000
+
+/* How long the rest of an answered request is discarded, in ms. */
+#define LINGER_MS 1000
+
+/* The time limits of libwebsockets are replaced by the sweep, in seconds. */
+#define NO_TIMEOUT_S 1000000
+
+/* Reads an address of either family. */
+static bool parse_address(const char *text, uint16_t port,
+			  struct sockaddr_storage *out, socklen_t *len)
+{
+	struct sockaddr_in *v4 = (struct sockaddr_in *)out;
+	struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)out;
+
+	memset(out, 0, sizeof(*out));
+	if (inet_pton(AF_INET, text, &v4->sin_addr) == 1) {
+		v4->sin_family = AF_INET;
+		v4->sin_port = htons(port);
+		*len = sizeof(*v4);
+		return true;
+	}
+	if (inet_pton(AF_INET6, text, &v6->sin6_addr) == 1) {
+		v6->sin6_family = AF_INET6;
+		v6->sin6_port = htons(port);
+		*len = sizeof(*v6);
+		return true;
+	}
+	return false;
+}
+
+/* Opens the listening socket and learns its port. */
+static bool open_listener(struct htp *h, struct err *err)
+{
+	const struct htp_params *p = &h->params;
+	struct sockaddr_storage at;
+	socklen_t len;
+	int on = 1;
+
+	if (!parse_address(p->address, p->port, &at, &len))
+		return err_set(err, ERR_HTTP, NET_BAD_ADDRESS,
+			       "%s is not an IP address", p->address);
+	h->listen_fd = socket(at.ss_family,
+			      SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (h->listen_fd < 0)
+		return err_set(err, ERR_HTTP, NET_NO_LOOP, "socket: %s",
+			       strerror(errno));
+	setsockopt(h->listen_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(h->listen_fd, (struct sockaddr *)&at, len) < 0 ||
+	    listen(h->listen_fd, BACKLOG) < 0)
+		return err_set(err, ERR_HTTP, NET_IN_USE, "%s port %u: %s",
+			       p->address, p->port, strerror(errno));
+	getsockname(h->listen_fd, (struct sockaddr *)&at, &len);
+	h->port = ntohs(at.ss_family == AF_INET6 ?
+				((struct sockaddr_in6 *)&at)->sin6_port :
+				((struct sockaddr_in *)&at)->sin_port);
+	return true;
+}
+
+/*
+ * Makes the vhost of the connections. Its header is added to the responses
+ * that libwebsockets makes on its own, all of which are errors.
+ */
+static struct lws_vhost *create_vhost(struct htp *h)
+{
+	static const struct lws_protocol_vhost_options outcome = {
+		NULL, NULL, "geranium-outcome:", "invalid"
+	};
+	struct lws_context_creation_info info;
+
+	memset(&info, 0, sizeof(info));
+	info.port = CONTEXT_PORT_NO_LISTEN_SERVER;
+	info.vhost_name = "http";
+	info.protocols = htp_protocols;
+	info.user = h;
+	info.headers = &outcome;
+	info.timeout_secs = NO_TIMEOUT_S;
+	info.timeout_secs_ah_idle = NO_TIMEOUT_S;
+	info.keepalive_timeout = NO_TIMEOUT_S;
+	return lws_create_vhost(lop_context(h->loop), &info);
+}
+
+/* Tells whether the caller has kept a connection waiting for too long. */
+static bool is_overdue(const struct htp_conn *c, uint64_t now_us)
+{
+	const struct htp_params *p = &c->server->params;
+	uint64_t limit_ms = p->idle_timeout_ms;
+
+	if (c->lingering) {
+		limit_ms = LINGER_MS;
+	} else if (!c->req) {
+		if (!c->used)
+			limit_ms = p->header_timeout_ms;
+	} else if (!c->req->first && (c->req->body_done || c->req->paused)) {
+		return false; /* the user of the server is at work */
+	}
+	return now_us > c->progress_us &&
+	       now_us - c->progress_us > limit_ms * US_PER_MS;
+}
+
+/* Closes the connections whose time is over. */
+static void sweep(void *arg, uint64_t now_us)
+{
+	struct htp *h = arg;
+	struct htp_conn *next;
+
+	for (struct htp_conn *c = h->conns; c; c = next) {
+		next = c->next;
+		if (is_overdue(c, now_us))
+			htp_conn_kill(c);
+	}
+}
+
+/* Starts the checks of the time limits. */
+static bool start_sweep(struct htp *h)
+{
+	uint64_t ms = h->params.idle_timeout_ms;
+
+	if (h->params.header_timeout_ms < ms)
+		ms = h->params.header_timeout_ms;
+	ms /= SWEEPS_PER_TIMEOUT;
+	if (ms < SWEEP_MIN_MS)
+		ms = SWEEP_MIN_MS;
+	if (ms > SWEEP_MAX_MS)
+		ms = SWEEP_MAX_MS;
+	h->sweep = tmr_every(lop_timers(h->loop),
+			     lop_now_us(h->loop) + ms * US_PER_MS,
+			     ms * US_PER_MS, sweep, h);
+	return h->sweep != 0;
+}
+
+/* Opens the port and serves it on the loop. */
+struct htp *htp_create(struct lop *l, const struct htp_params *params,
+		       const struct htp_ops *ops, void *arg, struct err *err)
+{
+	struct htp *h = calloc(1, sizeof(*h));
+
+	if (!h) {
+		err_set(err, ERR_HTTP, NET_NO_MEMORY, "out of memory");
+		return NULL;
+	}
+	h->loop = l;
+	h->params = *params;
+	h->ops = ops;
+	h->arg = arg;
+	h->listen_fd = -1;
+	h->hangup_fd = -1;
+	if (!open_listener(h, err)) {
+		htp_destroy(h);
+		return NULL;
+	}
+	h->vhost = create_vhost(h);
+	if (!h->vhost || !htp_watch_open(h) || !start_sweep(h)) {
+		err_set(err, ERR_HTTP, NET_NO_LOOP,
+			"the port cannot be watched");
+		htp_destroy(h);
+		return NULL;
+	}
+	return h;
+}
+
+/* Ends all requests, incomplete, and closes their connections. */
+void htp_destroy(struct htp *h)
+{
+	if (!h)
+		return;
+	tmr_cancel(lop_timers(h->loop), h->sweep);
+	htp_stop_listening(h);
+	while (h->conns) {
+		struct htp_conn *c = h->conns;
+		struct lws *wsi = c->wsi;
+
+		lws_set_opaque_user_data(wsi, NULL);
+		htp_conn_free(c);
+		lws_set_timeout(wsi, PENDING_TIMEOUT_CLOSE_SEND,
+				LWS_TO_KILL_SYNC);
+	}
+	htp_watch_close(h);
+	if (h->vhost)
+		lws_vhost_destroy(h->vhost);
+	free(h);
+}
+
+/* Returns the port that is listened on. */
+uint16_t htp_port(const struct htp *h)
+{
+	return h->port;
+}
+
+/* Counts the requests that the user has been told of and that go on. */
+size_t htp_in_progress(const struct htp *h)
+{
+	return h->req_count;
+}
--- a/packages/net/src/htp.h
+++ b/packages/net/src/htp.h
@@ -62,8 +62,15 @@
 size_t htp_in_progress(const struct htp *h);
 
 const char *htp_method(const struct htp_req *r);
-const char *htp_path(const struct htp_req *r); /* as sent, without the query */
-const char *htp_query(const struct htp_req *r); /* "" if there is none */
+
+/*
+ * Path and query in a normal form: libwebsockets decodes both before they can
+ * be read, so they are encoded again. An encoded slash becomes a plain one, and
+ * dot segments and repeated slashes are removed. The query is "" if there is
+ * none.
+ */
+const char *htp_path(const struct htp_req *r);
+const char *htp_query(const struct htp_req *r);
 
 /* Value of a request header, NULL if absent; valid until closed(). */
 const char *htp_header(const struct htp_req *r, const char *name);
--- /dev/null
+++ b/packages/net/src/htp_watch.c
@@ -0,0 +1,178 @@
+#include "htp_int.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "ctr.h"
+
+/*
+ * The descriptors of the server besides its connections: the listening socket,
+ * and an epoll instance that reports writable sockets and callers that have
+ * gone. libwebsockets reports neither while input is held back.
+ */
+
+/* Events that are taken at once. */
+#define EVENTS 64
+
+/* Opens a record for an accepted socket and gives it to libwebsockets. */
+static void adopt(struct htp *h, int fd, const char *peer)
+{
+	struct htp_conn *c;
+
+	if (h->conn_count >= h->params.max_connections) {
+		ctr_add(CTR_HTTP_CONNECTIONS_REFUSED, 1);
+		close(fd);
+		return;
+	}
+	c = htp_conn_add(h, peer);
+	if (!c || !htp_watch_add(c, fd)) {
+		if (c)
+			htp_conn_free(c);
+		close(fd);
+		return;
+	}
+	c->wsi = lws_adopt_socket_vhost(h->vhost, fd);
+	if (c->wsi)
+		lws_set_opaque_user_data(c->wsi, c);
+	else
+		htp_conn_free(c);
+}
+
+/* Takes all connections that wait; those over the limit are closed. */
+void htp_accept(struct htp *h)
+{
+	struct sockaddr_storage from = { 0 };
+	const void *ip;
+	char peer[INET6_ADDRSTRLEN];
+	socklen_t len;
+	int fd;
+
+	for (;;) {
+		len = sizeof(from);
+		fd = accept4(h->listen_fd, (struct sockaddr *)&from, &len,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd < 0)
+			return;
+		if (from.ss_family == AF_INET6)
+			ip = &((struct sockaddr_in6 *)&from)->sin6_addr;
+		else
+			ip = &((struct sockaddr_in *)&from)->sin_addr;
+		if (!inet_ntop(from.ss_family, ip, peer, sizeof(peer)))
+			peer[0] = '\0';
+		adopt(h, fd, peer);
+	}
+}
+
+/*
+ * A caller that has closed its sending side counts as gone. Between requests
+ * libwebsockets reads and sees it too.
+ */
+static void take_events(struct htp *h)
+{
+	struct epoll_event events[EVENTS];
+	int n = epoll_wait(h->hangup_fd, events, EVENTS, 0);
+
+	for (int i = 0; i < n; i++) {
+		struct htp_conn *c = events[i].data.ptr;
+
+		if (events[i].events & EPOLLOUT)
+			htp_out_writable(c);
+		if (!(events[i].events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)))
+			continue;
+		c->hung_up = true;
+		if (c->req || c->lingering)
+			htp_conn_kill(c);
+	}
+}
+
+/* Handles what has happened on either descriptor. */
+static int watch_callback(struct lws *wsi, enum lws_callback_reasons reason,
+			  void *user, void *in, size_t len)
+{
+	struct htp *h;
+
+	(void)user;
+	(void)in;
+	(void)len;
+	if (reason != LWS_CALLBACK_RAW_RX_FILE)
+		return 0;
+	h = lws_get_opaque_user_data(wsi);
+	if (h && wsi == h->listener)
+		htp_accept(h);
+	else if (h)
+		take_events(h);
+	return 0;
+}
+
+static const struct lws_protocols watch_protocols[] = {
+	{ "watch", watch_callback, 0, 0, 0, NULL, 0 },
+	{ NULL, NULL, 0, 0, 0, NULL, 0 },
+};
+
+/* Gives a descriptor to the loop. */
+static struct lws *watch(struct htp *h, int fd)
+{
+	lws_sock_file_fd_type desc;
+	struct lws *wsi;
+
+	desc.filefd = fd;
+	wsi = lws_adopt_descriptor_vhost(h->fd_vhost, LWS_ADOPT_RAW_FILE_DESC,
+					 desc, "watch", NULL);
+	if (wsi)
+		lws_set_opaque_user_data(wsi, h);
+	return wsi;
+}
+
+/* Starts to watch the listening socket and opens the epoll instance. */
+bool htp_watch_open(struct htp *h)
+{
+	h->fd_vhost = lop_vhost(h->loop, "watch", watch_protocols, NULL);
+	h->hangup_fd = epoll_create1(EPOLL_CLOEXEC);
+	if (!h->fd_vhost || h->hangup_fd < 0)
+		return false;
+	h->listener = watch(h, h->listen_fd);
+	h->hangups = watch(h, h->hangup_fd);
+	return h->listener && h->hangups;
+}
+
+/* Reports each change once; closing the socket ends the subscription. */
+bool htp_watch_add(struct htp_conn *c, int fd)
+{
+	struct epoll_event event = { .events =
+					     EPOLLOUT | EPOLLRDHUP | EPOLLET };
+
+	event.data.ptr = c;
+	return epoll_ctl(c->server->hangup_fd, EPOLL_CTL_ADD, fd, &event) == 0;
+}
+
+/* Closes a watched descriptor, or one that is not watched yet. */
+static void unwatch(struct lws **wsi, int *fd)
+{
+	if (*wsi) {
+		lws_set_opaque_user_data(*wsi, NULL);
+		lws_set_timeout(*wsi, PENDING_TIMEOUT_CLOSE_SEND,
+				LWS_TO_KILL_SYNC);
+	} else if (*fd >= 0) {
+		close(*fd);
+	}
+	*wsi = NULL;
+	*fd = -1;
+}
+
+/* Closes the port; the kernel then refuses new connections. */
+void htp_stop_listening(struct htp *h)
+{
+	unwatch(&h->listener, &h->listen_fd);
+}
+
+/* Ends all watching. */
+void htp_watch_close(struct htp *h)
+{
+	htp_stop_listening(h);
+	unwatch(&h->hangups, &h->hangup_fd);
+	if (h->fd_vhost)
+		lws_vhost_destroy(h->fd_vhost);
+}
--- a/packages/net/src/lop.c
+++ b/packages/net/src/lop.c
@@ -10,6 +10,9 @@
 /* The loop wakes at least this often even when no timer is due. */
 #define IDLE_WAKE_US (1 * US_PER_S)
 
+/* Bytes of headers that a request or a response may have. */
+#define HEADER_BYTES_MAX 8192
+
 struct lop {
 	const struct clk *clk;
 	struct tmr *timers;
@@ -22,10 +25,15 @@
 	bool stopped;
 };
 
-/* Nothing to do: the wake-up itself lets the loop run the timers. */
+/*
+ * libwebsockets may run this just before it polls, and would then wait for its
+ * own next timer; the event makes the poll return at once.
+ */
 static void on_wake(lws_sorted_usec_list_t *sul)
 {
-	(void)sul;
+	struct lop *l = lws_container_of(sul, struct lop, wake);
+
+	lws_cancel_service(l->context);
 }
 
 /* Lets libwebsockets wake up when the next timer is due. */
@@ -75,6 +83,7 @@
 	memset(&info, 0, sizeof(info));
 	info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
 	info.fd_limit_per_thread = max_fds;
+	info.max_http_header_data = HEADER_BYTES_MAX;
 	info.user = l;
 	info.gid = (gid_t)-1;
 	info.uid = (uid_t)-1;
--- /dev/null
+++ b/packages/net/tests/net_test.c
@@ -0,0 +1,328 @@
+#include "net_test.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* The loop wakes this often, so that raw sockets are looked at. */
+#define TICK_US (2 * US_PER_MS)
+
+#define PIECE 65536
+
+/* What a request to the test server does. */
+struct job {
+	struct app *app;
+	struct htp_req *req;
+	size_t left; /* bytes of /big still to write */
+	size_t got; /* body bytes */
+	uint32_t timer;
+	bool echo;
+	bool sink;
+};
+
+static void tick(void *arg, uint64_t now_us)
+{
+	(void)arg;
+	(void)now_us;
+}
+
+static void write_big(struct job *j)
+{
+	static char piece[PIECE];
+	bool more = true;
+
+	memset(piece, 'b', sizeof(piece));
+	while (more && j->left > 0) {
+		size_t n = j->left < PIECE ? j->left : PIECE;
+
+		j->left -= n;
+		more = htp_write(j->req, piece, n, j->left == 0);
+	}
+}
+
+static void reply_late(void *arg, uint64_t now_us)
+{
+	struct job *j = arg;
+
+	(void)now_us;
+	j->timer = 0;
+	htp_reply(j->req, 200, NULL, 0, "late", 4);
+}
+
+static void copy_text(char *to, size_t size, const char *from)
+{
+	snprintf(to, size, "%s", from ? from : "");
+}
+
+/* Starts what does not wait for the body. */
+static void start_job(struct job *j, const char *path, const char *query)
+{
+	static const struct htp_header headers[] = { { "etag", "\"1\"" } };
+	unsigned long n = strtoul(query, NULL, 10);
+
+	if (strcmp(path, "/big") == 0) {
+		j->left = n;
+		htp_respond(j->req, 200, NULL, 0, (long long)n);
+		write_big(j);
+	} else if (strcmp(path, "/slow") == 0) {
+		j->timer = tmr_at(lop_timers(j->app->loop),
+				  lop_now_us(j->app->loop) + n * US_PER_MS,
+				  reply_late, j);
+	} else if (strcmp(path, "/cut") == 0) {
+		htp_respond(j->req, 200, NULL, 0,
+			    n ? (long long)n : HTP_LENGTH_UNKNOWN);
+		htp_write(j->req, "abcde", 5, false);
+		htp_abort(j->req);
+	} else if (strcmp(path, "/status") == 0) {
+		htp_reply(j->req, (int)n, headers, 1, NULL, 0);
+	} else if (strcmp(path, "/echo") == 0) {
+		j->echo = true;
+		htp_respond(j->req, 200, NULL, 0, HTP_LENGTH_UNKNOWN);
+	} else if (strcmp(path, "/hold") == 0) {
+		j->app->held = j->req;
+	} else if (strcmp(path, "/sink") == 0) {
+		j->sink = true;
+	} else {
+		htp_reply(j->req, 200, headers, 1, "hello", 5);
+	}
+}
+
+static void on_head(void *arg, struct htp_req *r)
+{
+	struct app *a = arg;
+	struct job *j = calloc(1, sizeof(*j));
+
+	assert_non_null(j);
+	a->heads++;
+	j->app = a;
+	j->req = r;
+	htp_set_user(r, j);
+	copy_text(a->method, sizeof(a->method), htp_method(r));
+	copy_text(a->path, sizeof(a->path), htp_path(r));
+	copy_text(a->query, sizeof(a->query), htp_query(r));
+	copy_text(a->header, sizeof(a->header), htp_header(r, "x-test"));
+	if (a->refuse_body)
+		htp_pause(r, true);
+	start_job(j, htp_path(r), htp_query(r));
+}
+
+static void on_body(void *arg, struct htp_req *r, const void *data, size_t len,
+		    bool end)
+{
+	struct app *a = arg;
+	struct job *j = htp_user(r);
+	char text[32];
+
+	a->body_bytes += len;
+	j->got += len;
+	if (len > a->max_piece)
+		a->max_piece = len;
+	if (j->echo && !htp_write(r, data, len, end) && !end)
+		htp_pause(r, true);
+	if (j->sink && end)
+		htp_reply(r, 200, NULL, 0, text,
+			  (size_t)sprintf(text, "got %zu", j->got));
+}
+
+static void on_writable(void *arg, struct htp_req *r)
+{
+	struct job *j = htp_user(r);
+
+	(void)arg;
+	if (j->left > 0)
+		write_big(j);
+	if (j->echo)
+		htp_pause(r, false);
+}
+
+static void on_closed(void *arg, struct htp_req *r, bool complete)
+{
+	struct app *a = arg;
+	struct job *j = htp_user(r);
+
+	if (complete)
+		a->complete++;
+	else
+		a->incomplete++;
+	if (a->held == r)
+		a->held = NULL;
+	tmr_cancel(lop_timers(a->loop), j->timer);
+	free(j);
+}
+
+static const struct htp_ops app_ops = { on_head, on_body, on_writable,
+					on_closed };
+
+/* Returns parameters under which no limit is met by accident. */
+struct htp_params app_params(void)
+{
+	struct htp_params p = { "127.0.0.1", 0, 2000, 120000, 120000 };
+
+	return p;
+}
+
+/* Opens the loop and the server. */
+void app_open(struct app *a, const struct htp_params *params)
+{
+	struct htp_params defaults = app_params();
+	struct err err = { 0 };
+
+	memset(a, 0, sizeof(*a));
+	a->loop = lop_create(clk_system(), 0, &err);
+	assert_non_null(a->loop);
+	a->server = htp_create(a->loop, params ? params : &defaults, &app_ops,
+			       a, &err);
+	if (!a->server)
+		print_error("%s\n", err.text);
+	assert_non_null(a->server);
+	tmr_every(lop_timers(a->loop), 0, TICK_US, tick, NULL);
+}
+
+/* Closes both. */
+void app_close(struct app *a)
+{
+	htp_destroy(a->server);
+	lop_destroy(a->loop);
+}
+
+/* Steps the loop until a condition holds. */
+void app_run(struct app *a, until_fn until, void *arg)
+{
+	uint64_t end = lop_now_us(a->loop) + PATIENCE_US;
+
+	while (!until(arg)) {
+		lop_step(a->loop);
+		assert_true(lop_now_us(a->loop) < end);
+	}
+}
+
+/* Steps the loop for a time. */
+void app_run_for(struct app *a, uint64_t us)
+{
+	uint64_t end = lop_now_us(a->loop) + us;
+
+	while (lop_now_us(a->loop) < end)
+		lop_step(a->loop);
+}
+
+/* Connects; the connection waits in the backlog until the loop runs. */
+void raw_open(struct raw *r, struct app *a)
+{
+	struct sockaddr_in at = { .sin_family = AF_INET };
+
+	memset(r, 0, sizeof(*r));
+	r->app = a;
+	r->capacity = PIECE;
+	r->in = calloc(1, r->capacity);
+	at.sin_port = htons(htp_port(a->server));
+	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	r->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	assert_true(r->fd >= 0);
+	assert_int_equal(connect(r->fd, (struct sockaddr *)&at, sizeof(at)), 0);
+	fcntl(r->fd, F_SETFL, O_NONBLOCK);
+}
+
+/* Closes the socket. */
+void raw_close(struct raw *r)
+{
+	if (r->fd >= 0)
+		close(r->fd);
+	r->fd = -1;
+	free(r->in);
+	r->in = NULL;
+}
+
+/* Sends all bytes, running the loop while the socket is full. */
+void raw_send_bytes(struct raw *r, const void *data, size_t len)
+{
+	const char *at = data;
+
+	while (len > 0) {
+		ssize_t n = send(r->fd, at, len, MSG_NOSIGNAL);
+
+		if (n < 0 && errno != EAGAIN)
+			return;
+		if (n < 0) {
+			lop_step(r->app->loop);
+			continue;
+		}
+		at += n;
+		len -= (size_t)n;
+	}
+}
+
+/* Sends a text. */
+void raw_send(struct raw *r, const char *text)
+{
+	raw_send_bytes(r, text, strlen(text));
+}
+
+/* Takes all bytes that have arrived. */
+void raw_poll(struct raw *r)
+{
+	ssize_t n;
+
+	for (;;) {
+		if (r->len + PIECE > r->capacity) {
+			r->capacity *= 2;
+			r->in = realloc(r->in, r->capacity);
+			assert_non_null(r->in);
+		}
+		n = recv(r->fd, r->in + r->len, r->capacity - r->len - 1, 0);
+		if (n < 0 && errno == EAGAIN)
+			return;
+		if (n <= 0) {
+			r->closed = true;
+			return;
+		}
+		r->len += (size_t)n;
+		r->in[r->len] = '\0';
+	}
+}
+
+struct expectation {
+	struct raw *raw;
+	const char *text;
+};
+
+static bool has_text(void *arg)
+{
+	struct expectation *e = arg;
+
+	raw_poll(e->raw);
+	if (!e->text)
+		return e->raw->closed;
+	if (strstr(e->raw->in, e->text))
+		return true;
+	if (e->raw->closed)
+		fail_msg("closed without '%s' after '%s'", e->text, e->raw->in);
+	return false;
+}
+
+/* Waits for a text. */
+void raw_expect(struct raw *r, const char *text)
+{
+	struct expectation e = { r, text };
+
+	app_run(r->app, has_text, &e);
+}
+
+/* Waits for the server to close the connection. */
+void raw_expect_close(struct raw *r)
+{
+	struct expectation e = { r, NULL };
+
+	app_run(r->app, has_text, &e);
+}
+
+/* Empties the buffer. */
+void raw_clear(struct raw *r)
+{
+	r->len = 0;
+	r->in[0] = '\0';
+}
