--- a/packages/net/tests/per_nodes.c
+++ b/packages/net/tests/per_nodes.c
@@ -3,11 +3,11 @@
 #include <arpa/inet.h>
 #include <string.h>
 
-uint64_t clock_skip_us;
-struct lop *loop;
-struct node a;
-struct node b;
-uint8_t message[RPC_MARK_BYTES + RPC_MESSAGE_MAX];
+uint64_t per_clock_skip_us;
+struct lop *per_loop;
+struct node node_a;
+struct node node_b;
+uint8_t per_message[RPC_MARK_BYTES + RPC_MESSAGE_MAX];
 
 static void on_lease(void *arg, const struct peer_lease *m)
 {
@@ -76,7 +76,7 @@
 	(void)now_us;
 }
 
-int raw_socket(int type, struct sockaddr_in *addr, uint16_t port)
+int per_raw_socket(int type, struct sockaddr_in *addr, uint16_t port)
 {
 	memset(addr, 0, sizeof(*addr));
 	addr->sin_family = AF_INET;
@@ -86,11 +86,11 @@
 }
 
 /* A listening socket of the test; its port goes to *at. */
-int raw_listen(struct per_address *at, int backlog)
+int per_raw_listen(struct per_address *at, int backlog)
 {
 	struct sockaddr_in addr;
 	socklen_t len = sizeof(addr);
-	int fd = raw_socket(SOCK_STREAM, &addr, 0);
+	int fd = per_raw_socket(SOCK_STREAM, &addr, 0);
 
 	assert_int_equal(bind(fd, (struct sockaddr *)&addr, len), 0);
 	assert_int_equal(listen(fd, backlog), 0);
@@ -100,10 +100,10 @@
 	return fd;
 }
 
-int raw_connect(const struct per_address *to)
+int per_raw_connect(const struct per_address *to)
 {
 	struct sockaddr_in addr;
-	int fd = raw_socket(SOCK_STREAM, &addr, to->port);
+	int fd = per_raw_socket(SOCK_STREAM, &addr, to->port);
 
 	assert_int_equal(connect(fd, (struct sockaddr *)&addr, sizeof(addr)),
 			 0);
@@ -113,15 +113,15 @@
 static void make_node(struct node *n)
 {
 	memset(n, 0, sizeof(*n));
-	close(raw_listen(&n->address, 1));
-	n->per = per_lws_create(loop, &n->address, &events, n, NULL);
+	close(per_raw_listen(&n->address, 1));
+	n->per = per_lws_create(per_loop, &n->address, &events, n, NULL);
 	assert_non_null(n->per);
 }
 
 static uint64_t skipped_mono_us(void *arg)
 {
 	(void)arg;
-	return clk_mono_us(clk_system()) + clock_skip_us;
+	return clk_mono_us(clk_system()) + per_clock_skip_us;
 }
 
 static uint64_t system_random(void *arg)
@@ -137,85 +137,86 @@
 int per_setup(void **state)
 {
 	(void)state;
-	clock_skip_us = 0;
+	per_clock_skip_us = 0;
 	ctr_reset();
-	loop = lop_create(&test_clock, 0, NULL);
-	assert_non_null(loop);
-	tmr_every(lop_timers(loop), lop_now_us(loop), 5 * US_PER_MS, on_tick,
-		  NULL);
-	make_node(&a);
-	make_node(&b);
+	per_loop = lop_create(&test_clock, 0, NULL);
+	assert_non_null(per_loop);
+	tmr_every(lop_timers(per_loop), lop_now_us(per_loop), 5 * US_PER_MS,
+		  on_tick, NULL);
+	make_node(&node_a);
+	make_node(&node_b);
 	return 0;
 }
 
 int per_teardown(void **state)
 {
 	(void)state;
-	per_destroy(a.per);
-	per_destroy(b.per);
+	per_destroy(node_a.per);
+	per_destroy(node_b.per);
 	assert_int_equal(ctr_get(CTR_PEER_CONNECTIONS), 0);
-	lop_destroy(loop);
+	lop_destroy(per_loop);
 	return 0;
 }
 
-void run_for(uint64_t ms)
+void per_run_for(uint64_t ms)
 {
-	uint64_t end_us = lop_now_us(loop) + ms * US_PER_MS;
+	uint64_t end_us = lop_now_us(per_loop) + ms * US_PER_MS;
 
-	while (lop_now_us(loop) < end_us)
-		lop_step(loop);
+	while (lop_now_us(per_loop) < end_us)
+		lop_step(per_loop);
 }
 
-uint32_t hello(const struct per_address *to, unsigned int instance,
-	       uint64_t timeout_us, struct outcome *o)
+uint32_t per_hello(const struct per_address *to, unsigned int instance,
+		   uint64_t timeout_us, struct outcome *o)
 {
 	struct peer_hello args = { { instance, 1 } };
 
 	memset(o, 0, sizeof(*o));
-	return per_call(a.per, to, PEER_HELLO, &args, timeout_us, on_reply, o);
+	return per_call(node_a.per, to, PEER_HELLO, &args, timeout_us, on_reply,
+			o);
 }
 
-void expect_hello_works(void)
+void per_expect_hello_works(void)
 {
 	struct outcome o;
 
-	b.hold = false;
-	hello(&b.address, 42, CALL_US, &o);
+	node_b.hold = false;
+	per_hello(&node_b.address, 42, CALL_US, &o);
 	RUN_UNTIL(o.calls);
 	assert_int_equal(o.failure, PER_OK);
 	assert_int_equal(o.instance, 42);
 }
 
-/* Encodes a call with its mark into message; returns the whole length. */
-size_t hello_record(uint32_t xid, uint32_t procedure)
+/* Encodes a call with its mark into per_message; returns the whole length. */
+size_t per_hello_record(uint32_t xid, uint32_t procedure)
 {
 	struct peer_hello args = { { 5, 1 } };
-	size_t len = rpc_encode_call(message + RPC_MARK_BYTES, RPC_MESSAGE_MAX,
-				     xid, procedure, (xdrproc_t)xdr_peer_hello,
-				     &args, NULL);
+	size_t len = rpc_encode_call(per_message + RPC_MARK_BYTES,
+				     RPC_MESSAGE_MAX, xid, procedure,
+				     (xdrproc_t)xdr_peer_hello, &args, NULL);
 
-	rpc_write_mark(message, len);
+	rpc_write_mark(per_message, len);
 	return len + RPC_MARK_BYTES;
 }
 
-size_t answer_record(uint32_t xid)
+size_t per_answer_record(uint32_t xid)
 {
 	struct peer_answer answer = { PEER_OK, { 6, 1 } };
-	size_t len =
-		rpc_encode_reply(message + RPC_MARK_BYTES, RPC_MESSAGE_MAX, xid,
-				 (xdrproc_t)xdr_peer_answer, &answer, NULL);
+	size_t len = rpc_encode_reply(
+		per_message + RPC_MARK_BYTES, RPC_MESSAGE_MAX, xid,
+		(xdrproc_t)xdr_peer_answer, &answer, NULL);
 
-	rpc_write_mark(message, len);
+	rpc_write_mark(per_message, len);
 	return len + RPC_MARK_BYTES;
 }
 
-void raw_send(int fd, size_t len)
+void per_raw_send(int fd, size_t len)
 {
-	assert_int_equal(send(fd, message, len, MSG_NOSIGNAL), len);
+	assert_int_equal(send(fd, per_message, len, MSG_NOSIGNAL), len);
 }
 
 /* Steps the loop until fd has bytes or has been closed. */
-ssize_t raw_receive(int fd, uint8_t *buf, size_t size)
+ssize_t per_raw_receive(int fd, uint8_t *buf, size_t size)
 {
 	ssize_t n = -1;
 
@@ -224,16 +225,16 @@
 	return n;
 }
 
-void expect_closed(int fd)
+void per_expect_closed(int fd)
 {
 	uint8_t byte[256];
 
-	assert_true(raw_receive(fd, byte, sizeof(byte)) <= 0);
+	assert_true(per_raw_receive(fd, byte, sizeof(byte)) <= 0);
 	close(fd);
 }
 
 /* Accepts the call that is on its way and returns its xid. */
-int accept_call(int listener, uint32_t *xid)
+int per_accept_call(int listener, uint32_t *xid)
 {
 	uint8_t in[512];
 	struct rpc_head head;
@@ -241,7 +242,7 @@
 	int fd = accept(listener, NULL, NULL);
 
 	assert_true(fd >= 0);
-	n = raw_receive(fd, in, sizeof(in));
+	n = per_raw_receive(fd, in, sizeof(in));
 	assert_true(n > RPC_MARK_BYTES);
 	assert_true(rpc_decode_head(in + RPC_MARK_BYTES,
 				    (size_t)n - RPC_MARK_BYTES, &head, NULL));
--- a/packages/net/tests/per_nodes.h
+++ b/packages/net/tests/per_nodes.h
@@ -38,53 +38,54 @@
 };
 
 /* Added to the monotonic clock of the loop. */
-extern uint64_t clock_skip_us;
+extern uint64_t per_clock_skip_us;
 
-extern struct lop *loop;
-extern struct node a;
-extern struct node b;
-extern uint8_t message[RPC_MARK_BYTES + RPC_MESSAGE_MAX];
+extern struct lop *per_loop;
+extern struct node node_a;
+extern struct node node_b;
+extern uint8_t per_message[RPC_MARK_BYTES + RPC_MESSAGE_MAX];
 
 /* The condition is evaluated once for each step, since it may read. */
-#define RUN_UNTIL(condition)                                                 \
-	do {                                                                 \
-		uint64_t end_us_ = lop_now_us(loop) + WAIT_MS * US_PER_MS;   \
-		bool done_;                                                  \
-		while (!(done_ = (condition)) && lop_now_us(loop) < end_us_) \
-			lop_step(loop);                                      \
-		assert_true(done_);                                          \
+#define RUN_UNTIL(condition)                                                   \
+	do {                                                                   \
+		uint64_t end_us_ = lop_now_us(per_loop) + WAIT_MS * US_PER_MS; \
+		bool done_;                                                    \
+		while (!(done_ = (condition)) &&                               \
+		       lop_now_us(per_loop) < end_us_)                         \
+			lop_step(per_loop);                                    \
+		assert_true(done_);                                            \
 	} while (0)
 
 /* Sockets of the test on the loopback address. */
-int raw_socket(int type, struct sockaddr_in *addr, uint16_t port);
+int per_raw_socket(int type, struct sockaddr_in *addr, uint16_t port);
 
 /* A listening socket of the test; its port goes to *at. */
-int raw_listen(struct per_address *at, int backlog);
-int raw_connect(const struct per_address *to);
+int per_raw_listen(struct per_address *at, int backlog);
+int per_raw_connect(const struct per_address *to);
 
 /* Make and destroy a loop with the transports a and b. */
 int per_setup(void **state);
 int per_teardown(void **state);
 
 /* Steps the loop for a time. */
-void run_for(uint64_t ms);
+void per_run_for(uint64_t ms);
 
 /* Calls HELLO from a. Returns the handle. */
-uint32_t hello(const struct per_address *to, unsigned int instance,
-	       uint64_t timeout_us, struct outcome *o);
-void expect_hello_works(void);
+uint32_t per_hello(const struct per_address *to, unsigned int instance,
+		   uint64_t timeout_us, struct outcome *o);
+void per_expect_hello_works(void);
 
-/* Encode a record into message; return its whole length. */
-size_t hello_record(uint32_t xid, uint32_t procedure);
-size_t answer_record(uint32_t xid);
-void raw_send(int fd, size_t len);
+/* Encode a record into per_message; return its whole length. */
+size_t per_hello_record(uint32_t xid, uint32_t procedure);
+size_t per_answer_record(uint32_t xid);
+void per_raw_send(int fd, size_t len);
 
 /* Steps the loop until fd has bytes or has been closed. */
-ssize_t raw_receive(int fd, uint8_t *buf, size_t size);
-void expect_closed(int fd);
+ssize_t per_raw_receive(int fd, uint8_t *buf, size_t size);
+void per_expect_closed(int fd);
 
 /* Accepts the call that is on its way and returns its socket. */
-int accept_call(int listener, uint32_t *xid);
+int per_accept_call(int listener, uint32_t *xid);
 
 #define TEST(fn) cmocka_unit_test_setup_teardown(fn, per_setup, per_teardown)
 
--- a/packages/net/tests/test_per.c
+++ b/packages/net/tests/test_per.c
@@ -15,16 +15,17 @@
 	struct outcome o[10];
 
 	(void)state;
-	b.hold = true;
+	node_b.hold = true;
 	for (unsigned int i = 0; i < 10; i++)
-		assert_int_not_equal(hello(&b.address, i, CALL_US, &o[i]), 0);
-	RUN_UNTIL(b.held_count == 10);
-	while (b.held_count) {
+		assert_int_not_equal(
+			per_hello(&node_b.address, i, CALL_US, &o[i]), 0);
+	RUN_UNTIL(node_b.held_count == 10);
+	while (node_b.held_count) {
 		struct peer_answer answer = { PEER_OK, { 0, 0 } };
 
-		b.held_count--;
-		answer.self.instance = 100 + (unsigned int)b.held_count;
-		per_reply(b.per, b.held[b.held_count], &answer);
+		node_b.held_count--;
+		answer.self.instance = 100 + (unsigned int)node_b.held_count;
+		per_reply(node_b.per, node_b.held[node_b.held_count], &answer);
 	}
 	for (unsigned int i = 0; i < 10; i++) {
 		RUN_UNTIL(o[i].calls);
@@ -37,25 +38,25 @@
 static void duplicate_and_late_replies_are_dropped(void **state)
 {
 	struct per_address at = { 0 };
-	int listener = raw_listen(&at, 4);
+	int listener = per_raw_listen(&at, 4);
 	struct outcome o;
 	struct outcome late;
 	uint32_t xid;
 	int fd;
 
 	(void)state;
-	hello(&at, 1, CALL_US, &o);
-	fd = accept_call(listener, &xid);
-	raw_send(fd, answer_record(xid + 1000));
-	raw_send(fd, answer_record(xid));
-	raw_send(fd, answer_record(xid));
+	per_hello(&at, 1, CALL_US, &o);
+	fd = per_accept_call(listener, &xid);
+	per_raw_send(fd, per_answer_record(xid + 1000));
+	per_raw_send(fd, per_answer_record(xid));
+	per_raw_send(fd, per_answer_record(xid));
 	RUN_UNTIL(ctr_get(CTR_PEER_LATE_REPLIES) == 2);
 	assert_int_equal(o.calls, 1);
 	assert_int_equal(o.failure, PER_OK);
-	hello(&at, 1, 20 * US_PER_MS, &late);
+	per_hello(&at, 1, 20 * US_PER_MS, &late);
 	RUN_UNTIL(late.calls);
 	assert_int_equal(late.failure, PER_TIMEOUT);
-	raw_send(fd, answer_record(xid + 1));
+	per_raw_send(fd, per_answer_record(xid + 1));
 	RUN_UNTIL(ctr_get(CTR_PEER_LATE_REPLIES) == 3);
 	assert_int_equal(late.calls, 1);
 	close(fd);
@@ -73,15 +74,15 @@
 
 	(void)state;
 	for (int i = 0; i < 2; i++) {
-		listener[i] = raw_listen(&at[i], 4);
-		hello(&at[i], 1, CALL_US, &o[i]);
-		fd[i] = accept_call(listener[i], &xid[i]);
+		listener[i] = per_raw_listen(&at[i], 4);
+		per_hello(&at[i], 1, CALL_US, &o[i]);
+		fd[i] = per_accept_call(listener[i], &xid[i]);
 	}
-	raw_send(fd[1], answer_record(xid[0]));
+	per_raw_send(fd[1], per_answer_record(xid[0]));
 	RUN_UNTIL(ctr_get(CTR_PEER_LATE_REPLIES) == 1);
 	assert_int_equal(o[0].calls, 0);
 	for (int i = 0; i < 2; i++) {
-		raw_send(fd[i], answer_record(xid[i]));
+		per_raw_send(fd[i], per_answer_record(xid[i]));
 		RUN_UNTIL(o[i].calls);
 		assert_int_equal(o[i].failure, PER_OK);
 		close(fd[i]);
@@ -92,7 +93,7 @@
 static void replies_that_refuse_or_do_not_decode_end_one_call(void **state)
 {
 	struct per_address at = { 0 };
-	int listener = raw_listen(&at, 4);
+	int listener = per_raw_listen(&at, 4);
 	struct outcome o[3];
 	uint32_t xid;
 	size_t len;
@@ -100,16 +101,16 @@
 
 	(void)state;
 	for (unsigned int i = 0; i < 3; i++)
-		hello(&at, i, CALL_US, &o[i]);
-	fd = accept_call(listener, &xid);
-	len = rpc_encode_refusal(message + RPC_MARK_BYTES, RPC_MESSAGE_MAX, xid,
-				 PROG_MISMATCH, NULL);
-	rpc_write_mark(message, len);
-	raw_send(fd, len + RPC_MARK_BYTES);
-	len = answer_record(xid + 1) - 4;
-	rpc_write_mark(message, len - RPC_MARK_BYTES);
-	raw_send(fd, len);
-	raw_send(fd, answer_record(xid + 2));
+		per_hello(&at, i, CALL_US, &o[i]);
+	fd = per_accept_call(listener, &xid);
+	len = rpc_encode_refusal(per_message + RPC_MARK_BYTES, RPC_MESSAGE_MAX,
+				 xid, PROG_MISMATCH, NULL);
+	rpc_write_mark(per_message, len);
+	per_raw_send(fd, len + RPC_MARK_BYTES);
+	len = per_answer_record(xid + 1) - 4;
+	rpc_write_mark(per_message, len - RPC_MARK_BYTES);
+	per_raw_send(fd, len);
+	per_raw_send(fd, per_answer_record(xid + 2));
 	RUN_UNTIL(o[2].calls);
 	assert_int_equal(o[0].failure, PER_BAD_REPLY);
 	assert_int_equal(o[1].failure, PER_BAD_REPLY);
@@ -121,21 +122,21 @@
 static void connection_cut_in_a_reply_is_lost_and_made_anew(void **state)
 {
 	struct per_address at = { 0 };
-	int listener = raw_listen(&at, 4);
+	int listener = per_raw_listen(&at, 4);
 	struct outcome o;
 	uint32_t xid;
 	int fd;
 
 	(void)state;
-	hello(&at, 1, CALL_US, &o);
-	fd = accept_call(listener, &xid);
-	raw_send(fd, answer_record(xid) - 3);
+	per_hello(&at, 1, CALL_US, &o);
+	fd = per_accept_call(listener, &xid);
+	per_raw_send(fd, per_answer_record(xid) - 3);
 	close(fd);
 	RUN_UNTIL(o.calls);
 	assert_int_equal(o.failure, PER_LOST);
-	hello(&at, 1, CALL_US, &o);
-	fd = accept_call(listener, &xid);
-	raw_send(fd, answer_record(xid));
+	per_hello(&at, 1, CALL_US, &o);
+	fd = per_accept_call(listener, &xid);
+	per_raw_send(fd, per_answer_record(xid));
 	RUN_UNTIL(o.calls);
 	assert_int_equal(o.failure, PER_OK);
 	close(fd);
@@ -148,34 +149,34 @@
 	struct per_address at = { 0 };
 	struct outcome o[2];
 	int fill[2];
-	int listener = raw_listen(&at, 1);
+	int listener = per_raw_listen(&at, 1);
 
 	(void)state;
 	close(listener);
-	hello(&at, 1, CALL_US, &o[0]);
-	hello(&at, 1, CALL_US, &o[1]);
+	per_hello(&at, 1, CALL_US, &o[0]);
+	per_hello(&at, 1, CALL_US, &o[1]);
 	assert_int_equal(o[0].calls, 0);
 	RUN_UNTIL(o[0].calls && o[1].calls);
 	assert_int_equal(o[0].failure, PER_REFUSED);
 	assert_int_equal(o[1].failure, PER_REFUSED);
-	listener = raw_listen(&at, 0);
+	listener = per_raw_listen(&at, 0);
 	for (int i = 0; i < 2; i++) {
 		struct sockaddr_in addr;
 
-		fill[i] =
-			raw_socket(SOCK_STREAM | SOCK_NONBLOCK, &addr, at.port);
+		fill[i] = per_raw_socket(SOCK_STREAM | SOCK_NONBLOCK, &addr,
+					 at.port);
 		(void)connect(fill[i], (struct sockaddr *)&addr, sizeof(addr));
 	}
-	hello(&at, 1, 50 * US_PER_MS, &o[0]);
+	per_hello(&at, 1, 50 * US_PER_MS, &o[0]);
 	RUN_UNTIL(o[0].calls);
 	assert_int_equal(o[0].failure, PER_NOT_SENT);
-	hello(&at, 1, CALL_US, &o[0]); /* outlives the attempt to connect */
-	run_for(10);
-	clock_skip_us += PER_CONNECT_US;
+	per_hello(&at, 1, CALL_US, &o[0]); /* outlives the attempt to connect */
+	per_run_for(10);
+	per_clock_skip_us += PER_CONNECT_US;
 	RUN_UNTIL(o[0].calls);
 	assert_int_equal(o[0].failure, PER_NOT_SENT);
 	strcpy(at.ip, "not an address");
-	hello(&at, 1, CALL_US, &o[0]);
+	per_hello(&at, 1, CALL_US, &o[0]);
 	assert_int_equal(o[0].calls, 0);
 	RUN_UNTIL(o[0].calls);
 	assert_int_equal(o[0].failure, PER_NOT_SENT);
@@ -190,29 +191,30 @@
 	uint32_t call;
 
 	(void)state;
-	b.hold = true;
-	call = hello(&b.address, 1, 20 * US_PER_MS, &o);
-	RUN_UNTIL(b.held_count == 1);
-	per_drop(a.per, call);
-	per_drop(a.per, call);
-	run_for(50);
+	node_b.hold = true;
+	call = per_hello(&node_b.address, 1, 20 * US_PER_MS, &o);
+	RUN_UNTIL(node_b.held_count == 1);
+	per_drop(node_a.per, call);
+	per_drop(node_a.per, call);
+	per_run_for(50);
 	assert_int_equal(o.calls, 0);
-	hello(&b.address, 2, CALL_US, &o); /* open when both are destroyed */
-	RUN_UNTIL(b.held_count == 2);
+	per_hello(&node_b.address, 2, CALL_US,
+		  &o); /* open when both are destroyed */
+	RUN_UNTIL(node_b.held_count == 2);
 	assert_int_equal(o.calls, 0);
 }
 
 static void idle_client_connection_closes_and_opens_again(void **state)
 {
 	(void)state;
-	expect_hello_works();
+	per_expect_hello_works();
 	assert_int_equal(ctr_get(CTR_PEER_CONNECTIONS), 2);
-	clock_skip_us += PER_IDLE_US - 2 * US_PER_S;
-	run_for(20);
+	per_clock_skip_us += PER_IDLE_US - 2 * US_PER_S;
+	per_run_for(20);
 	assert_int_equal(ctr_get(CTR_PEER_CONNECTIONS), 2);
-	clock_skip_us += 4 * US_PER_S;
+	per_clock_skip_us += 4 * US_PER_S;
 	RUN_UNTIL(ctr_get(CTR_PEER_CONNECTIONS) == 0);
-	expect_hello_works();
+	per_expect_hello_works();
 }
 
 /* Prints figures; both ends run in this thread. */
@@ -223,33 +225,33 @@
 	uint64_t start_us;
 
 	(void)state;
-	expect_hello_works();
-	start_us = lop_now_us(loop);
+	per_expect_hello_works();
+	start_us = lop_now_us(per_loop);
 	for (unsigned int i = 0; i < ROUND_TRIPS; i++) {
-		hello(&b.address, i, CALL_US, &o[0]);
+		per_hello(&node_b.address, i, CALL_US, &o[0]);
 		RUN_UNTIL(o[0].calls);
 		assert_int_equal(o[0].instance, i);
 	}
 	printf("TCP: %.1f us for a round trip\n",
-	       (double)(lop_now_us(loop) - start_us) / ROUND_TRIPS);
-	start_us = lop_now_us(loop);
+	       (double)(lop_now_us(per_loop) - start_us) / ROUND_TRIPS);
+	start_us = lop_now_us(per_loop);
 	for (int i = 0; i < ROUND_TRIPS; i += 64) {
 		for (unsigned int k = 0; k < 64; k++)
-			hello(&b.address, k, CALL_US, &o[k]);
+			per_hello(&node_b.address, k, CALL_US, &o[k]);
 		for (unsigned int k = 0; k < 64; k++)
 			RUN_UNTIL(o[k].calls);
 	}
 	printf("TCP: %.0f calls/s, 64 at once\n",
-	       ROUND_TRIPS * 1e6 / (double)(lop_now_us(loop) - start_us));
-	start_us = lop_now_us(loop);
+	       ROUND_TRIPS * 1e6 / (double)(lop_now_us(per_loop) - start_us));
+	start_us = lop_now_us(per_loop);
 	for (size_t i = 1; i <= ROUND_TRIPS; i++) {
-		per_notify(a.per, &b.address, PEER_DIGEST, &digest);
-		RUN_UNTIL(b.notices == i);
-		per_notify(b.per, &a.address, PEER_DIGEST, &digest);
-		RUN_UNTIL(a.notices == i);
+		per_notify(node_a.per, &node_b.address, PEER_DIGEST, &digest);
+		RUN_UNTIL(node_b.notices == i);
+		per_notify(node_b.per, &node_a.address, PEER_DIGEST, &digest);
+		RUN_UNTIL(node_a.notices == i);
 	}
 	printf("UDP: %.1f us for a notice each way\n",
-	       (double)(lop_now_us(loop) - start_us) / ROUND_TRIPS);
+	       (double)(lop_now_us(per_loop) - start_us) / ROUND_TRIPS);
 }
 
 int main(void)
--- a/packages/net/tests/test_per_peers.c
+++ b/packages/net/tests/test_per_peers.c
@@ -21,8 +21,8 @@
 	struct rpc_head head;
 	ssize_t n;
 
-	raw_send(fd, len);
-	n = raw_receive(fd, in, sizeof(in));
+	per_raw_send(fd, len);
+	n = per_raw_receive(fd, in, sizeof(in));
 	assert_true(n > RPC_MARK_BYTES);
 	assert_true(rpc_decode_head(in + RPC_MARK_BYTES,
 				    (size_t)n - RPC_MARK_BYTES, &head, NULL));
@@ -35,75 +35,75 @@
 
 static void foreign_calls_are_refused_and_the_connection_stays(void **state)
 {
-	int fd = raw_connect(&b.address);
-	size_t len = hello_record(1, PEER_HELLO);
+	int fd = per_raw_connect(&node_b.address);
+	size_t len = per_hello_record(1, PEER_HELLO);
 
 	(void)state;
-	message[PROGRAM_AT]++;
+	per_message[PROGRAM_AT]++;
 	expect_refusal(fd, len, PROG_UNAVAIL);
-	hello_record(2, PEER_HELLO);
-	message[VERSION_AT]++;
+	per_hello_record(2, PEER_HELLO);
+	per_message[VERSION_AT]++;
 	expect_refusal(fd, len, PROG_MISMATCH);
-	expect_refusal(fd, hello_record(3, 99), PROC_UNAVAIL);
-	expect_refusal(fd, hello_record(4, PEER_LEASE), PROC_UNAVAIL);
-	expect_refusal(fd, hello_record(5, PEER_OPEN), GARBAGE_ARGS);
-	expect_refusal(fd, hello_record(6, PEER_NULL), GARBAGE_ARGS);
-	assert_int_equal(b.served, 0);
-	expect_refusal(fd, hello_record(7, PEER_HELLO), SUCCESS);
+	expect_refusal(fd, per_hello_record(3, 99), PROC_UNAVAIL);
+	expect_refusal(fd, per_hello_record(4, PEER_LEASE), PROC_UNAVAIL);
+	expect_refusal(fd, per_hello_record(5, PEER_OPEN), GARBAGE_ARGS);
+	expect_refusal(fd, per_hello_record(6, PEER_NULL), GARBAGE_ARGS);
+	assert_int_equal(node_b.served, 0);
+	expect_refusal(fd, per_hello_record(7, PEER_HELLO), SUCCESS);
 	close(fd);
 }
 
 static void malformed_peer_costs_its_own_connection(void **state)
 {
 	const uint8_t oversized[] = { 0xff, 0xff, 0xff, 0xff };
-	int fd = raw_connect(&b.address);
+	int fd = per_raw_connect(&node_b.address);
 
 	(void)state;
-	memcpy(message, oversized, sizeof(oversized));
-	raw_send(fd, sizeof(oversized));
-	expect_closed(fd);
-	fd = raw_connect(&b.address);
-	raw_send(fd, answer_record(1));
-	expect_closed(fd);
-	fd = raw_connect(&b.address);
-	raw_send(fd, hello_record(1, PEER_HELLO) - 3);
-	run_for(20);
-	assert_int_equal(b.served, 0);
+	memcpy(per_message, oversized, sizeof(oversized));
+	per_raw_send(fd, sizeof(oversized));
+	per_expect_closed(fd);
+	fd = per_raw_connect(&node_b.address);
+	per_raw_send(fd, per_answer_record(1));
+	per_expect_closed(fd);
+	fd = per_raw_connect(&node_b.address);
+	per_raw_send(fd, per_hello_record(1, PEER_HELLO) - 3);
+	per_run_for(20);
+	assert_int_equal(node_b.served, 0);
 	close(fd);
-	run_for(20);
-	expect_hello_works();
+	per_run_for(20);
+	per_expect_hello_works();
 }
 
 static void slow_sender_is_served(void **state)
 {
-	int fd = raw_connect(&b.address);
-	size_t len = hello_record(9, PEER_HELLO);
+	int fd = per_raw_connect(&node_b.address);
+	size_t len = per_hello_record(9, PEER_HELLO);
 	uint8_t in[512];
 
 	(void)state;
-	memcpy(in, message, len);
+	memcpy(in, per_message, len);
 	for (size_t i = 0; i < len; i++) {
 		assert_int_equal(send(fd, in + i, 1, 0), 1);
-		run_for(1);
+		per_run_for(1);
 	}
-	assert_true(raw_receive(fd, in, sizeof(in)) > 0);
-	assert_int_equal(b.served, 1);
+	assert_true(per_raw_receive(fd, in, sizeof(in)) > 0);
+	assert_int_equal(node_b.served, 1);
 	close(fd);
 }
 
 static void questions_of_a_closed_connection_are_gone(void **state)
 {
-	int fd = raw_connect(&b.address);
+	int fd = per_raw_connect(&node_b.address);
 
 	(void)state;
-	b.hold = true;
-	raw_send(fd, hello_record(1, PEER_HELLO));
-	raw_send(fd, hello_record(2, PEER_HELLO));
-	RUN_UNTIL(b.held_count == 2);
-	assert_string_equal(per_question_ip(b.held[0]), "127.0.0.1");
+	node_b.hold = true;
+	per_raw_send(fd, per_hello_record(1, PEER_HELLO));
+	per_raw_send(fd, per_hello_record(2, PEER_HELLO));
+	RUN_UNTIL(node_b.held_count == 2);
+	assert_string_equal(per_question_ip(node_b.held[0]), "127.0.0.1");
 	close(fd);
-	RUN_UNTIL(b.gone == 2);
-	expect_hello_works();
+	RUN_UNTIL(node_b.gone == 2);
+	per_expect_hello_works();
 }
 
 static size_t open_descriptors(void)
@@ -124,12 +124,12 @@
 
 	(void)state;
 	for (int i = 0; i < IDLE_CONNECTIONS; i++) {
-		fds[i] = raw_connect(&b.address);
+		fds[i] = per_raw_connect(&node_b.address);
 		if (i % 100 == 0)
-			run_for(1);
+			per_run_for(1);
 	}
 	RUN_UNTIL(ctr_get(CTR_PEER_CONNECTIONS) == IDLE_CONNECTIONS);
-	expect_hello_works();
+	per_expect_hello_works();
 	for (int i = 0; i < IDLE_CONNECTIONS; i++)
 		close(fds[i]);
 	RUN_UNTIL(ctr_get(CTR_PEER_CONNECTIONS) == 2);
@@ -141,29 +141,30 @@
 {
 	struct peer_read args = { { 1, 1 }, 1, PEER_CHUNK_MAX };
 	int small = 65536; /* so that the system takes only a part each time */
-	int fd = raw_connect(&b.address);
+	int fd = per_raw_connect(&node_b.address);
 	size_t received = 0;
 	size_t len;
 
 	(void)state;
-	len = rpc_encode_call(message + RPC_MARK_BYTES, RPC_MESSAGE_MAX, 1,
+	len = rpc_encode_call(per_message + RPC_MARK_BYTES, RPC_MESSAGE_MAX, 1,
 			      PEER_READ, (xdrproc_t)xdr_peer_read, &args, NULL);
-	rpc_write_mark(message, len);
+	rpc_write_mark(per_message, len);
 	len += RPC_MARK_BYTES;
-	RUN_UNTIL(((struct per_lws *)b.per)->conns);
-	setsockopt(((struct per_lws *)b.per)->conns->fd, SOL_SOCKET, SO_SNDBUF,
-		   &small, sizeof(small));
+	RUN_UNTIL(((struct per_lws *)node_b.per)->conns);
+	setsockopt(((struct per_lws *)node_b.per)->conns->fd, SOL_SOCKET,
+		   SO_SNDBUF, &small, sizeof(small));
 	for (int i = 0; i < UNREAD_CALLS; i++)
-		raw_send(fd, len);
-	run_for(50);
-	assert_in_range(b.served, 1, UNREAD_CALLS - 1);
+		per_raw_send(fd, len);
+	per_run_for(50);
+	assert_in_range(node_b.served, 1, UNREAD_CALLS - 1);
 	while (received < (size_t)UNREAD_CALLS * PEER_CHUNK_MAX) {
-		ssize_t n = raw_receive(fd, message, sizeof(message));
+		ssize_t n =
+			per_raw_receive(fd, per_message, sizeof(per_message));
 
 		assert_true(n > 0);
 		received += (size_t)n;
 	}
-	assert_int_equal(b.served, UNREAD_CALLS);
+	assert_int_equal(node_b.served, UNREAD_CALLS);
 	close(fd);
 }
 
@@ -173,42 +174,42 @@
 	struct per_address nobody = { 0 };
 
 	(void)state;
-	close(raw_listen(&nobody, 1));
+	close(per_raw_listen(&nobody, 1));
 	for (int i = 0; i < 5; i++)
-		per_notify(a.per, &nobody, PEER_DIGEST, &digest);
-	run_for(10);
-	per_notify(a.per, &b.address, PEER_DIGEST, &digest);
-	RUN_UNTIL(b.notices == 1);
-	per_notify(b.per, &a.address, PEER_DIGEST, &digest);
-	RUN_UNTIL(a.notices == 1);
+		per_notify(node_a.per, &nobody, PEER_DIGEST, &digest);
+	per_run_for(10);
+	per_notify(node_a.per, &node_b.address, PEER_DIGEST, &digest);
+	RUN_UNTIL(node_b.notices == 1);
+	per_notify(node_b.per, &node_a.address, PEER_DIGEST, &digest);
+	RUN_UNTIL(node_a.notices == 1);
 }
 
 static void random_bytes_do_no_harm(void **state)
 {
 	struct sockaddr_in addr;
-	int udp = raw_socket(SOCK_DGRAM, &addr, b.address.port);
+	int udp = per_raw_socket(SOCK_DGRAM, &addr, node_b.address.port);
 	unsigned int seed = RANDOM_SEED;
 
 	(void)state;
 	printf("seed %u, %d rounds\n", RANDOM_SEED, RANDOM_ROUNDS);
 	for (int i = 0; i < RANDOM_ROUNDS; i++) {
-		size_t len = hello_record((uint32_t)i, PEER_HELLO);
-		int fd = raw_connect(&b.address);
+		size_t len = per_hello_record((uint32_t)i, PEER_HELLO);
+		int fd = per_raw_connect(&node_b.address);
 
 		for (size_t k = 0; k < len; k++) {
 			if (rand_r(&seed) % 8 == 0)
-				message[k] = (uint8_t)rand_r(&seed);
+				per_message[k] = (uint8_t)rand_r(&seed);
 		}
-		raw_send(fd, len);
-		sendto(udp, message + RPC_MARK_BYTES, len - RPC_MARK_BYTES, 0,
-		       (struct sockaddr *)&addr, sizeof(addr));
-		lop_step(loop);
+		per_raw_send(fd, len);
+		sendto(udp, per_message + RPC_MARK_BYTES, len - RPC_MARK_BYTES,
+		       0, (struct sockaddr *)&addr, sizeof(addr));
+		lop_step(per_loop);
 		close(fd);
 	}
 	RUN_UNTIL(ctr_get(CTR_PEER_CONNECTIONS) == 0);
-	assert_int_equal(b.notices, 0);
+	assert_int_equal(node_b.notices, 0);
 	close(udp);
-	expect_hello_works();
+	per_expect_hello_works();
 }
 
 int main(void)
