net: pooled upstream client on libwebsockets

Each pooled connection has a vhost of its own, so that a kept connection is reused and no request waits for another. A failed or cancelled call closes its vhost in the next step of the loop; the place gets a new connection.

What libwebsockets 4.1.6 reports is not enough by itself:

- It takes the end of the connection for the last chunk and reports the response as complete.
The socket is looked at before each read, and a completion at its end without new bytes is UPS_BROKEN.
- "Unable to connect" is reported for every reason (errno 115 was seen).
A connection of our own finds out whether the address refuses; anything else is UPS_NOT_SENT.
UPS_NOT_SENT is reported only before the head is composed.
- A 204, a 304 and a response to HEAD are followed by a wait for a body.
The call ends with the head, and the connection is closed.
An interim response is taken for the final one and is UPS_LOST.

--- a/packages/net/src/htp_head.c
+++ b/packages/net/src/htp_head.c
@@ -59,7 +59,7 @@
 }
 
 /* Finds a header by its lower-case name with the colon. */
-static char *copy_header(struct lws *wsi, const char *name, int len)
+char *htp_copy_header(struct lws *wsi, const char *name, int len)
 {
 	for (int t = 0; t < WSI_TOKEN_COUNT; t++) {
 		const unsigned char *known =
@@ -253,7 +253,7 @@
 		return NULL;
 	memcpy(copy->name, name, len);
 	memcpy(copy->name + len, ":", 2);
-	copy->value = copy_header(r->conn->wsi, copy->name, (int)len + 1);
+	copy->value = htp_copy_header(r->conn->wsi, copy->name, (int)len + 1);
 	copy->next = req->copies;
 	req->copies = copy;
 	return copy->value;
--- a/packages/net/src/htp_int.h
+++ b/packages/net/src/htp_int.h
@@ -110,6 +110,9 @@
 	uint32_t sweep; /* timer */
 };
 
+/* Copies a header; name is in lower case with the colon. NULL if absent. */
+char *htp_copy_header(struct lws *wsi, const char *name, int len);
+
 /* Reads method, target and length; returns 0 or the status to refuse with. */
 int htp_head_read(struct htp_req *r);
 void htp_head_free(struct htp_req *r);
--- /dev/null
+++ b/packages/net/src/ups_call.c
@@ -0,0 +1,374 @@
+#include "htp_int.h"
+#include "ups_int.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Bytes of the response that are read at once. */
+#define READ_MAX 16384
+
+const char *const ups_response_headers[] = {
+	"content-type",	 "content-encoding", "etag",
+	"last-modified", "location",	     "cache-control",
+	"retry-after",	 "geranium-refused", NULL
+};
+
+/* Frees a call that no event is due for any more. */
+static void free_call(struct ups_call *c, bool good)
+{
+	struct ups_lws *u = c->pool;
+
+	tmr_cancel(lop_timers(u->loop), c->timer);
+	tmr_cancel(lop_timers(u->loop), c->report);
+	tab_remove(u->calls, c->handle);
+	if (c->probe_fd >= 0)
+		close(c->probe_fd);
+	if (c->wsi)
+		lws_set_opaque_user_data(c->wsi, NULL);
+	ups_slot_give(u, c->slot, good);
+	while (c->first) {
+		struct ups_piece *p = c->first;
+
+		c->first = p->next;
+		free(p);
+	}
+	free(c->method);
+	free(c->headers);
+	free(c);
+}
+
+/* Reports the whole response. */
+void ups_call_end(struct ups_call *c)
+{
+	const struct ups_events *events = c->events;
+	void *arg = c->arg;
+
+	/* After a response without a body the connection is not reused. */
+	free_call(c, c->completed);
+	events->end(arg);
+}
+
+/* Reports a failure that was found inside start(). */
+static void report_due(void *arg, uint64_t now_us)
+{
+	struct ups_call *c = arg;
+
+	(void)now_us;
+	c->report = 0;
+	ups_call_fail(c, c->why);
+}
+
+/* Reports a failure; the event is put off until start() has returned. */
+void ups_call_fail(struct ups_call *c, enum ups_failure why)
+{
+	const struct ups_events *events = c->events;
+	void *arg = c->arg;
+
+	if (c->starting || c->report) {
+		c->why = why;
+		if (!c->report)
+			c->report = tmr_at(lop_timers(c->pool->loop),
+					   lop_now_us(c->pool->loop),
+					   report_due, c);
+		return;
+	}
+	free_call(c, false);
+	events->failed(arg, why);
+}
+
+/* Closes the connection by destroying its vhost. */
+void ups_call_drop(struct ups_call *c)
+{
+	free_call(c, false);
+}
+
+/* Queues bytes of the request body, with chunk framing where it is due. */
+bool ups_call_queue(struct ups_call *c, const void *data, size_t len, bool end)
+{
+	bool chunked = c->length_out == HTP_LENGTH_UNKNOWN;
+	struct ups_piece *p = malloc(sizeof(*p) + LWS_PRE + len + 32);
+	unsigned char *at;
+
+	if (!p)
+		return false;
+	p->next = NULL;
+	at = p->bytes + LWS_PRE;
+	if (chunked && len > 0)
+		at += sprintf((char *)at, "%zx\r\n", len);
+	if (len > 0)
+		memcpy(at, data, len);
+	at += len;
+	if (chunked && len > 0)
+		at += sprintf((char *)at, "\r\n");
+	if (chunked && end)
+		at += sprintf((char *)at, "0\r\n\r\n");
+	p->len = (size_t)(at - p->bytes) - LWS_PRE;
+	if (c->last)
+		c->last->next = p;
+	else
+		c->first = p;
+	c->last = p;
+	c->queued += p->len;
+	c->body_end = end;
+	if (c->wsi && c->sent)
+		lws_callback_on_writable(c->wsi);
+	return true;
+}
+
+/* Adds the headers of the request. */
+static int on_handshake(struct ups_call *c, unsigned char **p, size_t len)
+{
+	unsigned char *end = *p + len;
+	const char *h = c->headers;
+	char length[24];
+
+	c->sent = true;
+	while (*h) {
+		const char *value = h + strlen(h) + 1;
+
+		if (lws_add_http_header_by_name(c->wsi,
+						(const unsigned char *)h,
+						(const unsigned char *)value,
+						(int)strlen(value), p, end))
+			return -1;
+		h = value + strlen(value) + 1;
+	}
+	if (c->length_out == HTP_LENGTH_UNKNOWN) {
+		if (lws_add_http_header_by_name(
+			    c->wsi, (const unsigned char *)"transfer-encoding:",
+			    (const unsigned char *)"chunked", 7, p, end))
+			return -1;
+	} else if (c->length_out > 0 || c->first) {
+		int n = sprintf(length, "%lld", c->length_out);
+
+		if (lws_add_http_header_by_name(
+			    c->wsi, (const unsigned char *)"content-length:",
+			    (const unsigned char *)length, n, p, end))
+			return -1;
+	}
+	if (c->length_out != 0) {
+		lws_client_http_body_pending(c->wsi, 1);
+		lws_callback_on_writable(c->wsi);
+	}
+	return 0;
+}
+
+/* Sends the next piece of the request body. */
+static int on_writable(struct ups_call *c)
+{
+	struct ups_piece *p = c->first;
+	int n;
+
+	if (p) {
+		c->first = p->next;
+		if (!c->first)
+			c->last = NULL;
+		c->queued -= p->len;
+		n = p->len ? lws_write(c->wsi, p->bytes + LWS_PRE, p->len,
+				       LWS_WRITE_HTTP) :
+			     0;
+		free(p);
+		if (n < 0)
+			return -1;
+	}
+	if (c->first) {
+		lws_callback_on_writable(c->wsi);
+	} else if (c->body_end) {
+		lws_client_http_body_pending(c->wsi, 0);
+	} else if (c->blocked && c->events->writable) {
+		c->blocked = false;
+		c->events->writable(c->arg);
+	}
+	return 0;
+}
+
+/* Copies the response headers that are passed on. */
+static size_t copy_headers(struct lws *wsi, struct htp_header *headers)
+{
+	char name[64];
+	size_t count = 0;
+
+	for (int i = 0; ups_response_headers[i]; i++) {
+		int n = snprintf(name, sizeof(name),
+				 "%s:", ups_response_headers[i]);
+
+		headers[count].value = htp_copy_header(wsi, name, n);
+		headers[count].name = ups_response_headers[i];
+		if (headers[count].value)
+			count++;
+	}
+	return count;
+}
+
+/* Finds out how the response body ends. */
+static void read_framing(struct ups_call *c, struct ups_response *r)
+{
+	char *length = htp_copy_header(c->wsi, "content-length:", 15);
+	char *coding = htp_copy_header(c->wsi, "transfer-encoding:", 18);
+
+	r->content_length = HTP_LENGTH_UNKNOWN;
+	c->chunked_in = coding != NULL;
+	if (length && !coding)
+		r->content_length = strtoll(length, NULL, 10);
+	free(length);
+	free(coding);
+	c->length_in = r->content_length;
+	c->no_body = r->status == 204 || r->status == 304 ||
+		     strcmp(c->method, "HEAD") == 0;
+}
+
+/* Reports the head; a response without a body ends with it. */
+static int on_established(struct ups_call *c)
+{
+	struct htp_header headers[UPS_HEADERS_MAX];
+	struct ups_response r = { .headers = headers };
+	uint32_t handle = c->handle;
+	struct ups_lws *u = c->pool;
+
+	r.status = (int)lws_http_client_http_response(c->wsi);
+	if (r.status < 200) /* an interim response ends the call here */
+		return -1;
+	r.header_count = copy_headers(c->wsi, headers);
+	read_framing(c, &r);
+	c->established = true;
+	c->events->head(c->arg, &r);
+	for (size_t i = 0; i < r.header_count; i++)
+		free((char *)headers[i].value);
+	if (tab_get(u->calls, handle) != c)
+		return -1;
+	if (c->no_body) {
+		ups_call_end(c);
+		return -1;
+	}
+	return 0;
+}
+
+/* Tells whether the response is known to be whole. */
+static bool is_whole(const struct ups_call *c, bool eof)
+{
+	if (!c->completed)
+		return false;
+	if (c->length_in != HTP_LENGTH_UNKNOWN)
+		return c->got == c->length_in;
+	/* libwebsockets takes the end of the connection for the last chunk. */
+	return c->chunked_in && (c->read_any || !eof);
+}
+
+/* Reads what has arrived. */
+static int on_receive(struct ups_call *c, struct lws *wsi)
+{
+	char buf[READ_MAX + LWS_PRE];
+	char *at = buf + LWS_PRE;
+	uint32_t handle = c->handle;
+	struct ups_lws *u = c->pool;
+	int len = READ_MAX;
+	char byte;
+	bool eof = recv(lws_get_socket_fd(wsi), &byte, 1,
+			MSG_PEEK | MSG_DONTWAIT) == 0;
+	int n;
+
+	c->read_any = false;
+	n = lws_http_client_read(wsi, &at, &len);
+	if (tab_get(u->calls, handle) != c)
+		return -1;
+	if (c->completed) {
+		if (is_whole(c, eof))
+			ups_call_end(c);
+		else
+			ups_call_fail(c, UPS_BROKEN);
+	}
+	return n < 0 ? -1 : 0;
+}
+
+/* Takes body bytes. */
+static int on_body(struct ups_call *c, const void *data, size_t len)
+{
+	struct ups_lws *u = c->pool;
+	uint32_t handle = c->handle;
+
+	c->read_any = true;
+	c->got += (long long)len;
+	c->events->body(c->arg, data, len);
+	return tab_get(u->calls, handle) == c ? 0 : -1;
+}
+
+/* The connection is gone before the response was whole. */
+static void on_gone(struct ups_call *c)
+{
+	if (c->completed && is_whole(c, false) &&
+	    c->length_in != HTP_LENGTH_UNKNOWN)
+		ups_call_end(c);
+	else if (c->established)
+		ups_call_fail(c, UPS_BROKEN);
+	else if (c->sent)
+		ups_call_fail(c, UPS_LOST);
+	else
+		ups_probe(c);
+}
+
+/* Handles an event of the connection of a call. */
+static int call_event(struct ups_call *c, struct lws *wsi,
+		      enum lws_callback_reasons reason, void *in, size_t len)
+{
+	c->wsi = wsi;
+	switch (reason) {
+	case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
+		return on_handshake(c, (unsigned char **)in, len);
+	case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
+		return on_writable(c);
+	case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
+		return on_established(c);
+	case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
+		return on_receive(c, wsi);
+	case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
+		return on_body(c, in, len);
+	case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
+		c->completed = true;
+		if (c->length_in == 0)
+			ups_call_end(c);
+		return 0;
+	case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+	case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
+	case LWS_CALLBACK_WSI_DESTROY:
+		lws_set_opaque_user_data(wsi, NULL);
+		c->wsi = NULL;
+		on_gone(c);
+		return 0;
+	default:
+		return 0;
+	}
+}
+
+/* Connections without a call are idle, or belong to a call that is over. */
+static int ups_callback(struct lws *wsi, enum lws_callback_reasons reason,
+			void *user, void *in, size_t len)
+{
+	struct ups_call *c;
+
+	(void)user;
+	switch (reason) {
+	case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
+	case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
+	case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
+	case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
+	case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
+		c = lws_get_opaque_user_data(wsi);
+		return c ? call_event(c, wsi, reason, in, len) : -1;
+	case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
+	case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+	case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
+	case LWS_CALLBACK_WSI_DESTROY:
+		c = lws_get_opaque_user_data(wsi);
+		return c ? call_event(c, wsi, reason, in, len) : 0;
+	default:
+		return 0;
+	}
+}
+
+const struct lws_protocols ups_protocols[] = {
+	{ "upstream", ups_callback, 0, 0, 0, NULL, 0 },
+	{ NULL, NULL, 0, 0, 0, NULL, 0 },
+};
--- /dev/null
+++ b/packages/net/tests/test_htp_ups.c
@@ -0,0 +1,225 @@
+/*
+ * Client and server against each other in one loop. Guards against a request
+ * that is reported as not run though it may have run, a body that is cut and
+ * reported as whole, and a fast request that waits for a slow one.
+ */
+
+#include "net_test.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ups.h"
+
+struct result {
+	struct ups *pool;
+	uint32_t call;
+	int status;
+	size_t heads;
+	size_t bytes;
+	bool ended;
+	bool failed;
+	enum ups_failure why;
+	char text[64];
+	char etag[16];
+	size_t *order; /* counts the calls that have ended */
+	size_t place;
+};
+
+static void on_head(void *arg, const struct ups_response *response)
+{
+	struct result *r = arg;
+
+	r->heads++;
+	r->status = response->status;
+	for (size_t i = 0; i < response->header_count; i++) {
+		if (strcmp(response->headers[i].name, "etag") == 0)
+			snprintf(r->etag, sizeof(r->etag), "%s",
+				 response->headers[i].value);
+	}
+}
+
+static void on_body(void *arg, const void *data, size_t len)
+{
+	struct result *r = arg;
+
+	if (r->bytes + len < sizeof(r->text))
+		memcpy(r->text + r->bytes, data, len);
+	r->bytes += len;
+}
+
+static void on_end(void *arg)
+{
+	struct result *r = arg;
+
+	assert_false(r->ended || r->failed);
+	r->ended = true;
+	if (r->order)
+		r->place = (*r->order)++;
+}
+
+static void on_failed(void *arg, enum ups_failure why)
+{
+	struct result *r = arg;
+
+	assert_false(r->ended || r->failed);
+	r->failed = true;
+	r->why = why;
+}
+
+static const struct ups_events events = { on_head, on_body, on_end, on_failed,
+					  NULL };
+
+static bool is_over(void *arg)
+{
+	struct result *r = arg;
+
+	return r->ended || r->failed;
+}
+
+static void begin(struct result *r, struct ups *pool, const char *method,
+		  const char *target, const char *body)
+{
+	struct ups_request req = { .method = method,
+				   .target = target,
+				   .content_length =
+					   body ? (long long)strlen(body) : 0,
+				   .first = body,
+				   .first_len = body ? strlen(body) : 0,
+				   .end = true,
+				   .timeout_us = PATIENCE_US };
+
+	memset(r, 0, sizeof(*r));
+	r->pool = pool;
+	r->call = ups_start(pool, &req, &events, r);
+	assert_true(r->call != 0);
+	assert_false(is_over(r));
+}
+
+static void calls_come_back_whole(void **state)
+{
+	struct app a;
+	struct result r;
+	struct ups *u;
+
+	(void)state;
+	app_open(&a, NULL);
+	u = ups_lws_create(a.loop, "127.0.0.1", htp_port(a.server), 4, NULL);
+	for (int i = 0; i < 50; i++) {
+		begin(&r, u, "GET", "/hello", NULL);
+		app_run(&a, is_over, &r);
+		assert_true(r.ended);
+		assert_int_equal(r.status, 200);
+		assert_string_equal(r.text, "hello");
+		assert_string_equal(r.etag, "\"1\"");
+		begin(&r, u, "POST", "/echo", "some text");
+		app_run(&a, is_over, &r);
+		assert_true(r.ended);
+		assert_string_equal(r.text, "some text");
+		begin(&r, u, "PUT", "/sink", "abc");
+		app_run(&a, is_over, &r);
+		assert_true(r.ended);
+		assert_string_equal(r.text, "got 3");
+	}
+	begin(&r, u, "GET", "/status?204", NULL);
+	app_run(&a, is_over, &r);
+	assert_true(r.ended && r.status == 204);
+	begin(&r, u, "HEAD", "/hello", NULL);
+	app_run(&a, is_over, &r);
+	assert_true(r.ended && r.bytes == 0);
+	begin(&r, u, "GET", "/big?3000000", NULL);
+	app_run(&a, is_over, &r);
+	assert_true(r.ended);
+	assert_int_equal(r.bytes, 3000000);
+	ups_destroy(u);
+	app_close(&a);
+}
+
+static void cut_responses_are_broken(void **state)
+{
+	struct app a;
+	struct result r;
+	struct ups *u;
+
+	(void)state;
+	app_open(&a, NULL);
+	u = ups_lws_create(a.loop, "127.0.0.1", htp_port(a.server), 4, NULL);
+	begin(&r, u, "GET", "/cut?100", NULL);
+	app_run(&a, is_over, &r);
+	assert_true(r.failed);
+	assert_int_equal(r.why, UPS_BROKEN);
+	begin(&r, u, "GET", "/cut?0", NULL);
+	app_run(&a, is_over, &r);
+	assert_true(r.failed);
+	assert_int_equal(r.why, UPS_BROKEN);
+	begin(&r, u, "GET", "/hello", NULL);
+	app_run(&a, is_over, &r);
+	assert_true(r.ended);
+	ups_destroy(u);
+	app_close(&a);
+}
+
+static void refused_is_told_from_lost(void **state)
+{
+	struct app a;
+	struct result r;
+	struct ups *u;
+
+	(void)state;
+	app_open(&a, NULL);
+	u = ups_lws_create(a.loop, "127.0.0.1", htp_port(a.server), 4, NULL);
+	begin(&r, u, "GET", "/hold", NULL);
+	while (!a.held)
+		lop_step(a.loop);
+	htp_abort(a.held);
+	app_run(&a, is_over, &r);
+	assert_true(r.failed);
+	assert_int_equal(r.why, UPS_LOST);
+	htp_stop_listening(a.server);
+	begin(&r, u, "GET", "/hello", NULL);
+	app_run(&a, is_over, &r);
+	assert_true(r.failed);
+	assert_int_equal(r.why, UPS_REFUSED);
+	ups_destroy(u);
+	app_close(&a);
+}
+
+#define CALLS 100
+
+static void fast_calls_pass_slow_ones(void **state)
+{
+	struct result r[CALLS];
+	struct app a;
+	struct ups *u;
+	size_t order = 0;
+
+	(void)state;
+	app_open(&a, NULL);
+	u = ups_lws_create(a.loop, "127.0.0.1", htp_port(a.server), CALLS,
+			   NULL);
+	for (int i = 0; i < CALLS; i++) {
+		begin(&r[i], u, "GET", i % 2 ? "/hello" : "/hold", NULL);
+		r[i].order = &order;
+	}
+	for (int i = 1; i < CALLS; i += 2)
+		app_run(&a, is_over, &r[i]);
+	for (int i = 0; i < CALLS; i += 2) {
+		assert_false(is_over(&r[i]));
+		ups_cancel(u, r[i].call);
+	}
+	ups_destroy(u);
+	app_close(&a);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(calls_come_back_whole),
+		cmocka_unit_test(cut_responses_are_broken),
+		cmocka_unit_test(refused_is_told_from_lost),
+		cmocka_unit_test(fast_calls_pass_slow_ones),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
