--- a/packages/net/src/htp.c
+++ b/packages/net/src/htp.c
@@ -107,8 +107,7 @@
 	} else if (!c->req) {
 		if (!c->used)
 			limit_ms = p->header_timeout_ms;
-	} else if (!c->req->first &&
-		   (c->req->body_done || c->req->paused)) {
+	} else if (!c->req->first && (c->req->body_done || c->req->paused)) {
 		return false; /* the user of the server is at work */
 	}
 	return now_us > c->progress_us &&
--- a/packages/net/src/htp_conn.c
+++ b/packages/net/src/htp_conn.c
@@ -4,6 +4,9 @@
 #include <string.h>
 #include <strings.h>
 
+/* Reports of the end of a body after which the connection is closed. */
+#define BODY_ENDS_MAX 8
+
 /* Adds a connection to the server's list. */
 struct htp_conn *htp_conn_add(struct htp *h, const char *peer)
 {
@@ -27,6 +30,7 @@
 {
 	struct htp *h = c->server;
 
+	tmr_cancel(lop_timers(h->loop), c->flow_timer);
 	htp_req_close(c, false);
 	if (c->next)
 		c->next->prev = c->prev;
@@ -53,12 +57,37 @@
 void htp_conn_flow(struct htp_conn *c)
 {
 	struct htp_req *r = c->req;
-	bool read = !c->lingering && (!r || c->finishing ||
-				      (!r->body_done && !r->paused));
+	bool read = !c->lingering &&
+		    (!r || c->finishing || (!r->body_done && !r->paused));
 
+	if (read != c->held_back)
+		return;
+	c->held_back = !read;
 	lws_rx_flow_control(c->wsi, read);
 }
 
+static void flow_due(void *arg, uint64_t now_us)
+{
+	struct htp_conn *c = arg;
+
+	(void)now_us;
+	c->flow_timer = 0;
+	htp_conn_flow(c);
+}
+
+/*
+ * The body callbacks of libwebsockets 4.1 are repeated without end when input
+ * is held back from inside them at the end of the body.
+ */
+static void flow_later(struct htp_conn *c)
+{
+	struct lop *l = c->server->loop;
+
+	if (!c->flow_timer && !c->req->ended)
+		c->flow_timer =
+			tmr_at(lop_timers(l), lop_now_us(l), flow_due, c);
+}
+
 /* Tells the user that the request is over and frees it. */
 void htp_req_close(struct htp_conn *c, bool complete)
 {
@@ -84,12 +113,11 @@
 
 	if (r->body_done || r->conn->aborted)
 		return;
-	if (end) {
-		r->body_done = true;
-		htp_conn_flow(r->conn);
-	}
+	r->body_done = end;
 	if (!r->ended)
 		h->ops->body(h->arg, r, data, len, end);
+	if (end)
+		flow_later(r->conn);
 }
 
 /* Takes a new request. */
@@ -165,10 +193,16 @@
 	return c->aborted ? -1 : 0;
 }
 
-/* The declared length has arrived; libwebsockets may say so twice. */
+/*
+ * The declared length has arrived. libwebsockets 4.1 says so twice for a body
+ * in two pieces, and without end when another request with a body waits behind
+ * this one; closing the connection is the only way out of that loop.
+ */
 static int on_body_end(struct htp_conn *c)
 {
-	if (c->req && c->req->content_length > 0)
+	if (!c->req || ++c->req->body_ends > BODY_ENDS_MAX)
+		return -1;
+	if (c->req->content_length > 0)
 		give_body(c->req, NULL, 0, true);
 	return c->aborted ? -1 : 0;
 }
--- a/packages/net/src/htp_head.c
+++ b/packages/net/src/htp_head.c
@@ -10,17 +10,17 @@
 #define NAME_MAX_LEN 64
 
 static const struct method {
-	enum lws_token_indexes token;
 	const char *name;
+	enum lws_token_indexes token;
 	bool has_body; /* libwebsockets waits for a body without a length */
 } methods[] = {
-	{ WSI_TOKEN_GET_URI, "GET", false },
-	{ WSI_TOKEN_POST_URI, "POST", true },
-	{ WSI_TOKEN_PUT_URI, "PUT", true },
-	{ WSI_TOKEN_DELETE_URI, "DELETE", false },
-	{ WSI_TOKEN_HEAD_URI, "HEAD", false },
-	{ WSI_TOKEN_PATCH_URI, "PATCH", true },
-	{ WSI_TOKEN_OPTIONS_URI, "OPTIONS", false },
+	{ "GET", WSI_TOKEN_GET_URI, false },
+	{ "POST", WSI_TOKEN_POST_URI, true },
+	{ "PUT", WSI_TOKEN_PUT_URI, true },
+	{ "DELETE", WSI_TOKEN_DELETE_URI, false },
+	{ "HEAD", WSI_TOKEN_HEAD_URI, false },
+	{ "PATCH", WSI_TOKEN_PATCH_URI, true },
+	{ "OPTIONS", WSI_TOKEN_OPTIONS_URI, false },
 };
 
 #define METHODS (sizeof(methods) / sizeof(methods[0]))
@@ -59,7 +59,7 @@
 }
 
 /* Finds a header by its lower-case name with the colon. */
-static char *copy_header(struct lws *wsi, const char *name, int len)
+char *htp_copy_header(struct lws *wsi, const char *name, int len)
 {
 	for (int t = 0; t < WSI_TOKEN_COUNT; t++) {
 		const unsigned char *known =
@@ -253,7 +253,7 @@
 		return NULL;
 	memcpy(copy->name, name, len);
 	memcpy(copy->name + len, ":", 2);
-	copy->value = copy_header(r->conn->wsi, copy->name, (int)len + 1);
+	copy->value = htp_copy_header(r->conn->wsi, copy->name, (int)len + 1);
 	copy->next = req->copies;
 	req->copies = copy;
 	return copy->value;
--- a/packages/net/src/htp_int.h
+++ b/packages/net/src/htp_int.h
@@ -57,6 +57,8 @@
 	struct htp_conn *prev;
 	struct htp_req *req; /* NULL between requests */
 	uint64_t progress_us; /* when the caller last sent or took bytes */
+	uint32_t flow_timer;
+	bool held_back; /* libwebsockets does not read */
 	bool used; /* a request has arrived on it */
 	bool close_after; /* no further request can follow this one */
 	bool lingering; /* answered; the rest of the request is discarded */
@@ -76,6 +78,7 @@
 	long long content_length;
 	struct chk chunks;
 	bool hidden; /* refused before the user was told of it */
+	unsigned int body_ends; /* reports of the end of the body */
 	bool body_done; /* the whole body has arrived */
 	bool paused;
 	bool responded;
@@ -107,6 +110,9 @@
 	uint32_t sweep; /* timer */
 };
 
+/* Copies a header; name is in lower case with the colon. NULL if absent. */
+char *htp_copy_header(struct lws *wsi, const char *name, int len);
+
 /* Reads method, target and length; returns 0 or the status to refuse with. */
 int htp_head_read(struct htp_req *r);
 void htp_head_free(struct htp_req *r);
--- a/packages/net/src/htp_out.c
+++ b/packages/net/src/htp_out.c
@@ -129,8 +129,7 @@
 static bool append_framing(const struct htp_req *r, char *head, size_t *len,
 			   int status, long long content_length)
 {
-	if (r->conn->close_after &&
-	    !append(head, len, "connection: close\r\n"))
+	if (r->conn->close_after && !append(head, len, "connection: close\r\n"))
 		return false;
 	if (status == 204 || status == 304)
 		return append(head, len, "\r\n");
@@ -177,6 +176,57 @@
 	return ok;
 }
 
+/* Removes bytes that have been sent from the queue. */
+static void drop_sent(struct htp_req *r, size_t n)
+{
+	struct htp_piece *p = r->first;
+
+	p->sent += n;
+	r->queued -= n;
+	if (p->sent < p->len)
+		return;
+	r->first = p->next;
+	if (!r->first)
+		r->last = NULL;
+	free(p);
+}
+
+/*
+ * Sends on the socket itself: while input is held back with
+ * lws_rx_flow_control(), libwebsockets 4.1 reports no writable socket either,
+ * so that lws_write() could not be used for a response to a paused request.
+ */
+void htp_out_flush(struct htp_conn *c)
+{
+	struct htp_req *r = c->req;
+
+	while (r->first && !c->aborted) {
+		struct htp_piece *p = r->first;
+		ssize_t n = send(lws_get_socket_fd(c->wsi), p->bytes + p->sent,
+				 p->len - p->sent, MSG_NOSIGNAL);
+
+		if (n < 0 && errno == EAGAIN)
+			return;
+		if (n < 0) {
+			htp_conn_kill(c);
+			return;
+		}
+		drop_sent(r, (size_t)n);
+		c->progress_us = lop_now_us(c->server->loop);
+	}
+}
+
+/*
+ * The last bytes are sent from the callback that also ends the request: a next
+ * request that arrived before its end would count as pipelined.
+ */
+static void finish_later(struct htp_conn *c)
+{
+	c->finishing = true;
+	htp_conn_flow(c);
+	lws_callback_on_writable(c->wsi);
+}
+
 /* Queues the head and sends what the socket takes. */
 bool htp_respond(struct htp_req *r, int status,
 		 const struct htp_header *headers, size_t count,
@@ -204,7 +254,8 @@
 		int n = snprintf(size, sizeof(size), "%zx\r\n", len);
 
 		if (!htp_out_queue(r, size, (size_t)n) ||
-		    !htp_out_queue(r, data, len) || !htp_out_queue(r, "\r\n", 2))
+		    !htp_out_queue(r, data, len) ||
+		    !htp_out_queue(r, "\r\n", 2))
 			return false;
 	}
 	return !end || htp_out_queue(r, "0\r\n\r\n", 5);
@@ -220,7 +271,10 @@
 		return false;
 	}
 	r->ended = end;
-	htp_out_flush(r->conn);
+	if (end)
+		finish_later(r->conn);
+	else
+		htp_out_flush(r->conn);
 	r->blocked = r->queued > HTP_BUFFER_MAX;
 	return !r->blocked;
 }
@@ -244,51 +298,6 @@
 	htp_reply(r, status, headers, 1, NULL, 0);
 }
 
-/* Removes bytes that have been sent from the queue. */
-static void drop_sent(struct htp_req *r, size_t n)
-{
-	struct htp_piece *p = r->first;
-
-	p->sent += n;
-	r->queued -= n;
-	if (p->sent < p->len)
-		return;
-	r->first = p->next;
-	if (!r->first)
-		r->last = NULL;
-	free(p);
-}
-
-/*
- * Sends on the socket itself: while input is held back with
- * lws_rx_flow_control(), libwebsockets 4.1 reports no writable socket either,
- * so that lws_write() could not be used for a response to a paused request.
- */
-void htp_out_flush(struct htp_conn *c)
-{
-	struct htp_req *r = c->req;
-
-	while (r->first && !c->aborted) {
-		struct htp_piece *p = r->first;
-		ssize_t n = send(lws_get_socket_fd(c->wsi), p->bytes + p->sent,
-				 p->len - p->sent, MSG_NOSIGNAL);
-
-		if (n < 0 && errno == EAGAIN)
-			return;
-		if (n < 0) {
-			htp_conn_kill(c);
-			return;
-		}
-		drop_sent(r, (size_t)n);
-		c->progress_us = lop_now_us(c->server->loop);
-	}
-	if (r->ended && !c->aborted && !c->finishing) {
-		c->finishing = true;
-		htp_conn_flow(c);
-		lws_callback_on_writable(c->wsi);
-	}
-}
-
 /* Goes on sending and lets the user go on writing. */
 void htp_out_writable(struct htp_conn *c)
 {
@@ -296,8 +305,12 @@
 
 	if (!r || c->aborted || !r->first)
 		return;
+	if (r->ended) {
+		finish_later(c);
+		return;
+	}
 	htp_out_flush(c);
-	if (r->first || !r->blocked || r->ended || c->aborted)
+	if (r->first || !r->blocked || c->aborted)
 		return;
 	r->blocked = false;
 	c->server->ops->writable(c->server->arg, r);
@@ -308,7 +321,14 @@
 {
 	bool body_done = c->req->body_done;
 
+	htp_out_flush(c);
 	c->finishing = false;
+	if (c->aborted)
+		return -1;
+	if (c->req->first) {
+		htp_conn_flow(c);
+		return 0;
+	}
 	htp_req_close(c, true);
 	if (!body_done) {
 		/*
--- a/packages/net/src/htp_watch.c
+++ b/packages/net/src/htp_watch.c
@@ -44,7 +44,7 @@
 /* Takes all connections that wait; those over the limit are closed. */
 void htp_accept(struct htp *h)
 {
-	struct sockaddr_storage from;
+	struct sockaddr_storage from = { 0 };
 	const void *ip;
 	char peer[INET6_ADDRSTRLEN];
 	socklen_t len;
@@ -141,9 +141,8 @@
 /* Reports each change once; closing the socket ends the subscription. */
 bool htp_watch_add(struct htp_conn *c, int fd)
 {
-	struct epoll_event event = {
-		.events = EPOLLOUT | EPOLLRDHUP | EPOLLET
-	};
+	struct epoll_event event = { .events =
+					     EPOLLOUT | EPOLLRDHUP | EPOLLET };
 
 	event.data.ptr = c;
 	return epoll_ctl(c->server->hangup_fd, EPOLL_CTL_ADD, fd, &event) == 0;
--- a/packages/net/src/lop.c
+++ b/packages/net/src/lop.c
@@ -25,10 +25,15 @@
 	bool stopped;
 };
 
-/* Nothing to do: the wake-up itself lets the loop run the timers. */
+/*
+ * libwebsockets may run this just before it polls, and would then wait for its
+ * own next timer; the event makes the poll return at once.
+ */
 static void on_wake(lws_sorted_usec_list_t *sul)
 {
-	(void)sul;
+	struct lop *l = lws_container_of(sul, struct lop, wake);
+
+	lws_cancel_service(l->context);
 }
 
 /* Lets libwebsockets wake up when the next timer is due. */
--- a/packages/net/src/ups_call.c
+++ b/packages/net/src/ups_call.c
@@ -1,344 +1,374 @@
+#include "htp_int.h"
 #include "ups_int.h"
 
-#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
-#define CHUNK_HEAD_MAX 16
-#define HTTP_NO_CONTENT 204
-#define HTTP_NOT_MODIFIED 304
-#define NUMBER_MAX 24
-#define VALUE_MAX 1024 /* bytes of a response header that is passed on */
+/* Bytes of the response that are read at once. */
+#define READ_MAX 16384
 
-/* Takes the call off its slot and frees it. */
-void ups_call_destroy(struct call *c)
+const char *const ups_response_headers[] = {
+	"content-type",	 "content-encoding", "etag",
+	"last-modified", "location",	     "cache-control",
+	"retry-after",	 "geranium-refused", NULL
+};
+
+/* Frees a call that no event is due for any more. */
+static void free_call(struct ups_call *c, bool good)
 {
-	tmr_cancel(lop_timers(c->pool->loop), c->timer);
-	tab_remove(c->pool->calls, c->handle);
-	if (c->slot->call == c)
-		c->slot->call = NULL;
-	free(c->body);
-	free(c->head);
+	struct ups_lws *u = c->pool;
+
+	tmr_cancel(lop_timers(u->loop), c->timer);
+	tmr_cancel(lop_timers(u->loop), c->report);
+	tab_remove(u->calls, c->handle);
+	if (c->probe_fd >= 0)
+		close(c->probe_fd);
+	if (c->wsi)
+		lws_set_opaque_user_data(c->wsi, NULL);
+	ups_slot_give(u, c->slot, good);
+	while (c->first) {
+		struct ups_piece *p = c->first;
+
+		c->first = p->next;
+		free(p);
+	}
+	free(c->method);
+	free(c->headers);
 	free(c);
 }
 
-/* The connection is closed by the loop; the slot waits for that. */
-void ups_call_detach(struct call *c)
+/* Reports the whole response. */
+void ups_call_end(struct ups_call *c)
 {
-	if (!c->wsi)
-		return;
-	lws_set_opaque_user_data(c->wsi, NULL);
-	c->slot->dying = c->wsi;
-	lws_set_timeout(c->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
-	c->wsi = NULL;
+	const struct ups_events *events = c->events;
+	void *arg = c->arg;
+
+	/* After a response without a body the connection is not reused. */
+	free_call(c, c->completed);
+	events->end(arg);
 }
 
-static void deliver_failure(void *arg, uint64_t now_us)
+/* Reports a failure that was found inside start(). */
+static void report_due(void *arg, uint64_t now_us)
 {
-	struct call *c = arg;
-	const struct ups_events *events = c->events;
-	enum ups_failure why = c->failure;
-	void *user = c->arg;
+	struct ups_call *c = arg;
 
 	(void)now_us;
-	c->timer = 0;
-	ups_call_destroy(c);
-	events->failed(user, why);
+	c->report = 0;
+	ups_call_fail(c, c->why);
 }
 
-/* The event is delivered by a timer, as start() may be on the stack. */
-void ups_call_fail(struct call *c, enum ups_failure why)
+/* Reports a failure; the event is put off until start() has returned. */
+void ups_call_fail(struct ups_call *c, enum ups_failure why)
 {
-	struct tmr *timers = lop_timers(c->pool->loop);
+	const struct ups_events *events = c->events;
+	void *arg = c->arg;
 
-	if (c->over)
+	if (c->starting || c->report) {
+		c->why = why;
+		if (!c->report)
+			c->report = tmr_at(lop_timers(c->pool->loop),
+					   lop_now_us(c->pool->loop),
+					   report_due, c);
 		return;
-	c->over = true;
-	c->failure = why;
-	ups_call_detach(c);
-	tmr_cancel(timers, c->timer);
-	c->timer =
-		tmr_at(timers, lop_now_us(c->pool->loop), deliver_failure, c);
+	}
+	free_call(c, false);
+	events->failed(arg, why);
+}
+
+/* Closes the connection by destroying its vhost. */
+void ups_call_drop(struct ups_call *c)
+{
+	free_call(c, false);
 }
 
-static bool add_header(struct lws *wsi, const char *name, const char *value,
-		       unsigned char **at, unsigned char *end)
+/* Queues bytes of the request body, with chunk framing where it is due. */
+bool ups_call_queue(struct ups_call *c, const void *data, size_t len, bool end)
 {
-	return lws_add_http_header_by_name(wsi, (const unsigned char *)name,
-					   (const unsigned char *)value,
-					   (int)strlen(value), at, end) == 0;
+	bool chunked = c->length_out == HTP_LENGTH_UNKNOWN;
+	struct ups_piece *p = malloc(sizeof(*p) + LWS_PRE + len + 32);
+	unsigned char *at;
+
+	if (!p)
+		return false;
+	p->next = NULL;
+	at = p->bytes + LWS_PRE;
+	if (chunked && len > 0)
+		at += sprintf((char *)at, "%zx\r\n", len);
+	if (len > 0)
+		memcpy(at, data, len);
+	at += len;
+	if (chunked && len > 0)
+		at += sprintf((char *)at, "\r\n");
+	if (chunked && end)
+		at += sprintf((char *)at, "0\r\n\r\n");
+	p->len = (size_t)(at - p->bytes) - LWS_PRE;
+	if (c->last)
+		c->last->next = p;
+	else
+		c->first = p;
+	c->last = p;
+	c->queued += p->len;
+	c->body_end = end;
+	if (c->wsi && c->sent)
+		lws_callback_on_writable(c->wsi);
+	return true;
 }
 
-/* Adds our headers to those of libwebsockets; a byte may leave from now on. */
-static int append_headers(struct call *c, struct lws *wsi, void *in, size_t len)
+/* Adds the headers of the request. */
+static int on_handshake(struct ups_call *c, unsigned char **p, size_t len)
 {
-	unsigned char **at = in;
-	unsigned char *end = *at + len;
-	const char *h = c->target + strlen(c->target) + 1;
-	char number[NUMBER_MAX];
-	bool has_body = c->request_length != 0;
-	bool ok = true;
-
-	for (size_t i = 0; i < c->header_count && ok; i++) {
+	unsigned char *end = *p + len;
+	const char *h = c->headers;
+	char length[24];
+
+	c->sent = true;
+	while (*h) {
 		const char *value = h + strlen(h) + 1;
 
-		ok = add_header(wsi, h, value, at, end);
+		if (lws_add_http_header_by_name(c->wsi,
+						(const unsigned char *)h,
+						(const unsigned char *)value,
+						(int)strlen(value), p, end))
+			return -1;
 		h = value + strlen(value) + 1;
 	}
-	if (c->request_length > 0 ||
-	    (c->request_length == 0 && strcmp(c->method, "GET") != 0)) {
-		snprintf(number, sizeof(number), "%lld", c->request_length);
-		ok = ok && add_header(wsi, "content-length:", number, at, end);
-	} else if (has_body) {
-		ok = ok &&
-		     add_header(wsi, "transfer-encoding:", "chunked", at, end);
+	if (c->length_out == HTP_LENGTH_UNKNOWN) {
+		if (lws_add_http_header_by_name(
+			    c->wsi, (const unsigned char *)"transfer-encoding:",
+			    (const unsigned char *)"chunked", 7, p, end))
+			return -1;
+	} else if (c->length_out > 0 || c->first) {
+		int n = sprintf(length, "%lld", c->length_out);
+
+		if (lws_add_http_header_by_name(
+			    c->wsi, (const unsigned char *)"content-length:",
+			    (const unsigned char *)length, n, p, end))
+			return -1;
 	}
-	if (!ok)
-		return -1;
-	c->sent = true;
-	c->body_sent = !has_body;
-	if (has_body) {
-		lws_client_http_body_pending(wsi, 1);
-		lws_callback_on_writable(wsi);
+	if (c->length_out != 0) {
+		lws_client_http_body_pending(c->wsi, 1);
+		lws_callback_on_writable(c->wsi);
 	}
 	return 0;
 }
 
-/* Writes what waits of the body, framed as a chunk if it has no length. */
-static int write_body(struct call *c, struct lws *wsi)
+/* Sends the next piece of the request body. */
+static int on_writable(struct ups_call *c)
 {
-	bool chunked = c->request_length < 0;
-	unsigned char small[LWS_PRE + CHUNK_HEAD_MAX];
-	bool end = c->body_end;
+	struct ups_piece *p = c->first;
 	int n;
 
-	if (c->body_sent)
-		return 0;
-	if (chunked && c->body_len) {
-		n = snprintf((char *)small + LWS_PRE, CHUNK_HEAD_MAX, "%zx\r\n",
-			     c->body_len);
-		if (lws_write(wsi, small + LWS_PRE, (size_t)n, LWS_WRITE_HTTP) <
-		    0)
+	if (p) {
+		c->first = p->next;
+		if (!c->first)
+			c->last = NULL;
+		c->queued -= p->len;
+		n = p->len ? lws_write(c->wsi, p->bytes + LWS_PRE, p->len,
+				       LWS_WRITE_HTTP) :
+			     0;
+		free(p);
+		if (n < 0)
 			return -1;
 	}
-	if (c->body_len && lws_write(wsi, c->body + LWS_PRE, c->body_len,
-				     LWS_WRITE_HTTP) < (int)c->body_len)
-		return -1;
-	if (chunked && (c->body_len || end)) {
-		n = snprintf((char *)small + LWS_PRE, CHUNK_HEAD_MAX, "%s%s",
-			     c->body_len ? "\r\n" : "", end ? "0\r\n\r\n" : "");
-		if (lws_write(wsi, small + LWS_PRE, (size_t)n, LWS_WRITE_HTTP) <
-		    0)
-			return -1;
-	}
-	c->body_len = 0;
-	if (end) {
-		c->body_sent = true;
-		lws_client_http_body_pending(wsi, 0);
-	} else if (c->events->writable) {
-		c->wants_room = false;
+	if (c->first) {
+		lws_callback_on_writable(c->wsi);
+	} else if (c->body_end) {
+		lws_client_http_body_pending(c->wsi, 0);
+	} else if (c->blocked && c->events->writable) {
+		c->blocked = false;
 		c->events->writable(c->arg);
 	}
 	return 0;
 }
 
-/* Copies one response header; true if it is there. */
-static bool copy_header(struct lws *wsi, const char *name, char *out,
-			size_t size)
+/* Copies the response headers that are passed on. */
+static size_t copy_headers(struct lws *wsi, struct htp_header *headers)
 {
-	char with_colon[64];
-	int len = snprintf(with_colon, sizeof(with_colon), "%s:", name);
+	char name[64];
+	size_t count = 0;
 
-	for (int t = 0; t < WSI_TOKEN_COUNT; t++) {
-		const unsigned char *known =
-			lws_token_to_string((enum lws_token_indexes)t);
+	for (int i = 0; ups_response_headers[i]; i++) {
+		int n = snprintf(name, sizeof(name),
+				 "%s:", ups_response_headers[i]);
 
-		if (known && strcmp((const char *)known, with_colon) == 0)
-			return lws_hdr_copy(wsi, out, (int)size,
-					    (enum lws_token_indexes)t) > 0;
+		headers[count].value = htp_copy_header(wsi, name, n);
+		headers[count].name = ups_response_headers[i];
+		if (headers[count].value)
+			count++;
 	}
-	return lws_hdr_custom_copy(wsi, out, (int)size, with_colon, len) > 0;
+	return count;
 }
 
-static void read_length(struct call *c, struct lws *wsi)
+/* Finds out how the response body ends. */
+static void read_framing(struct ups_call *c, struct ups_response *r)
 {
-	char value[NUMBER_MAX];
-
-	if (lws_hdr_copy(wsi, value, sizeof(value),
-			 WSI_TOKEN_HTTP_CONTENT_LENGTH) > 0)
-		c->content_length = strtoll(value, NULL, 10);
-	c->chunked =
-		lws_hdr_total_length(wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0;
+	char *length = htp_copy_header(c->wsi, "content-length:", 15);
+	char *coding = htp_copy_header(c->wsi, "transfer-encoding:", 18);
+
+	r->content_length = HTP_LENGTH_UNKNOWN;
+	c->chunked_in = coding != NULL;
+	if (length && !coding)
+		r->content_length = strtoll(length, NULL, 10);
+	free(length);
+	free(coding);
+	c->length_in = r->content_length;
+	c->no_body = r->status == 204 || r->status == 304 ||
+		     strcmp(c->method, "HEAD") == 0;
 }
 
-/* The head of the response has arrived. */
-static int take_head(struct call *c, struct lws *wsi)
+/* Reports the head; a response without a body ends with it. */
+static int on_established(struct ups_call *c)
 {
 	struct htp_header headers[UPS_HEADERS_MAX];
-	char values[UPS_HEADERS_MAX][VALUE_MAX];
-	struct ups_response response = { .headers = headers };
+	struct ups_response r = { .headers = headers };
 	uint32_t handle = c->handle;
-	struct tab *calls = c->pool->calls;
+	struct ups_lws *u = c->pool;
 
-	c->head_seen = true;
-	c->status = (int)lws_http_client_http_response(wsi);
-	read_length(c, wsi);
-	for (int i = 0; ups_response_headers[i]; i++) {
-		if (!copy_header(wsi, ups_response_headers[i],
-				 values[response.header_count], VALUE_MAX))
-			continue;
-		headers[response.header_count].name = ups_response_headers[i];
-		headers[response.header_count].value =
-			values[response.header_count];
-		response.header_count++;
-	}
-	response.status = c->status;
-	response.content_length = c->content_length;
-	c->events->head(c->arg, &response);
-	if (!tab_get(calls, handle))
+	r.status = (int)lws_http_client_http_response(c->wsi);
+	if (r.status < 200) /* an interim response ends the call here */
+		return -1;
+	r.header_count = copy_headers(c->wsi, headers);
+	read_framing(c, &r);
+	c->established = true;
+	c->events->head(c->arg, &r);
+	for (size_t i = 0; i < r.header_count; i++)
+		free((char *)headers[i].value);
+	if (tab_get(u->calls, handle) != c)
 		return -1;
-	if (c->paused)
-		lws_rx_flow_control(wsi, 0);
+	if (c->no_body) {
+		ups_call_end(c);
+		return -1;
+	}
 	return 0;
 }
 
-/* Lets libwebsockets read; the data come back as another reason. */
-static int read_body(struct call *c, struct lws *wsi)
+/* Tells whether the response is known to be whole. */
+static bool is_whole(const struct ups_call *c, bool eof)
 {
-	char *at = (char *)c->pool->read_buf + LWS_PRE;
-	int len = UPS_READ_BYTES;
-
-	if (c->paused)
-		return 0;
-	return lws_http_client_read(wsi, &at, &len) < 0 ? -1 : 0;
+	if (!c->completed)
+		return false;
+	if (c->length_in != HTP_LENGTH_UNKNOWN)
+		return c->got == c->length_in;
+	/* libwebsockets takes the end of the connection for the last chunk. */
+	return c->chunked_in && (c->read_any || !eof);
 }
 
-static int take_body(struct call *c, const void *data, size_t len)
+/* Reads what has arrived. */
+static int on_receive(struct ups_call *c, struct lws *wsi)
 {
+	char buf[READ_MAX + LWS_PRE];
+	char *at = buf + LWS_PRE;
 	uint32_t handle = c->handle;
-	struct tab *calls = c->pool->calls;
-
-	c->received += (long long)len;
-	c->events->body(c->arg, data, len);
-	return tab_get(calls, handle) ? 0 : -1;
-}
-
-/*
- * True if the body is proved to be whole: by its length, by its last chunk, or
- * because there is none. A body that only ends with the connection may be cut.
- */
-static bool is_whole(const struct call *c)
-{
-	if (c->is_head || c->status == HTTP_NO_CONTENT ||
-	    c->status == HTTP_NOT_MODIFIED || c->chunked)
-		return true;
-	return c->received == c->content_length;
-}
-
-/* The transaction is complete; the connection may be kept. */
-static int complete(struct call *c, struct lws *wsi)
-{
-	const struct ups_events *events = c->events;
-	bool reusable = c->body_sent;
-	void *arg = c->arg;
+	struct ups_lws *u = c->pool;
+	int len = READ_MAX;
+	char byte;
+	bool eof = recv(lws_get_socket_fd(wsi), &byte, 1,
+			MSG_PEEK | MSG_DONTWAIT) == 0;
+	int n;
 
-	if (c->over)
-		return -1;
-	if (!c->head_seen || !is_whole(c)) {
-		ups_call_fail(c, c->head_seen ? UPS_BROKEN : UPS_LOST);
+	c->read_any = false;
+	n = lws_http_client_read(wsi, &at, &len);
+	if (tab_get(u->calls, handle) != c)
 		return -1;
+	if (c->completed) {
+		if (is_whole(c, eof))
+			ups_call_end(c);
+		else
+			ups_call_fail(c, UPS_BROKEN);
 	}
-	lws_set_opaque_user_data(wsi, NULL);
-	c->wsi = NULL;
-	c->slot->kept = reusable;
-	if (!reusable)
-		c->slot->dying = wsi;
-	ups_call_destroy(c);
-	events->end(arg);
-	return reusable ? 0 : -1;
-}
-
-/* The connection failed before a head; in is the text of the reason. */
-static void fail_connection(struct call *c, const char *reason)
-{
-	c->wsi = NULL;
-	c->refused = errno == ECONNREFUSED ||
-		     (reason && strstr(reason, "111") != NULL);
-	if (c->sent)
-		ups_call_fail(c, c->head_seen ? UPS_BROKEN : UPS_LOST);
-	else
-		ups_call_fail(c, c->refused ? UPS_REFUSED : UPS_NOT_SENT);
+	return n < 0 ? -1 : 0;
 }
 
-static void forget_connection(struct lws *wsi)
+/* Takes body bytes. */
+static int on_body(struct ups_call *c, const void *data, size_t len)
 {
-	struct lws_vhost *vhost = lws_get_vhost(wsi);
-	struct slot *s = vhost ? lws_vhost_user(vhost) : NULL;
+	struct ups_lws *u = c->pool;
+	uint32_t handle = c->handle;
 
-	if (s && s->dying == wsi)
-		s->dying = NULL;
+	c->read_any = true;
+	c->got += (long long)len;
+	c->events->body(c->arg, data, len);
+	return tab_get(u->calls, handle) == c ? 0 : -1;
 }
 
-static void forget_vhost(struct lws *wsi)
+/* The connection is gone before the response was whole. */
+static void on_gone(struct ups_call *c)
 {
-	struct slot *s = lws_vhost_user(lws_get_vhost(wsi));
-
-	ups_vhost_gone(s->pool);
+	if (c->completed && is_whole(c, false) &&
+	    c->length_in != HTP_LENGTH_UNKNOWN)
+		ups_call_end(c);
+	else if (c->established)
+		ups_call_fail(c, UPS_BROKEN);
+	else if (c->sent)
+		ups_call_fail(c, UPS_LOST);
+	else
+		ups_probe(c);
 }
 
-static int call_event(struct call *c, struct lws *wsi,
+/* Handles an event of the connection of a call. */
+static int call_event(struct ups_call *c, struct lws *wsi,
 		      enum lws_callback_reasons reason, void *in, size_t len)
 {
+	c->wsi = wsi;
 	switch (reason) {
 	case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
-		c->wsi = wsi;
-		return append_headers(c, wsi, in, len);
+		return on_handshake(c, (unsigned char **)in, len);
 	case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-		return write_body(c, wsi);
+		return on_writable(c);
 	case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
-		return take_head(c, wsi);
+		return on_established(c);
 	case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-		return read_body(c, wsi);
+		return on_receive(c, wsi);
 	case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-		return take_body(c, in, len);
+		return on_body(c, in, len);
 	case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-		return complete(c, wsi);
+		c->completed = true;
+		if (c->length_in == 0)
+			ups_call_end(c);
+		return 0;
 	case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
 	case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
-		fail_connection(c, in);
+	case LWS_CALLBACK_WSI_DESTROY:
+		lws_set_opaque_user_data(wsi, NULL);
+		c->wsi = NULL;
+		on_gone(c);
 		return 0;
 	default:
 		return 0;
 	}
 }
 
-/* The callback of libwebsockets for all connections of all pools. */
-int ups_callback(struct lws *wsi, enum lws_callback_reasons reason, void *user,
-		 void *in, size_t len)
+/* Connections without a call are idle, or belong to a call that is over. */
+static int ups_callback(struct lws *wsi, enum lws_callback_reasons reason,
+			void *user, void *in, size_t len)
 {
-	struct call *c = wsi ? lws_get_opaque_user_data(wsi) : NULL;
+	struct ups_call *c;
 
 	(void)user;
 	switch (reason) {
-	case LWS_CALLBACK_PROTOCOL_DESTROY:
-		forget_vhost(wsi);
-		return 0;
-	case LWS_CALLBACK_WSI_DESTROY:
-		forget_connection(wsi);
-		return 0;
 	case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
 	case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
 	case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
 	case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
 	case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-		/* A connection whose call was cancelled is closed. */
+		c = lws_get_opaque_user_data(wsi);
 		return c ? call_event(c, wsi, reason, in, len) : -1;
 	case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
 	case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
 	case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
+	case LWS_CALLBACK_WSI_DESTROY:
+		c = lws_get_opaque_user_data(wsi);
 		return c ? call_event(c, wsi, reason, in, len) : 0;
 	default:
 		return 0;
 	}
 }
+
+const struct lws_protocols ups_protocols[] = {
+	{ "upstream", ups_callback, 0, 0, 0, NULL, 0 },
+	{ NULL, NULL, 0, 0, 0, NULL, 0 },
+};
--- a/packages/net/src/ups_int.h
+++ b/packages/net/src/ups_int.h
@@ -1,88 +1,97 @@
 #ifndef UPS_INT_H
 #define UPS_INT_H
 
-/* What the files of the HTTP client share. */
+/* What the source files of the upstream client share. */
 
 #include "tab.h"
 #include "ups.h"
 
-#define UPS_HEADERS_MAX 16 /* response headers that are passed on */
-#define UPS_READ_BYTES 65536
+#define UPS_VALUES_MAX 4096 /* bytes of response headers passed on */
+#define UPS_HEADERS_MAX 16
 
-/* Bytes of a request body that may wait before write() returns false. */
-#define UPS_BUFFER_MAX 131072
+/* Bytes of a request body that wait to be sent. */
+struct ups_piece {
+	struct ups_piece *next;
+	size_t len;
+	unsigned char bytes[]; /* LWS_PRE bytes of room, then the data */
+};
 
 /*
- * A place for one connection. It has a vhost of its own, as libwebsockets
- * queues a request behind a slow one on the same vhost.
+ * A pooled connection. Each has a vhost of its own: libwebsockets reuses a kept
+ * connection of the same vhost only, so that no request waits for another.
  */
-struct slot {
-	struct pool *pool;
+struct ups_slot {
+	struct ups_slot *next;
 	struct lws_vhost *vhost;
-	struct call *call; /* the request in progress, NULL if there is none */
-	struct lws *dying; /* a connection that is being closed */
-	bool kept; /* an idle connection may be open */
+	bool bad; /* to be closed at the next purge */
+	struct ups_call *call; /* NULL while it is free */
+	uint64_t used_us;
 };
 
-struct call {
-	struct pool *pool;
-	struct slot *slot;
+struct ups_lws;
+
+struct ups_call {
+	struct ups_lws *pool;
+	struct ups_slot *slot;
 	struct lws *wsi;
-	uint32_t handle;
-	uint32_t timer;
 	const struct ups_events *events;
 	void *arg;
-	char *head; /* method, target and headers, one after the other */
-	const char *method;
-	const char *target;
-	size_t header_count;
-	long long request_length;
-	unsigned char *body; /* LWS_PRE bytes of room, then what waits */
-	size_t body_len;
-	size_t body_capacity;
-	bool body_end; /* nothing more will be written */
-	bool body_sent; /* the end of the body has left */
-	bool wants_room; /* write() returned false */
-	bool sent; /* a byte may have left */
-	bool head_seen;
-	bool paused;
-	bool is_head; /* method HEAD: no body follows */
-	bool over; /* the last event was delivered or is due */
-	bool refused; /* the connection was refused */
-	enum ups_failure failure;
-	int status;
-	bool chunked;
-	long long content_length;
-	long long received;
+	uint32_t handle;
+	uint32_t timer; /* the time limit */
+	uint32_t report; /* a failure found inside start() */
+	int probe_fd;
+	unsigned int probe_left; /* looks at it that are left */
+	char *method;
+	char *headers; /* name, colon, NUL, value, NUL, ...; ends with NUL */
+	struct ups_piece *first;
+	struct ups_piece *last;
+	size_t queued;
+	long long length_out;
+	bool body_end; /* the whole request body is queued */
+	bool blocked; /* write() has returned false */
+	bool sent; /* bytes of the request may have left */
+	bool established; /* the head of the response has arrived */
+	bool no_body;
+	bool chunked_in;
+	bool read_any; /* bytes came in this event */
+	bool starting; /* start() has not returned yet */
+	bool completed; /* libwebsockets takes the response for complete */
+	enum ups_failure why;
+	long long length_in;
+	long long got;
 };
 
-struct pool {
+struct ups_lws {
 	struct ups base;
 	struct lop *loop;
-	char address[46];
+	char *address;
 	uint16_t port;
+	unsigned int max;
+	unsigned int slot_count;
+	struct ups_slot *slots;
 	struct tab *calls;
-	struct slot *slots;
-	size_t slot_count;
-	size_t vhost_count; /* that libwebsockets has not destroyed yet */
-	bool closed;
-	unsigned char read_buf[LWS_PRE + UPS_READ_BYTES];
+	uint32_t purge; /* timer */
 };
 
-/* ups_call.c: what happens on the connection of a request. */
-int ups_callback(struct lws *wsi, enum lws_callback_reasons reason, void *user,
-		 void *in, size_t len);
+/* Finds a free pooled connection or opens a place for one. */
+struct ups_slot *ups_slot_take(struct ups_lws *u);
+
+/* Gives a place back; a bad one is closed after the current callback. */
+void ups_slot_give(struct ups_lws *u, struct ups_slot *s, bool good);
+void ups_slots_free(struct ups_lws *u);
+
+extern const struct lws_protocols ups_protocols[];
 
-/* A vhost of the pool is gone; a closed pool is freed with the last one. */
-void ups_vhost_gone(struct pool *p);
+/* Finds out why no connection could be opened and then reports the failure. */
+void ups_probe(struct ups_call *c);
 
-/* Ends a call: takes it off its slot and frees it. */
-void ups_call_destroy(struct call *c);
+/* End a call: the last event is reported and the call freed. */
+void ups_call_end(struct ups_call *c);
+void ups_call_fail(struct ups_call *c, enum ups_failure why);
 
-/* Delivers a failure at the end of the step of the loop. */
-void ups_call_fail(struct call *c, enum ups_failure why);
+/* Closes the connection of a call without any event and frees the call. */
+void ups_call_drop(struct ups_call *c);
 
-/* Closes the connection of a call without further events of it. */
-void ups_call_detach(struct call *c);
+bool ups_call_queue(struct ups_call *c, const void *data, size_t len, bool end);
 
 #endif
