lease: search the states of three processes for two owners

Cause: the search over interleavings found two processes that act. An owner of version 2 that still collected seals granted the CLAIM of its successor, which had sealed by itself, but went on collecting and then acted as well. Excluded: refusing the CLAIM while the owner collects seals: a successor would then wait for an owner that may never finish.

--- a/packages/lease/src/lse_model.h
+++ b/packages/lease/src/lse_model.h
@@ -10,6 +10,7 @@
 #include <stdint.h>
 
 struct lse;
+struct proc;
 
 enum lse_fault {
 	LSE_FAULT_NONE,
@@ -32,9 +33,16 @@
  */
 struct lse *lse_clone(const struct lse *l, void *arg);
 
+/*
+ * Returns an empty module for another incarnation, with the same parameters,
+ * chart, functions and fault; NULL when memory is exhausted.
+ */
+struct lse *lse_recreate(const struct lse *l, const struct proc *self);
+
 /*
  * Writes the state with all times relative to now, so that two states that
- * behave alike from now on have the same text. Returns the length; at most
+ * behave alike from now on, calls to want_row() aside, have the same text.
+ * Returns the length; at most
  * size bytes are written.
  */
 size_t lse_encode(const struct lse *l, uint64_t now_us, uint8_t *out,
--- a/packages/lease/src/lse_phase.c
+++ b/packages/lease/src/lse_phase.c
@@ -154,7 +154,8 @@
 
 	p->phase = cht_fire(l->chart, p->phase, (int)event, &s);
 	if (event >= EVENT_ACTIVE && p->phase == PHASE_GIVEN_UP &&
-	    p->held.version < p->row.set.version)
+	    p->held.version < p->row.set.version &&
+	    p->claimed < p->row.set.version)
 		lse_fire_role(l, p, now_us);
 	report(l, p, &s);
 }
--- a/packages/lease/src/lse_seal.c
+++ b/packages/lease/src/lse_seal.c
@@ -157,7 +157,7 @@
 {
 	const struct row_set *set = &p->row.set;
 
-	if (p->sealed_below > set->version)
+	if (p->sealed_below > set->version || p->claimed >= set->version)
 		return false;
 	if (p->phase == PHASE_SEALING || p->phase == PHASE_MOVING)
 		return true;
--- a/packages/lease/src/lse_witness.c
+++ b/packages/lease/src/lse_witness.c
@@ -71,6 +71,20 @@
 	       !lse_owes(l, p, &set->owner, set->version, now_us);
 }
 
+/*
+ * The owner gives the version up, also when it has not begun to act in it: the
+ * seals that it still collects would make it act beside the successor.
+ */
+static void give_up(struct lse *l, struct part *p, uint64_t version,
+		    uint64_t now_us)
+{
+	bool begins =
+		p->phase == PHASE_SEALING && p->row.set.version == version;
+
+	if (begins || (p->holds && p->held.version == version))
+		lse_fire(l, p, EVENT_GIVE_UP, now_us);
+}
+
 /* Passes a version to its successor for good, or refuses. */
 void lse_on_claim(struct lse *l, struct part *p, const struct proc *from,
 		  const struct lse_msg *msg, uint64_t now_us)
@@ -89,8 +103,7 @@
 		p->promise.to = *from;
 		p->promise.version = msg->version;
 		p->promise.until_us = now_us + l->params.promise_us;
-		if (p->holds && p->held.version == msg->version)
-			lse_fire(l, p, EVENT_GIVE_UP, now_us);
+		give_up(l, p, msg->version, now_us);
 		answer.type = LSE_CLAIM_GRANT;
 	}
 	lse_answer(l, p, from, msg, &answer);
--- /dev/null
+++ b/packages/lease/tests/test_lse_model.c
@@ -0,0 +1,131 @@
+/*
+ * Guards against an interleaving of messages, failures and changes of the row
+ * after which two processes may act, or the fence goes down. Every state within
+ * the bounds is looked at. The same search has to find each seeded fault.
+ */
+
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <setjmp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+#include <cmocka.h>
+
+#include "mdl.h"
+
+static struct cht *chart;
+
+static struct mdl_result search(const struct mdl_bounds *b,
+				enum lse_fault fault)
+{
+	clock_t begin = clock();
+
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	struct mdl_result r = mdl_search(b, chart, fault);
+
+	printf("%s: fault %d, %llu states, %llu steps, %.1f s; bounds: promise %u, time %u,"
+	       " in flight %u, copies %u, pauses %u, restarts %u,"
+	       " cuts %u, rewrites %u of orders 0x%x, releases %u\n",
+	       b->name, (int)fault, (unsigned long long)r.states,
+	       (unsigned long long)r.steps,
+	       (double)(clock() - begin) / CLOCKS_PER_SEC, b->promise, b->time,
+	       b->net, b->copies, b->pauses, b->restarts, b->cuts, b->rewrites,
+	       b->orders, b->releases);
+	return r;
+}
+
+static const struct mdl_bounds takeover = {
+	.name = "takeover",
+	.promise = 3,
+	.time = 5,
+	.net = 2,
+	.copies = 1,
+};
+
+static const struct mdl_bounds failures = {
+	.name = "failures",
+	.promise = 2,
+	.time = 2,
+	.net = 2,
+	.pauses = 1,
+	.restarts = 1,
+	.cuts = 1,
+	.releases = 1,
+};
+
+static const struct mdl_bounds move = {
+	.name = "move",
+	.promise = 2,
+	.time = 2,
+	.net = 2,
+	.rewrites = 1,
+	.orders = MDL_SWAP_OWNER,
+};
+
+static const struct mdl_bounds reassign = {
+	.name = "reassign",
+	.promise = 2,
+	.time = 2,
+	.net = 2,
+	.rewrites = 1,
+	.orders = MDL_SECOND_OWNS,
+};
+
+static const struct mdl_bounds rewrites = {
+	.name = "rewrites",
+	.promise = 2,
+	.time = 1,
+	.net = 2,
+	.rewrites = 2,
+	.orders = MDL_SWAP_OWNER | MDL_SWAP_WITNESSES,
+};
+
+static void protocol_is_safe(void **state)
+{
+	static const struct mdl_bounds *const all[] = { &takeover, &move,
+							&reassign, &rewrites,
+							&failures };
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(all) / sizeof(all[0]); i++)
+		assert_null(search(all[i], LSE_FAULT_NONE).violation);
+}
+
+static void seeded_faults_are_found(void **state)
+{
+	(void)state;
+	assert_non_null(search(&takeover, LSE_FAULT_EARLY_CLAIM).violation);
+	assert_non_null(search(&takeover, LSE_FAULT_LATE_GRANT).violation);
+	assert_non_null(search(&move, LSE_FAULT_NO_SEALS).violation);
+	assert_non_null(search(&move, LSE_FAULT_NO_WAIT).violation);
+}
+
+static int set_up(void **state)
+{
+	struct err err = { 0 };
+
+	(void)state;
+	chart = lse_chart_load("charts/lease.yaml", &err);
+	if (!chart)
+		fprintf(stderr, "%s\n", err.text);
+	return chart ? 0 : -1;
+}
+
+static int tear_down(void **state)
+{
+	(void)state;
+	cht_destroy(chart);
+	return 0;
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(seeded_faults_are_found),
+		cmocka_unit_test(protocol_is_safe),
+	};
+
+	return cmocka_run_group_tests(tests, set_up, tear_down);
+}
