--- a/packages/lease/tests/mdl.h
+++ b/packages/lease/tests/mdl.h
@@ -14,7 +14,7 @@
 #include "lse_model.h"
 
 #define MDL_NODES 3
-#define MDL_NET_MAX 8
+#define MDL_NET_MAX 3
 #define MDL_TEXT_MAX 1024
 #define MDL_PART 1
 
--- a/packages/lease/tests/test_lse.c
+++ b/packages/lease/tests/test_lse.c
@@ -640,6 +640,30 @@
 	assert_int_equal(w->highest_fence, 5);
 }
 
+/* D grants the claim of E while it waits for seals, which come afterwards. */
+static void owner_gives_up_before_it_has_acted(void **state)
+{
+	struct world *w = *state;
+	struct row row = begin(w);
+	struct node *d = &w->nodes[D];
+	struct lse_msg msg = { .type = LSE_CLAIM, .part = PART, .version = 2 };
+	struct lse_term t;
+
+	cut_off(w, D, true);
+	row = next_row(w, &row, D, E, C);
+	lse_learn(d->lse, &row, 0, local_now(d));
+	lse_receive(d->lse, &w->nodes[E].self, &msg, local_now(d));
+	msg.type = LSE_SEALED;
+	msg.sealed_below = 2;
+	for (int i = A; i <= C; i++)
+		lse_receive(d->lse, &w->nodes[i].self, &msg, local_now(d));
+	lse_tick(d->lse, local_now(d));
+	msg.type = LSE_GRANT;
+	msg.seq = local_now(d);
+	lse_receive(d->lse, &w->nodes[C].self, &msg, local_now(d));
+	assert_false(lse_may_act(d->lse, PART, local_now(d), &t));
+}
+
 #define TEST(fn) cmocka_unit_test_setup_teardown(fn, set_up, tear_down)
 
 int main(void)
@@ -664,6 +688,7 @@
 		TEST(lost_messages_are_sent_again),
 		TEST(drift_of_two_percent_is_safe),
 		TEST(successor_seals_for_an_owner_that_never_acted),
+		TEST(owner_gives_up_before_it_has_acted),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
