lease: let an owner release a version that is not active yet

Cause: lse_release() did nothing while the owner of the newest version collected seals, and while it still acted in an older one it gave only that one up. The owner then became active in the version that its daemon wanted to leave. Excluded: leaving it to a second call after started(): the daemon would act again in between. Before: the successor waited as long as such an owner answered. Conclusion: the sequence of drain and release needs no order in the daemon.

--- a/packages/lease/src/lse.c
+++ b/packages/lease/src/lse.c
@@ -235,18 +235,25 @@
 	lse_seal_to(l, p, p->row.set.version, now_us);
 }
 
-/* Stops for good in the version held and tells the witnesses. */
+/*
+ * Stops for good and tells the witnesses. The owner of the newest version
+ * releases that one, also while it still acts in an older one.
+ */
 void lse_release(struct lse *l, uint64_t part, uint64_t now_us)
 {
 	struct part *p = find_part(l, part);
+	uint64_t version;
 
-	if (!p || !p->holds)
+	if (!p || (!p->holds && p->phase != PHASE_SEALING))
 		return;
+	version = p->holds ? p->held.version : 0;
+	if (lse_is_self(l, &p->row.set.owner))
+		version = p->row.set.version;
 	p->drained = true;
-	if (p->claimed < p->held.version)
-		p->claimed = p->held.version;
-	if (p->released < p->held.version)
-		p->released = p->held.version;
+	if (p->claimed < version)
+		p->claimed = version;
+	if (p->released < version)
+		p->released = version;
 	p->next_ask_us = now_us;
 	lse_fire(l, p, EVENT_GIVE_UP, now_us);
 	lse_ask(l, p, now_us);
--- a/packages/lease/src/lse_seal.c
+++ b/packages/lease/src/lse_seal.c
@@ -157,19 +157,19 @@
 {
 	const struct row_set *set = &p->row.set;
 
-	if (p->sealed_below > set->version || p->claimed >= set->version)
+	if (p->sealed_below > set->version)
 		return false;
 	if (p->phase == PHASE_SEALING || p->phase == PHASE_MOVING)
-		return true;
+		return p->claimed < set->version;
 	return p->phase == PHASE_WATCHING && p->active < set->version &&
-	       (lse_find_ended(l, &set->owner) ||
+	       (p->released >= set->version || lse_find_ended(l, &set->owner) ||
 		now_us >= p->heard_us[0] + l->params.promise_us);
 }
 
 /*
  * Asks for the seals that are missing and makes the newest version active when
- * all are there. A successor does so only when the owner is silent before its
- * first renewal.
+ * all are there. A successor does so only when the owner is silent, or has
+ * released the version, before its first renewal.
  */
 void lse_gather_seals(struct lse *l, struct part *p, uint64_t now_us)
 {
--- a/packages/lease/tests/test_lse.c
+++ b/packages/lease/tests/test_lse.c
@@ -375,6 +375,23 @@
 	assert_false(lse_may_act(d->lse, PART, wld_now(d), &t));
 }
 
+/* Without the release E would wait for D as long as D answers. */
+static void version_is_released_before_it_is_active(void **state)
+{
+	struct world *w = *state;
+	struct row row = wld_begin(w);
+
+	row = wld_next_row(w, &row, D, E, C);
+	wld_learn(w, &row);
+	lse_release(w->nodes[D].lse, PART, wld_now(&w->nodes[D]));
+	wld_run(w, 100);
+	assert_int_equal(wld_acting(w), A);
+	lse_drained(w->nodes[A].lse, PART, wld_now(&w->nodes[A]));
+	wld_run(w, 1000);
+	assert_int_equal(wld_acting(w), E);
+	assert_int_equal(w->highest_fence, 5);
+}
+
 #define TEST(fn) cmocka_unit_test_setup_teardown(fn, wld_set_up, wld_tear_down)
 
 int main(void)
@@ -400,6 +417,7 @@
 		TEST(drift_of_two_percent_is_safe),
 		TEST(successor_seals_for_an_owner_that_never_acted),
 		TEST(owner_gives_up_before_it_has_acted),
+		TEST(version_is_released_before_it_is_active),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/lease/tests/test_lse_model.c
+++ b/packages/lease/tests/test_lse_model.c
@@ -87,6 +87,7 @@
 	.copies = 1,
 	.rewrites = 1,
 	.orders = MDL_SECOND_OWNS,
+	.releases = 1,
 };
 
 static const struct mdl_bounds rewrites = {
