Add slopes, which measures the decision modules and codecs alone

The capacity of the system was known only for placement. slopes measures processor time and bytes of lse, dup, mir, row, plc, hot, rte, adm, ret, qtn, man and the messages of rpc at several sizes with a driven clock, prints a line for each size, and fits a straight line over the sizes. It also counts the rows that a leave, a crash and the loss of a data centre rewrite, the pairs of processes that exchange lease messages, and the rounds in which a change spreads. What placement_report prints already is left out.

The packages lease and route are not among standins_deps, so their measurements are compiled only where their headers are on the include path:

make 'standins_deps=net config wire lease place route state base' \ build/rel/bin/slopes

Without that the program says on its standard error what it leaves out.

Before: no figure for any of these but placement.

Excluded: heap figures under AddressSanitizer, whose allocator does not answer mallinfo2(); the test checks no memory there.

--- /dev/null
+++ b/packages/standins/src/slp_place.c
@@ -0,0 +1,143 @@
+#include "slp_run.h"
+
+#include <stdlib.h>
+
+#include "hot.h"
+#include "plc.h"
+
+#define KEYS 1048576
+#define PARTITIONS 65536
+#define ROWS_OF_MEMBER 10
+
+struct fixture {
+	struct plc_view view;
+	struct plc_policy policy;
+	struct row row;
+	struct row_set after;
+	struct proc self;
+	uint64_t part;
+};
+
+static void apply(void *arg)
+{
+	struct fixture *f = arg;
+
+	plc_view_apply(&f->view, &f->row.set, &f->after, 0.01);
+}
+
+static void is_armed(void *arg)
+{
+	struct fixture *f = arg;
+
+	plc_is_armed(&f->view, &f->row.set);
+}
+
+static void is_creator(void *arg)
+{
+	struct fixture *f = arg;
+
+	plc_is_creator(&f->view, f->part++, &f->self);
+}
+
+static void drain_target(void *arg)
+{
+	struct fixture *f = arg;
+	struct proc target;
+
+	plc_drain_target(&f->view, &f->self, f->part++, &target);
+}
+
+static void partition(void *arg)
+{
+	static const char key[] = "client-0000000017";
+	struct fixture *f = arg;
+
+	f->part += plc_partition(key, sizeof(key) - 1, PARTITIONS);
+}
+
+/* Decisions that placement_report does not measure. */
+static bool measure(struct slp *s, uint32_t members)
+{
+	struct mir *mir = slp_fill(s, members * ROWS_OF_MEMBER, members);
+	struct fixture f = { .part = part_id(1, 0) };
+
+	if (!mir || !plc_view_make(mir, 1, NULL, NULL, &f.view)) {
+		mir_destroy(mir);
+		return false;
+	}
+	f.row = slp_row(s, 1, members, 1);
+	f.after = slp_row(s, 1, members, 1).set;
+	f.self = f.view.members[members / 2].member->proc;
+	slp_add(s, "plc view_apply, members", members, slp_time(s, apply, &f),
+		SLP_NONE);
+	slp_add(s, "plc is_armed, members", members, slp_time(s, is_armed, &f),
+		SLP_NONE);
+	slp_add(s, "plc is_creator, members", members,
+		slp_time(s, is_creator, &f), SLP_NONE);
+	slp_add(s, "plc drain_target, members", members,
+		slp_time(s, drain_target, &f), SLP_NONE);
+	if (members == 11)
+		slp_add(s, "plc partition of a key", 1,
+			slp_time(s, partition, &f), SLP_NONE);
+	plc_view_free(&f.view);
+	mir_destroy(mir);
+	return true;
+}
+
+struct sketch {
+	struct slp *s;
+	struct hot *hot;
+	bool skewed;
+};
+
+/* Half of the requests are for one of 420 keys when the load is skewed. */
+static void add_key(void *arg)
+{
+	struct sketch *k = arg;
+	uint64_t r = slp_random(k->s);
+	uint32_t keys = k->skewed && r & 1 ? 420 : KEYS;
+	char key[24];
+	int len = snprintf(key, sizeof(key), "client-%010u",
+			   (uint32_t)(r >> 32) % keys);
+
+	hot_add(k->hot, 1, key, (size_t)len);
+}
+
+static bool measure_sketch(struct slp *s, uint32_t size)
+{
+	struct sketch k = { .s = s };
+	size_t before = slp_heap_bytes();
+	double bytes;
+
+	k.hot = hot_create(size);
+	if (!k.hot)
+		return false;
+	for (uint32_t i = 0; i < size * 2; i++)
+		add_key(&k);
+	bytes = (double)slp_heap_bytes() - (double)before;
+	slp_add(s, "hot add, uniform, keys kept", size,
+		slp_time(s, add_key, &k), bytes);
+	k.skewed = true;
+	slp_add(s, "hot add, skewed, keys kept", size, slp_time(s, add_key, &k),
+		bytes);
+	hot_destroy(k.hot);
+	return true;
+}
+
+/* Placement at 11 to 6,700 members, the sketch with 100 to 10,000 keys. */
+bool slp_place(struct slp *s)
+{
+	static const uint32_t members[] = { 11, 100, 1000, 6700 };
+	static const uint32_t keys[] = { 100, 1000, 10000 };
+	bool ok = true;
+
+	for (uint32_t i = 0; ok && i < 4; i++) {
+		if (slp_wants(s, members[i]))
+			ok = measure(s, members[i]);
+	}
+	for (uint32_t i = 0; ok && i < 3; i++) {
+		if (slp_wants(s, keys[i]))
+			ok = measure_sketch(s, keys[i]);
+	}
+	return ok;
+}
--- /dev/null
+++ b/packages/standins/src/slp_rows.c
@@ -0,0 +1,92 @@
+#include "slp_run.h"
+
+#include <stdlib.h>
+
+#include "plc_sim.h"
+
+#define CENTRES 10
+#define REGIONS 4
+#define PARTITIONS_PER_MEMBER 10
+#define PARTITIONS_MAX 65536
+#define TOLERANCE_PCT 25
+#define SLOTS 9
+
+static int compare(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a;
+	uint64_t y = *(const uint64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+/*
+ * Counts the pairs of an owner and one of its witnesses: each pair exchanges
+ * at least one datagram in each direction in a round of renewal.
+ */
+static size_t count_pairs(const struct sim *sim, uint32_t partitions)
+{
+	uint64_t *pairs = calloc(partitions, ROW_WITNESSES * sizeof(*pairs));
+	size_t count = 0;
+	size_t distinct = 0;
+
+	for (uint32_t i = 0; pairs && i < partitions; i++) {
+		const struct row_set *set = sim_set(sim, i);
+
+		for (int k = 0; k < ROW_WITNESSES; k++)
+			pairs[count++] = (uint64_t)set->owner.instance << 32 |
+					 set->witness[k].instance;
+	}
+	if (pairs)
+		qsort(pairs, count, sizeof(*pairs), compare);
+	for (size_t i = 0; i < count; i++)
+		distinct += !i || pairs[i] != pairs[i - 1];
+	free(pairs);
+	return distinct;
+}
+
+/* Rows that are written for a planned leave, a crash and a lost data centre. */
+static bool measure(struct slp *s, uint32_t members)
+{
+	struct sim_config c = { .members = members,
+				.data_centres = CENTRES,
+				.regions = REGIONS,
+				.slots = SLOTS,
+				.partitions = members * PARTITIONS_PER_MEMBER,
+				.seed = slp_options(s)->seed,
+				.policy = { .imbalance_tolerance_pct =
+						    TOLERANCE_PCT } };
+	struct sim_result leave;
+	struct sim_result crash;
+	struct sim *sim;
+	size_t pairs;
+
+	if (c.partitions > PARTITIONS_MAX)
+		c.partitions = PARTITIONS_MAX;
+	sim = sim_create(&c, SIM_STICKY);
+	if (!sim)
+		return false;
+	pairs = count_pairs(sim, c.partitions);
+	sim_run(sim, SIM_LEAVE, &leave);
+	sim_run(sim, SIM_CRASH, &crash);
+	sim_lose_centre(sim, 1);
+	printf("rows: members=%u partitions=%u lease_pairs=%zu "
+	       "pairs_per_member=%.2f leave_writes=%u crash_writes=%u "
+	       "centre_loss_writes=%u\n",
+	       members, c.partitions, pairs, (double)pairs / members,
+	       leave.writes, crash.writes, sim_rearm(sim));
+	sim_destroy(sim);
+	return pairs > 0;
+}
+
+/* Writes of rows and pairs of lease messages at 100 to 6,700 members. */
+bool slp_rows(struct slp *s)
+{
+	static const uint32_t sizes[] = { 100, 1000, 6700 };
+	bool ok = true;
+
+	for (int i = 0; ok && i < 3; i++) {
+		if (slp_wants(s, sizes[i]))
+			ok = measure(s, sizes[i]);
+	}
+	return ok;
+}
