Count each daemon's push once, and count rows split over regions

The simulation of spreading let every daemon push again in each second of the exchange of digests, as its position in the list began at 0 in each call. It reported 7.92 digests for each daemon; a daemon pushes 4 when it learns of a change. The position is kept now.

slopes also counts the rows whose successor or second witness is in another region than the owner, which a cut between regions touches, and the draws of random numbers by which a daemon picks a peer.

--- a/packages/standins/src/slp_place.c
+++ b/packages/standins/src/slp_place.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 
+#include "clk.h"
 #include "hot.h"
 #include "plc.h"
 
@@ -84,6 +85,15 @@
 	return true;
 }
 
+/* Picks a random member as syn.c does for each digest: a draw for each one. */
+static void pick(void *arg)
+{
+	const uint32_t *members = arg;
+
+	for (uint32_t i = 1; i <= *members; i++)
+		clk_random_below(clk_system(), i);
+}
+
 struct sketch {
 	struct slp *s;
 	struct hot *hot;
@@ -132,8 +142,11 @@
 	bool ok = true;
 
 	for (uint32_t i = 0; ok && i < 4; i++) {
-		if (slp_wants(s, members[i]))
-			ok = measure(s, members[i]);
+		if (!slp_wants(s, members[i]))
+			continue;
+		ok = measure(s, members[i]);
+		slp_add(s, "clk draws to pick one, members", members[i],
+			slp_time(s, pick, (void *)&members[i]), SLP_NONE);
 	}
 	for (uint32_t i = 0; ok && i < 3; i++) {
 		if (slp_wants(s, keys[i]))
--- a/packages/standins/src/slp_rows.c
+++ b/packages/standins/src/slp_rows.c
@@ -1,6 +1,7 @@
 #include "slp_run.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include "plc_sim.h"
 
@@ -44,6 +45,25 @@
 	return distinct;
 }
 
+static const char *region_of(const struct sim *sim, const struct proc *p)
+{
+	return sim_view(sim)->members[p->instance - 1].member->region;
+}
+
+/* Counts the rows whose owner and witness k are in different regions. */
+static uint32_t count_split(const struct sim *sim, uint32_t partitions, int k)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < partitions; i++) {
+		const struct row_set *set = sim_set(sim, i);
+
+		count += strcmp(region_of(sim, &set->owner),
+				region_of(sim, &set->witness[k])) != 0;
+	}
+	return count;
+}
+
 /* Rows that are written for a planned leave, a crash and a lost data centre. */
 static bool measure(struct slp *s, uint32_t members)
 {
@@ -66,6 +86,10 @@
 	if (!sim)
 		return false;
 	pairs = count_pairs(sim, c.partitions);
+	printf("regions: members=%u rows_with_successor_elsewhere=%u "
+	       "rows_with_second_witness_elsewhere=%u\n",
+	       members, count_split(sim, c.partitions, ROW_SUCCESSOR),
+	       count_split(sim, c.partitions, 1));
 	sim_run(sim, SIM_LEAVE, &leave);
 	sim_run(sim, SIM_CRASH, &crash);
 	sim_lose_centre(sim, 1);
--- a/packages/standins/src/slp_spread.c
+++ b/packages/standins/src/slp_spread.c
@@ -11,6 +11,7 @@
 struct crowd {
 	uint32_t size;
 	uint32_t informed;
+	uint32_t told; /* of learned, how many have told others */
 	uint32_t *learned; /* in the order of learning */
 	bool *knows;
 	uint64_t digests;
@@ -27,13 +28,12 @@
 /* Each daemon that learned in the last round tells FANOUT random ones. */
 static uint32_t push(struct slp *s, struct crowd *c)
 {
-	uint32_t first = 0;
 	uint32_t rounds = 0;
 
-	while (first < c->informed) {
+	while (c->told < c->informed) {
 		uint32_t end = c->informed;
 
-		for (; first < end; first++) {
+		for (; c->told < end; c->told++) {
 			for (int k = 0; k < FANOUT; k++)
 				inform(c, (uint32_t)(slp_random(s) % c->size));
 			c->digests += FANOUT;
@@ -76,6 +76,7 @@
 
 		memset(c.knows, 0, size * sizeof(*c.knows));
 		c.informed = 0;
+		c.told = 0;
 		inform(&c, 0);
 		rounds += push(s, &c);
 		late += size - c.informed;
