Give the sketch of slopes random numbers of its own

The number of calls of hot_add() depends on the time that they take, and each call drew from the sequence of the seed, so the rows that were drawn later and their bytes on the wire differed from run to run (367 to 372 B for a row).

After: two runs of slopes -s 1, with -r 9 and with -r 1 -b 0, print the same bytes on the wire, rows and rounds of spreading.

--- a/packages/standins/src/slp_place.c
+++ b/packages/standins/src/slp_place.c
@@ -6,6 +6,10 @@
 #include "hot.h"
 #include "plc.h"
 
+/* Linear congruential generator with 64 bits; the high ones are used. */
+#define MULTIPLIER 6364136223846793005u
+#define INCREMENT 1442695040888963407u
+
 #define KEYS 1048576
 #define PARTITIONS 65536
 #define ROWS_OF_MEMBER 10
@@ -95,17 +99,21 @@
 }
 
 struct sketch {
-	struct slp *s;
+	uint64_t random;
 	struct hot *hot;
 	bool skewed;
 };
 
-/* Half of the requests are for one of 420 keys when the load is skewed. */
+/*
+ * Half of the requests are for one of 420 keys when the load is skewed. How
+ * often this is called depends on the time it takes, so it has random numbers
+ * of its own: the others stay the same for a seed.
+ */
 static void add_key(void *arg)
 {
 	struct sketch *k = arg;
-	uint64_t r = slp_random(k->s);
-	uint32_t keys = k->skewed && r & 1 ? 420 : KEYS;
+	uint64_t r = k->random = k->random * MULTIPLIER + INCREMENT;
+	uint32_t keys = k->skewed && r >> 63 ? 420 : KEYS;
 	char key[24];
 	int len = snprintf(key, sizeof(key), "client-%010u",
 			   (uint32_t)(r >> 32) % keys);
@@ -115,7 +123,7 @@
 
 static bool measure_sketch(struct slp *s, uint32_t size)
 {
-	struct sketch k = { .s = s };
+	struct sketch k = { .random = slp_random(s) };
 	size_t before = slp_heap_bytes();
 	double bytes;
 
