--- /dev/null
+++ b/packages/net/tests/test_plt.c
@@ -0,0 +1,231 @@
+/*
+ * The platform client against a small table server. Guards against a write
+ * that may have taken effect and is reported as not written, and against keys
+ * that are changed on the way.
+ */
+
+#include "net_test.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "plt.h"
+
+struct stub {
+	struct lop *loop;
+	struct htp *server;
+	const char *answer;
+	int status;
+	bool abort;
+	size_t heads;
+	char method[16];
+	char path[256];
+	char query[256];
+	char body[256];
+	size_t len;
+};
+
+struct seen {
+	bool called;
+	enum plt_result result;
+	char key[ROW_KEY_MAX];
+	uint64_t version;
+	char value[64];
+	size_t count;
+	uint64_t complete;
+	size_t len;
+};
+
+static void stub_head(void *arg, struct htp_req *r)
+{
+	struct stub *s = arg;
+
+	s->heads++;
+	s->len = 0;
+	strcpy(s->method, htp_method(r));
+	strcpy(s->path, htp_path(r));
+	strcpy(s->query, htp_query(r));
+}
+
+static void stub_body(void *arg, struct htp_req *r, const void *data,
+		      size_t len, bool end)
+{
+	struct stub *s = arg;
+
+	if (s->len + len < sizeof(s->body) && len > 0)
+		memcpy(s->body + s->len, data, len);
+	s->len += len;
+	if (end && s->abort)
+		htp_abort(r);
+	else if (end)
+		htp_reply(r, s->status, NULL, 0, s->answer, strlen(s->answer));
+}
+
+static void stub_writable(void *arg, struct htp_req *r)
+{
+	(void)arg;
+	(void)r;
+}
+
+static void stub_closed(void *arg, struct htp_req *r, bool complete)
+{
+	(void)arg;
+	(void)r;
+	(void)complete;
+}
+
+static const struct htp_ops stub_ops = { stub_head, stub_body, stub_writable,
+					 stub_closed };
+
+static void on_row(void *arg, enum plt_result result,
+		   const struct mir_entry *row)
+{
+	struct seen *s = arg;
+
+	assert_false(s->called);
+	s->called = true;
+	s->result = result;
+	if (row) {
+		strcpy(s->key, row->key);
+		s->version = row->version;
+		strncpy(s->value, row->value, sizeof(s->value) - 1);
+	}
+}
+
+static void on_rows(void *arg, enum plt_result result,
+		    const struct mir_entry *rows, size_t count,
+		    uint64_t complete)
+{
+	struct seen *s = arg;
+
+	(void)rows;
+	s->called = true;
+	s->result = result;
+	s->count = count;
+	s->complete = complete;
+}
+
+static void on_object(void *arg, enum plt_result result, const void *body,
+		      size_t len)
+{
+	struct seen *s = arg;
+
+	(void)body;
+	s->called = true;
+	s->result = result;
+	s->len = len;
+}
+
+static void wait_for(struct stub *s, struct seen *seen)
+{
+	assert_false(seen->called);
+	while (!seen->called)
+		lop_step(s->loop);
+}
+
+static struct plt *open_all(struct stub *s)
+{
+	struct htp_params p = app_params();
+
+	memset(s, 0, sizeof(*s));
+	s->status = 200;
+	s->loop = lop_create(clk_system(), 0, NULL);
+	s->server = htp_create(s->loop, &p, &stub_ops, s, NULL);
+	assert_non_null(s->server);
+	return plt_http_create(s->loop, "127.0.0.1", htp_port(s->server), NULL);
+}
+
+static void close_all(struct stub *s, struct plt *p)
+{
+	plt_destroy(p);
+	htp_destroy(s->server);
+	lop_destroy(s->loop);
+}
+
+static void rows_and_objects(void **state)
+{
+	struct stub s;
+	struct plt *p = open_all(&s);
+	struct seen a = { 0 };
+
+	(void)state;
+	s.answer = "{\"key\":\"row/1/2\",\"version\":7,\"seq\":9,"
+		   "\"value\":{\"a\":1}}";
+	plt_get(p, "row/1/2", on_row, &a);
+	wait_for(&s, &a);
+	assert_int_equal(a.result, PLT_OK);
+	assert_string_equal(a.key, "row/1/2");
+	assert_string_equal(a.value, "{\"a\":1}");
+	assert_string_equal(s.path, "/table/row/1/2");
+	memset(&a, 0, sizeof(a));
+	plt_put(p, "row/1/2", 7, "{\"a\":2}", on_row, &a);
+	wait_for(&s, &a);
+	assert_int_equal(a.result, PLT_OK);
+	assert_string_equal(s.method, "PUT");
+	assert_string_equal(s.query, "expect=7");
+	assert_memory_equal(s.body, "{\"a\":2}", 7);
+	memset(&a, 0, sizeof(a));
+	s.status = 409;
+	plt_put(p, "row/1/2", 0, "{}", on_row, &a);
+	wait_for(&s, &a);
+	assert_int_equal(a.result, PLT_CONFLICT);
+	assert_int_equal(a.version, 7);
+	memset(&a, 0, sizeof(a));
+	s.status = 404;
+	plt_get(p, "x", on_row, &a);
+	wait_for(&s, &a);
+	assert_int_equal(a.result, PLT_NOT_FOUND);
+	memset(&a, 0, sizeof(a));
+	s.status = 200;
+	s.answer = "{\"rows\":[{\"key\":\"a\",\"version\":1,\"seq\":4,"
+		   "\"value\":1}],\"complete\":5}";
+	plt_since(p, 3, 10, on_rows, &a);
+	wait_for(&s, &a);
+	assert_int_equal(a.result, PLT_OK);
+	assert_true(a.count == 1 && a.complete == 5);
+	assert_string_equal(s.query, "since=3&limit=10");
+	memset(&a, 0, sizeof(a));
+	plt_put_object(p, "n", "abc", 3, on_object, &a);
+	wait_for(&s, &a);
+	assert_int_equal(a.result, PLT_OK);
+	memset(&a, 0, sizeof(a));
+	plt_get_object(p, "n", on_object, &a);
+	wait_for(&s, &a);
+	assert_int_equal(a.len, strlen(s.answer));
+	close_all(&s, p);
+}
+
+static void lost_answers(void **state)
+{
+	struct stub s;
+	struct plt *p = open_all(&s);
+	struct seen a = { 0 };
+
+	(void)state;
+	s.abort = true;
+	plt_put(p, "k", 1, "{}", on_row, &a);
+	wait_for(&s, &a);
+	assert_int_equal(a.result, PLT_UNKNOWN);
+	assert_int_equal(s.heads, 1); /* a write is never sent again */
+	memset(&a, 0, sizeof(a));
+	plt_get(p, "k", on_row, &a);
+	wait_for(&s, &a);
+	assert_int_equal(a.result, PLT_UNKNOWN);
+	assert_int_equal(s.heads, 3);
+	htp_stop_listening(s.server);
+	memset(&a, 0, sizeof(a));
+	plt_put(p, "k", 1, "{}", on_row, &a);
+	wait_for(&s, &a);
+	assert_int_equal(a.result, PLT_UNAVAILABLE);
+	close_all(&s, p);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(rows_and_objects),
+		cmocka_unit_test(lost_answers),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
