--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 net_deps := wire state base
 daemon_deps := net config wire lease place route state base
 ctl_deps := net config wire state base
-standins_deps := net config wire place state base
+standins_deps := net config wire lease place route state base
 
 # SAN=1 builds with AddressSanitizer and UndefinedBehaviorSanitizer.
 SAN ?= 0
--- a/packages/net/src/plt.c
+++ b/packages/net/src/plt.c
@@ -1,26 +1,26 @@
 #include "plt.h"
 
-/* Reads a row. */
+/* Reads one row. */
 void plt_get(struct plt *p, const char *key, plt_row_fn fn, void *arg)
 {
 	p->ops->get(p, key, fn, arg);
 }
 
-/* Writes a row on a condition. */
+/* Writes one row under a condition. */
 void plt_put(struct plt *p, const char *key, uint64_t expect, const char *value,
 	     plt_row_fn fn, void *arg)
 {
 	p->ops->put(p, key, expect, value, fn, arg);
 }
 
-/* Reads the rows written after a sequence number. */
+/* Reads the rows that were written after a sequence number. */
 void plt_since(struct plt *p, uint64_t seq, size_t max, plt_rows_fn fn,
 	       void *arg)
 {
 	p->ops->since(p, seq, max, fn, arg);
 }
 
-/* Writes an object. */
+/* Stores an object. */
 void plt_put_object(struct plt *p, const char *name, const void *body,
 		    size_t len, plt_body_fn fn, void *arg)
 {
@@ -33,7 +33,7 @@
 	p->ops->get_object(p, name, fn, arg);
 }
 
-/* Frees the platform client. */
+/* Closes the connections; calls in progress end without their function. */
 void plt_destroy(struct plt *p)
 {
 	p->ops->destroy(p);
--- a/packages/net/src/plt_http.c
+++ b/packages/net/src/plt_http.c
@@ -8,14 +8,15 @@
 
 #include <jansson.h>
 
-#include "tab.h"
 #include "ups.h"
 
-#define CONNECTIONS 8
-#define TARGET_MAX 1024
-
-/* Largest answer that is taken, in bytes. */
-#define ANSWER_MAX (64UL * 1024 * 1024)
+#define CONNECTIONS_MAX 16
+#define TARGET_MAX 512
+#define ANSWER_MAX (16 * 1024 * 1024)
+#define HTTP_OK 200
+#define HTTP_NOT_FOUND 404
+#define HTTP_CONFLICT 409
+#define HTTP_UNAVAILABLE 503
 
 enum kind {
 	KIND_ROW,
@@ -23,353 +24,384 @@
 	KIND_BODY
 };
 
-struct plt_http {
+struct http {
 	struct plt base;
 	struct lop *loop;
 	struct ups *pool;
-	struct tab *calls;
+	struct ask *asks;
 };
 
-struct call {
-	struct plt_http *p;
-	uint32_t handle;
-	uint32_t request; /* of the pool */
-	uint32_t timer; /* a failure found inside the starting call */
+/* One call of the platform. */
+struct ask {
+	struct http *http;
+	struct ask *next;
+	uint32_t timer;
 	enum kind kind;
-	bool write;
+	bool is_write;
 	bool retried;
-	uint64_t end_us;
+	char method[4];
 	char target[TARGET_MAX];
-	char *out; /* body of the request */
-	size_t out_len;
+	void *request; /* body that is sent */
+	size_t request_len;
 	int status;
-	char *in; /* body of the answer */
-	size_t in_len;
-	size_t in_size;
-	bool too_large;
-	plt_row_fn row_fn;
-	plt_rows_fn rows_fn;
-	plt_body_fn body_fn;
+	char *body;
+	size_t len;
+	size_t capacity;
+	enum plt_result failed; /* delivered when start() has failed */
+	union {
+		plt_row_fn row;
+		plt_rows_fn rows;
+		plt_body_fn body;
+	} fn;
 	void *arg;
 };
 
-static void free_call(struct call *c)
+/* Appends a text with everything but letters, digits and -._ encoded. */
+static void encode(char *out, size_t size, const char *text)
 {
-	tmr_cancel(lop_timers(c->p->loop), c->timer);
-	tab_remove(c->p->calls, c->handle);
-	free(c->out);
-	free(c->in);
-	free(c);
+	static const char digits[] = "0123456789ABCDEF";
+	size_t n = strlen(out);
+
+	for (; *text && n + 4 < size; text++) {
+		unsigned char ch = (unsigned char)*text;
+
+		if (isalnum(ch) || strchr("-._", ch)) {
+			out[n++] = (char)ch;
+		} else {
+			out[n++] = '%';
+			out[n++] = digits[ch >> 4];
+			out[n++] = digits[ch & 15];
+		}
+	}
+	out[n] = '\0';
 }
 
-/* Ends a call that has no answer that could be read. */
-static void finish_empty(struct call *c, enum plt_result result)
+static void free_ask(struct ask *a)
 {
-	if (c->kind == KIND_ROW)
-		c->row_fn(c->arg, result, NULL);
-	else if (c->kind == KIND_ROWS)
-		c->rows_fn(c->arg, result, NULL, 0, 0);
+	struct ask **at = &a->http->asks;
+
+	while (*at && *at != a)
+		at = &(*at)->next;
+	if (*at)
+		*at = a->next;
+	tmr_cancel(lop_timers(a->http->loop), a->timer);
+	free(a->request);
+	free(a->body);
+	free(a);
+}
+
+/* Tells the result without any data and frees the call. */
+static void tell(struct ask *a, enum plt_result result)
+{
+	struct ask copy = *a;
+
+	free_ask(a);
+	if (copy.kind == KIND_ROW)
+		copy.fn.row(copy.arg, result, NULL);
+	else if (copy.kind == KIND_ROWS)
+		copy.fn.rows(copy.arg, result, NULL, 0, 0);
 	else
-		c->body_fn(c->arg, result, NULL, 0);
-	free_call(c);
+		copy.fn.body(copy.arg, result, NULL, 0);
 }
 
-/* Reads one row; the value is allocated. */
-static bool read_row(json_t *json, struct mir_entry *e)
+/* Reads a row from JSON; its value is text that the caller frees. */
+static bool read_row(const json_t *json, struct mir_entry *row)
 {
 	const char *key = json_string_value(json_object_get(json, "key"));
-	json_t *version = json_object_get(json, "version");
-	json_t *seq = json_object_get(json, "seq");
-	json_t *value = json_object_get(json, "value");
+	const char *value = json_string_value(json_object_get(json, "value"));
 
-	memset(e, 0, sizeof(*e));
-	if (!key || strlen(key) >= sizeof(e->key) ||
-	    !json_is_integer(version) || !json_is_integer(seq) || !value)
+	memset(row, 0, sizeof(*row));
+	if (!key || !value || strlen(key) >= sizeof(row->key))
 		return false;
-	strcpy(e->key, key);
-	e->version = (uint64_t)json_integer_value(version);
-	e->seq = (uint64_t)json_integer_value(seq);
-	e->value = json_is_string(value) ?
-			   strdup(json_string_value(value)) :
-			   json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
-	return e->value != NULL;
+	strcpy(row->key, key);
+	row->version =
+		(uint64_t)json_integer_value(json_object_get(json, "version"));
+	row->seq = (uint64_t)json_integer_value(json_object_get(json, "seq"));
+	row->value = strdup(value);
+	return row->value != NULL;
 }
 
-/* Answers with one row. */
-static void finish_row(struct call *c, enum plt_result result)
+static void tell_row(struct ask *a, enum plt_result result)
 {
-	json_t *json = json_loadb(c->in ? c->in : "", c->in_len, 0, NULL);
-	struct mir_entry e;
-
-	if (json && read_row(json, &e)) {
-		c->row_fn(c->arg, result, &e);
-		free(e.value);
-		free_call(c);
-	} else if (result == PLT_CONFLICT) {
-		finish_empty(c, PLT_CONFLICT); /* there is no row */
-	} else {
-		finish_empty(c, PLT_UNKNOWN);
-	}
+	json_t *json = json_loadb(a->body ? a->body : "", a->len, 0, NULL);
+	plt_row_fn fn = a->fn.row;
+	void *arg = a->arg;
+	struct mir_entry row;
+	bool ok = read_row(json, &row);
+
 	json_decref(json);
+	if (!ok) {
+		tell(a, result == PLT_CONFLICT ? PLT_CONFLICT : PLT_UNKNOWN);
+		return;
+	}
+	free_ask(a);
+	fn(arg, result, &row);
+	free(row.value);
 }
 
-/* Answers with rows: {"rows":[...],"complete":N}. */
-static void finish_rows(struct call *c)
+static void tell_rows(struct ask *a)
 {
-	json_t *json = json_loadb(c->in ? c->in : "", c->in_len, 0, NULL);
-	json_t *list = json_object_get(json, "rows");
-	json_t *complete = json_object_get(json, "complete");
+	json_t *json = json_loadb(a->body ? a->body : "", a->len, 0, NULL);
+	const json_t *list = json_object_get(json, "rows");
+	const json_t *complete = json_object_get(json, "complete");
 	size_t count = json_array_size(list);
 	struct mir_entry *rows = calloc(count + 1, sizeof(*rows));
-	bool ok = rows && json_is_array(list) && json_is_integer(complete);
-	size_t n = 0;
-
-	while (ok && n < count) {
-		ok = read_row(json_array_get(list, n), &rows[n]) &&
-		     (n == 0 || rows[n].seq > rows[n - 1].seq);
-		n++;
+	plt_rows_fn fn = a->fn.rows;
+	void *arg = a->arg;
+	bool ok = rows && json_is_integer(complete);
+
+	for (size_t i = 0; ok && i < count; i++)
+		ok = read_row(json_array_get(list, i), &rows[i]);
+	if (ok) {
+		free_ask(a);
+		fn(arg, PLT_OK, rows, count,
+		   (uint64_t)json_integer_value(complete));
+	} else {
+		tell(a, PLT_UNAVAILABLE);
 	}
-	if (ok)
-		c->rows_fn(c->arg, PLT_OK, rows, count,
-			   (uint64_t)json_integer_value(complete));
-	for (size_t i = 0; i < n; i++)
+	for (size_t i = 0; rows && i < count; i++)
 		free(rows[i].value);
 	free(rows);
 	json_decref(json);
-	if (ok)
-		free_call(c);
-	else
-		finish_empty(c, PLT_UNKNOWN);
+}
+
+static void tell_body(struct ask *a)
+{
+	plt_body_fn fn = a->fn.body;
+	void *arg = a->arg;
+	char *body = a->body;
+	size_t len = a->len;
+
+	a->body = NULL;
+	free_ask(a);
+	fn(arg, PLT_OK, body ? body : "", len);
+	free(body);
+}
+
+/* A whole answer has arrived. */
+static void on_end(void *arg)
+{
+	struct ask *a = arg;
+
+	switch (a->status) {
+	case HTTP_OK:
+		if (a->kind == KIND_ROW)
+			tell_row(a, PLT_OK);
+		else if (a->kind == KIND_ROWS)
+			tell_rows(a);
+		else
+			tell_body(a);
+		break;
+	case HTTP_CONFLICT:
+		tell_row(a, PLT_CONFLICT);
+		break;
+	case HTTP_NOT_FOUND:
+		tell(a, PLT_NOT_FOUND);
+		break;
+	default:
+		tell(a, PLT_UNAVAILABLE);
+		break;
+	}
 }
 
 static void on_head(void *arg, const struct ups_response *response)
 {
-	struct call *c = arg;
+	struct ask *a = arg;
 
-	c->status = response->status;
+	a->status = response->status;
 }
 
 static void on_body(void *arg, const void *data, size_t len)
 {
-	struct call *c = arg;
+	struct ask *a = arg;
+	size_t capacity = a->capacity ? a->capacity : 4096;
+	char *body;
 
-	if (c->too_large || len > ANSWER_MAX - c->in_len) {
-		c->too_large = true;
+	if (a->len + len > ANSWER_MAX)
 		return;
-	}
-	if (c->in_len + len > c->in_size) {
-		size_t size = (c->in_len + len) * 2;
-		char *in = realloc(c->in, size);
-
-		if (!in) {
-			c->too_large = true;
+	while (capacity < a->len + len)
+		capacity *= 2;
+	if (capacity != a->capacity) {
+		body = realloc(a->body, capacity);
+		if (!body)
 			return;
-		}
-		c->in = in;
-		c->in_size = size;
+		a->body = body;
+		a->capacity = capacity;
 	}
-	memcpy(c->in + c->in_len, data, len);
-	c->in_len += len;
+	memcpy(a->body + a->len, data, len);
+	a->len += len;
 }
 
-static void on_end(void *arg)
-{
-	struct call *c = arg;
-
-	if (c->too_large)
-		finish_empty(c, PLT_UNKNOWN);
-	else if (c->status == 404)
-		finish_empty(c, PLT_NOT_FOUND);
-	else if (c->status == 409 && c->kind == KIND_ROW)
-		finish_row(c, PLT_CONFLICT);
-	else if (c->status / 100 != 2)
-		finish_empty(c, c->status == 503 && !c->write ?
-					PLT_UNAVAILABLE :
-					PLT_UNKNOWN);
-	else if (c->kind == KIND_ROW)
-		finish_row(c, PLT_OK);
-	else if (c->kind == KIND_ROWS)
-		finish_rows(c);
-	else {
-		c->body_fn(c->arg, PLT_OK, c->in, c->in_len);
-		free_call(c);
-	}
-}
-
-static bool send_call(struct call *c);
+static void send_ask(struct ask *a);
 
 /*
- * A read may be sent again, as a kept connection may have been closed at the
- * same moment. A write is, too, but only with proof that no byte has left.
+ * A read on a kept connection that was just closing is sent once more. A write
+ * is not, as it may have taken effect.
  */
 static void on_failed(void *arg, enum ups_failure why)
 {
-	struct call *c = arg;
-	bool unsent = why == UPS_NOT_SENT || why == UPS_REFUSED;
-	bool again = c->write ? why == UPS_NOT_SENT :
-				(why == UPS_NOT_SENT || why == UPS_LOST);
-
-	c->request = 0;
-	c->in_len = 0;
-	if (again && !c->retried) {
-		c->retried = true;
-		if (lop_now_us(c->p->loop) < c->end_us && send_call(c))
-			return;
+	struct ask *a = arg;
+	bool sent = why != UPS_NOT_SENT && why != UPS_REFUSED;
+
+	if (why == UPS_LOST && !a->is_write && !a->retried) {
+		a->retried = true;
+		send_ask(a);
+		return;
 	}
-	finish_empty(c, unsent ? PLT_UNAVAILABLE : PLT_UNKNOWN);
+	tell(a, a->is_write && sent ? PLT_UNKNOWN : PLT_UNAVAILABLE);
 }
 
-static const struct ups_events events = { on_head, on_body, on_end, on_failed,
-					  NULL };
-
-/* Starts the request; false when the pool takes no more. */
-static bool send_call(struct call *c)
-{
-	uint64_t now = lop_now_us(c->p->loop);
-	struct ups_request req = {
-		.method = c->write ? "PUT" : "GET",
-		.target = c->target,
-		.content_length = (long long)c->out_len,
-		.first = c->out,
-		.first_len = c->out_len,
-		.end = true,
-		.timeout_us = c->end_us > now ? c->end_us - now : 0,
-	};
-
-	c->request = ups_start(c->p->pool, &req, &events, c);
-	return c->request != 0;
-}
+static const struct ups_events events = {
+	.head = on_head,
+	.body = on_body,
+	.end = on_end,
+	.failed = on_failed,
+};
 
-static void not_started(void *arg, uint64_t now_us)
+static void failed_due(void *arg, uint64_t now_us)
 {
-	struct call *c = arg;
+	struct ask *a = arg;
 
 	(void)now_us;
-	c->timer = 0;
-	finish_empty(c, PLT_UNAVAILABLE);
+	a->timer = 0;
+	tell(a, a->failed);
 }
 
-/* Sends a new call; what cannot be sent is reported by a timer. */
-static void begin(struct call *c)
+static void send_ask(struct ask *a)
 {
-	c->end_us = lop_now_us(c->p->loop) + PLT_TIMEOUT_MS * US_PER_MS;
-	if (!send_call(c))
-		c->timer = tmr_at(lop_timers(c->p->loop), 0, not_started, c);
+	static const struct htp_header type = { "content-type",
+						"application/json" };
+	struct lop *loop = a->http->loop;
+	struct ups_request req = { .method = a->method,
+				   .target = a->target,
+				   .headers = &type,
+				   .header_count = a->is_write ? 1 : 0,
+				   .content_length = (long long)a->request_len,
+				   .first = a->request,
+				   .first_len = a->request_len,
+				   .end = true,
+				   .timeout_us = PLT_TIMEOUT_MS * US_PER_MS };
+
+	a->len = 0;
+	if (ups_start(a->http->pool, &req, &events, a))
+		return;
+	a->failed = PLT_UNAVAILABLE;
+	a->timer = tmr_at(lop_timers(loop), lop_now_us(loop), failed_due, a);
 }
 
-/* Appends a name with percent-encoding; slashes are encoded too. */
-static void append_encoded(char *target, const char *name)
+/* Makes a call; NULL when memory is exhausted, and it is never answered. */
+static struct ask *create_ask(struct plt *p, enum kind kind, const char *method,
+			      void *arg)
 {
-	size_t len = strlen(target);
-
-	for (; *name && len + 4 < TARGET_MAX; name++) {
-		unsigned char ch = (unsigned char)*name;
+	struct http *h = (struct http *)p;
+	struct ask *a = calloc(1, sizeof(*a));
 
-		if (isalnum(ch) || strchr("-._~", ch))
-			target[len++] = (char)ch;
-		else
-			len += (size_t)sprintf(target + len, "%%%02X", ch);
-	}
-	target[len] = '\0';
+	if (!a)
+		return NULL;
+	a->http = h;
+	a->kind = kind;
+	a->arg = arg;
+	a->is_write = strcmp(method, "PUT") == 0;
+	snprintf(a->method, sizeof(a->method), "%s", method);
+	a->next = h->asks;
+	h->asks = a;
+	return a;
 }
 
-/* Makes a call; the caller's function is never lost for want of memory. */
-static struct call *new_call(struct plt *base, enum kind kind,
-			     const char *prefix, const char *name)
+/* Copies the body of a write. */
+static void set_body(struct ask *a, const void *body, size_t len)
 {
-	struct plt_http *p = (struct plt_http *)base;
-	struct call *c = calloc(1, sizeof(*c));
-
-	if (!c)
-		abort();
-	c->p = p;
-	c->kind = kind;
-	c->handle = tab_add(p->calls, c);
-	strcpy(c->target, prefix);
-	append_encoded(c->target, name);
-	return c;
+	a->request = malloc(len + 1);
+	if (!a->request)
+		return;
+	memcpy(a->request, body, len);
+	a->request_len = len;
 }
 
-static void get(struct plt *base, const char *key, plt_row_fn fn, void *arg)
+static void get(struct plt *p, const char *key, plt_row_fn fn, void *arg)
 {
-	struct call *c = new_call(base, KIND_ROW, "/table/", key);
+	struct ask *a = create_ask(p, KIND_ROW, "GET", arg);
 
-	c->row_fn = fn;
-	c->arg = arg;
-	begin(c);
+	if (!a)
+		return;
+	a->fn.row = fn;
+	strcpy(a->target, "/table/");
+	encode(a->target, sizeof(a->target), key);
+	send_ask(a);
 }
 
-static void put(struct plt *base, const char *key, uint64_t expect,
+static void put(struct plt *p, const char *key, uint64_t expect,
 		const char *value, plt_row_fn fn, void *arg)
 {
-	struct call *c = new_call(base, KIND_ROW, "/table/", key);
-	size_t len = strlen(c->target);
-
-	if (expect != PLT_ANY_VERSION)
-		snprintf(c->target + len, TARGET_MAX - len, "?expect=%" PRIu64,
-			 expect);
-	c->write = true;
-	c->out = strdup(value);
-	c->out_len = c->out ? strlen(value) : 0;
-	c->row_fn = fn;
-	c->arg = arg;
-	begin(c);
+	struct ask *a = create_ask(p, KIND_ROW, "PUT", arg);
+	size_t n;
+
+	if (!a)
+		return;
+	a->fn.row = fn;
+	strcpy(a->target, "/table/");
+	encode(a->target, sizeof(a->target), key);
+	n = strlen(a->target);
+	if (expect == PLT_ANY_VERSION)
+		snprintf(a->target + n, sizeof(a->target) - n, "?expect=any");
+	else
+		snprintf(a->target + n, sizeof(a->target) - n,
+			 "?expect=%" PRIu64, expect);
+	set_body(a, value, strlen(value));
+	send_ask(a);
 }
 
-static void since(struct plt *base, uint64_t seq, size_t max, plt_rows_fn fn,
+static void since(struct plt *p, uint64_t seq, size_t max, plt_rows_fn fn,
 		  void *arg)
 {
-	struct call *c = new_call(base, KIND_ROWS, "/table", "");
+	struct ask *a = create_ask(p, KIND_ROWS, "GET", arg);
 
-	snprintf(c->target, TARGET_MAX, "/table?since=%" PRIu64 "&limit=%zu",
-		 seq, max);
-	c->rows_fn = fn;
-	c->arg = arg;
-	begin(c);
+	if (!a)
+		return;
+	a->fn.rows = fn;
+	snprintf(a->target, sizeof(a->target),
+		 "/table?since=%" PRIu64 "&limit=%zu", seq, max);
+	send_ask(a);
 }
 
-static void put_object(struct plt *base, const char *name, const void *body,
+static void put_object(struct plt *p, const char *name, const void *body,
 		       size_t len, plt_body_fn fn, void *arg)
 {
-	struct call *c = new_call(base, KIND_BODY, "/object/", name);
-
-	c->write = true;
-	c->out = malloc(len + 1);
-	if (c->out && len > 0)
-		memcpy(c->out, body, len);
-	c->out_len = c->out ? len : 0;
-	c->body_fn = fn;
-	c->arg = arg;
-	begin(c);
+	struct ask *a = create_ask(p, KIND_BODY, "PUT", arg);
+
+	if (!a)
+		return;
+	a->fn.body = fn;
+	strcpy(a->target, "/object/");
+	encode(a->target, sizeof(a->target), name);
+	set_body(a, body, len);
+	send_ask(a);
 }
 
-static void get_object(struct plt *base, const char *name, plt_body_fn fn,
+static void get_object(struct plt *p, const char *name, plt_body_fn fn,
 		       void *arg)
 {
-	struct call *c = new_call(base, KIND_BODY, "/object/", name);
+	struct ask *a = create_ask(p, KIND_BODY, "GET", arg);
 
-	c->body_fn = fn;
-	c->arg = arg;
-	begin(c);
+	if (!a)
+		return;
+	a->fn.body = fn;
+	strcpy(a->target, "/object/");
+	encode(a->target, sizeof(a->target), name);
+	send_ask(a);
 }
 
-/* Ends all calls without calling their functions. */
-static void destroy(struct plt *base)
+static void destroy(struct plt *p)
 {
-	struct plt_http *p = (struct plt_http *)base;
-	struct call *c;
-	size_t pos = 0;
-
-	if (p->pool)
-		ups_destroy(p->pool);
-	while (p->calls && (c = tab_next(p->calls, &pos)))
-		free_call(c);
-	if (p->calls)
-		tab_destroy(p->calls);
-	free(p);
+	struct http *h = (struct http *)p;
+
+	ups_destroy(h->pool);
+	while (h->asks)
+		free_ask(h->asks);
+	free(h);
 }
 
-static const struct plt_ops ops = {
+static const struct plt_ops http_ops = {
 	.get = get,
 	.put = put,
 	.since = since,
@@ -378,24 +410,23 @@
 	.destroy = destroy,
 };
 
-/* Makes the client; it connects when it is first used. */
+/* Makes the client of the platform's service. */
 struct plt *plt_http_create(struct lop *l, const char *address, uint16_t port,
 			    struct err *err)
 {
-	struct plt_http *p = calloc(1, sizeof(*p));
+	struct http *h = calloc(1, sizeof(*h));
 
-	if (!p) {
+	if (!h) {
 		err_set(err, ERR_PLATFORM, NET_NO_MEMORY, "out of memory");
 		return NULL;
 	}
-	p->base.ops = &ops;
-	p->loop = l;
-	p->calls = tab_create(TAB_MAX);
-	p->pool = ups_lws_create(l, address, port, CONNECTIONS, err);
-	if (!p->calls || !p->pool) {
-		err_wrap(err, ERR_PLATFORM, NET_NO_MEMORY, "platform client");
-		destroy(&p->base);
+	h->loop = l;
+	h->base.ops = &http_ops;
+	h->pool = ups_lws_create(l, address, port, CONNECTIONS_MAX, err);
+	if (!h->pool) {
+		err_wrap(err, ERR_PLATFORM, NET_BAD_ADDRESS, "platform");
+		free(h);
 		return NULL;
 	}
-	return &p->base;
+	return &h->base;
 }
