lease: document the release of a successor that acts

Excluded: refusing the release: the daemon that asks for it is about to end. Before: the header was silent. Conclusion: the daemon should write a new version first when the table is up.

--- a/packages/lease/src/lse.h
+++ b/packages/lease/src/lse.h
@@ -123,7 +123,8 @@
 
 /*
  * Gives this version up for good without a new row: the owner stops acting and
- * grants the successor's claim at once.
+ * grants the successor's claim at once. After the release of a successor that
+ * acts nobody does until a new version of the row is written.
  */
 void lse_release(struct lse *l, uint64_t part, uint64_t now_us);
 
