HTTP server: a refusal of a request without body keeps the connection

Cause: a response from the head of a request without a body closed the connection, as the end of the empty body had not been told yet; the client then sent the next request on the closing connection and lost it. Excluded: the client's choice of connection, which was kept by the server's word. Before: a 404 carried connection: close and the next POST got no answer.

--- a/packages/daemon/src/ing_try.c
+++ b/packages/daemon/src/ing_try.c
@@ -95,16 +95,19 @@
 {
 	struct htp_header all[PEER_HEADERS_MAX + 1];
 
-	if (count > PEER_HEADERS_MAX)
-		count = PEER_HEADERS_MAX;
-	memcpy(all, headers, count * sizeof(*headers));
-	all[count].name = "geranium-outcome";
-	all[count].value = outcome_names[OUTCOME_DONE];
+	size_t kept = 0;
+
+	for (size_t i = 0; i < count && kept < PEER_HEADERS_MAX; i++) {
+		if (strncmp(headers[i].name, "geranium-", 9) != 0)
+			all[kept++] = headers[i];
+	}
+	all[kept].name = "geranium-outcome";
+	all[kept].value = outcome_names[OUTCOME_DONE];
 	c->responded = true;
 	c->status = status;
 	c->retry.response_started = true;
 	if (c->req)
-		htp_respond(c->req, status, all, count + 1, content_length);
+		htp_respond(c->req, status, all, kept + 1, content_length);
 }
 
 /* Closes the connection, so that a response cut short does not look whole. */
--- a/packages/net/src/htp_out.c
+++ b/packages/net/src/htp_out.c
@@ -154,8 +154,8 @@
 	if (r->responded)
 		return false;
 	/* What is left of the request body is discarded by closing. */
-	if (!r->body_done && content_length != HTP_LENGTH_UNKNOWN &&
-	    status >= 400)
+	if (!r->body_done && r->content_length != 0 &&
+	    content_length != HTP_LENGTH_UNKNOWN && status >= 400)
 		r->conn->close_after = true;
 	ok = append(head, &len, "HTTP/1.1 %d %s\r\n", status,
 		    reason_of(status));
--- a/packages/net/src/plt_http.c
+++ b/packages/net/src/plt_http.c
@@ -248,7 +248,7 @@
 		send_ask(a);
 		return;
 	}
-	tell(a, a->is_write && sent ? PLT_UNKNOWN : PLT_UNAVAILABLE);
+	tell(a, sent ? PLT_UNKNOWN : PLT_UNAVAILABLE);
 }
 
 static const struct ups_events events = {
@@ -267,11 +267,19 @@
 	tell(a, a->failed);
 }
 
+/* Tells at the end of the step that nothing was sent. */
+static void fail_later(struct ask *a)
+{
+	struct lop *loop = a->http->loop;
+
+	a->failed = PLT_UNAVAILABLE;
+	a->timer = tmr_at(lop_timers(loop), lop_now_us(loop), failed_due, a);
+}
+
 static void send_ask(struct ask *a)
 {
 	static const struct htp_header type = { "content-type",
 						"application/json" };
-	struct lop *loop = a->http->loop;
 	struct ups_request req = { .method = a->method,
 				   .target = a->target,
 				   .headers = &type,
@@ -285,8 +293,7 @@
 	a->len = 0;
 	if (ups_start(a->http->pool, &req, &events, a))
 		return;
-	a->failed = PLT_UNAVAILABLE;
-	a->timer = tmr_at(lop_timers(loop), lop_now_us(loop), failed_due, a);
+	fail_later(a);
 }
 
 /* Makes a call; NULL when memory is exhausted, and it is never answered. */
@@ -308,14 +315,17 @@
 	return a;
 }
 
-/* Copies the body of a write. */
-static void set_body(struct ask *a, const void *body, size_t len)
+/* Sends a write with a copy of its body; without memory nothing is sent. */
+static void send_body(struct ask *a, const void *body, size_t len)
 {
 	a->request = malloc(len + 1);
-	if (!a->request)
+	if (!a->request) {
+		fail_later(a);
 		return;
+	}
 	memcpy(a->request, body, len);
 	a->request_len = len;
+	send_ask(a);
 }
 
 static void get(struct plt *p, const char *key, plt_row_fn fn, void *arg)
@@ -347,8 +357,7 @@
 	else
 		snprintf(a->target + n, sizeof(a->target) - n,
 			 "?expect=%" PRIu64, expect);
-	set_body(a, value, strlen(value));
-	send_ask(a);
+	send_body(a, value, strlen(value));
 }
 
 static void since(struct plt *p, uint64_t seq, size_t max, plt_rows_fn fn,
@@ -374,8 +383,7 @@
 	a->fn.body = fn;
 	strcpy(a->target, "/object/");
 	encode(a->target, sizeof(a->target), name);
-	set_body(a, body, len);
-	send_ask(a);
+	send_body(a, body, len);
 }
 
 static void get_object(struct plt *p, const char *name, plt_body_fn fn,
--- a/packages/net/src/ups_call.c
+++ b/packages/net/src/ups_call.c
@@ -10,11 +10,16 @@
 /* Bytes of the response that are read at once. */
 #define READ_MAX 16384
 
-const char *const ups_response_headers[] = {
-	"content-type",	 "content-encoding", "etag",
-	"last-modified", "location",	     "cache-control",
-	"retry-after",	 "geranium-refused", NULL
-};
+const char *const ups_response_headers[] = { "content-type",
+					     "content-encoding",
+					     "etag",
+					     "last-modified",
+					     "location",
+					     "cache-control",
+					     "retry-after",
+					     "geranium-refused",
+					     "geranium-outcome",
+					     NULL };
 
 /* Frees a call that no event is due for any more. */
 static void free_call(struct ups_call *c, bool good)
--- a/packages/net/tests/test_plt.c
+++ b/packages/net/tests/test_plt.c
@@ -150,7 +150,7 @@
 
 	(void)state;
 	s.answer = "{\"key\":\"row/1/2\",\"version\":7,\"seq\":9,"
-		   "\"value\":{\"a\":1}}";
+		   "\"value\":\"{\\\"a\\\":1}\"}";
 	plt_get(p, "row/1/2", on_row, &a);
 	wait_for(&s, &a);
 	assert_int_equal(a.result, PLT_OK);
@@ -178,7 +178,7 @@
 	memset(&a, 0, sizeof(a));
 	s.status = 200;
 	s.answer = "{\"rows\":[{\"key\":\"a\",\"version\":1,\"seq\":4,"
-		   "\"value\":1}],\"complete\":5}";
+		   "\"value\":\"1\"}],\"complete\":5}";
 	plt_since(p, 3, 10, on_rows, &a);
 	wait_for(&s, &a);
 	assert_int_equal(a.result, PLT_OK);
