--- a/packages/net/src/plt_http.c
+++ b/packages/net/src/plt_http.c
@@ -76,6 +76,16 @@
 	out[n] = '\0';
 }
 
+/* Frees a call that is in no list any more. */
+static void drop_ask(struct ask *a)
+{
+	tmr_cancel(lop_timers(a->http->loop), a->timer);
+	free(a->request);
+	free(a->body);
+	free(a);
+}
+
+/* Frees a call and takes it out of the list. */
 static void free_ask(struct ask *a)
 {
 	struct ask **at = &a->http->asks;
@@ -84,10 +94,7 @@
 		at = &(*at)->next;
 	if (*at)
 		*at = a->next;
-	tmr_cancel(lop_timers(a->http->loop), a->timer);
-	free(a->request);
-	free(a->body);
-	free(a);
+	drop_ask(a);
 }
 
 /* Tells the result without any data and frees the call. */
@@ -113,7 +120,7 @@
 	memset(row, 0, sizeof(*row));
 	if (!key || !value || strlen(key) >= sizeof(row->key))
 		return false;
-	strcpy(row->key, key);
+	snprintf(row->key, sizeof(row->key), "%s", key);
 	row->version =
 		(uint64_t)json_integer_value(json_object_get(json, "version"));
 	row->seq = (uint64_t)json_integer_value(json_object_get(json, "seq"));
@@ -335,7 +342,7 @@
 	if (!a)
 		return;
 	a->fn.row = fn;
-	strcpy(a->target, "/table/");
+	snprintf(a->target, sizeof(a->target), "/table/");
 	encode(a->target, sizeof(a->target), key);
 	send_ask(a);
 }
@@ -349,7 +356,7 @@
 	if (!a)
 		return;
 	a->fn.row = fn;
-	strcpy(a->target, "/table/");
+	snprintf(a->target, sizeof(a->target), "/table/");
 	encode(a->target, sizeof(a->target), key);
 	n = strlen(a->target);
 	if (expect == PLT_ANY_VERSION)
@@ -381,7 +388,7 @@
 	if (!a)
 		return;
 	a->fn.body = fn;
-	strcpy(a->target, "/object/");
+	snprintf(a->target, sizeof(a->target), "/object/");
 	encode(a->target, sizeof(a->target), name);
 	send_body(a, body, len);
 }
@@ -394,7 +401,7 @@
 	if (!a)
 		return;
 	a->fn.body = fn;
-	strcpy(a->target, "/object/");
+	snprintf(a->target, sizeof(a->target), "/object/");
 	encode(a->target, sizeof(a->target), name);
 	send_ask(a);
 }
@@ -402,10 +409,14 @@
 static void destroy(struct plt *p)
 {
 	struct http *h = (struct http *)p;
+	struct ask *a;
+	struct ask *next;
 
 	ups_destroy(h->pool);
-	while (h->asks)
-		free_ask(h->asks);
+	for (a = h->asks; a; a = next) {
+		next = a->next;
+		drop_ask(a);
+	}
 	free(h);
 }
 
