--- a/packages/daemon/tests/cluster.c
+++ b/packages/daemon/tests/cluster.c
@@ -17,7 +17,7 @@
 
 #define READY_LIMIT_MS 60000
 #define ARGS_MAX 40
-#define CONNECTIONS 8
+#define CONNECTIONS 64
 
 const struct cluster_params cluster_association = { .bookings = 8,
 						    .documents = 3,
@@ -237,13 +237,16 @@
 }
 
 /* Number of partitions that are held, over all daemons. */
-static json_int_t count_held(struct cluster *c)
+json_int_t cluster_held(struct cluster *c)
 {
 	json_int_t held = 0;
 
 	for (size_t i = 0; i < c->count; i++) {
-		json_t *status = cluster_ask(c, i, "GET", "/-/status");
+		json_t *status;
 
+		if (c->nodes[i].daemon <= 0)
+			continue;
+		status = cluster_ask(c, i, "GET", "/-/status");
 		held += json_integer_value(
 			json_object_get(status, "partitions"));
 		json_decref(status);
@@ -257,7 +260,7 @@
 		(c->params.bookings ? 64 : 0) + (c->params.documents ? 24 : 0);
 	uint64_t limit = cluster_now_ms() + READY_LIMIT_MS;
 
-	while (count_held(c) != wanted) {
+	while (cluster_held(c) != wanted) {
 		if (cluster_now_ms() > limit) {
 			fprintf(stderr, "harness: logs in %s\n", c->dir);
 			check(false, "not all partitions are held");
@@ -283,6 +286,8 @@
 	open_pools(c);
 	start_platform(c);
 	cluster_sleep(c, 200);
+	if (params->platform_control)
+		cluster_control_platform(c, params->platform_control);
 	for (size_t i = 0; i < c->count; i++) {
 		write_settings(c, i);
 		cluster_restart_daemon(c, i);
--- a/packages/daemon/tests/cluster.h
+++ b/packages/daemon/tests/cluster.h
@@ -23,6 +23,8 @@
 	size_t documents; /* the same of documents */
 	unsigned int service_ms; /* time of a request on an upstream */
 	bool fences; /* the upstreams of bookings check fences */
+	const char *platform_control; /* JSON for the platform before a daemon
+				       * is started; NULL for none */
 };
 
 /* The layout of the Association: 8 and 3 instances. */
@@ -88,6 +90,52 @@
  */
 int cluster_owner(struct cluster *c, const char *service, const char *key);
 
+/* GET of the platform stand-in; the caller releases the value. */
+json_t *cluster_ask_platform(struct cluster *c, const char *target);
+
+/* What the table of the platform says of partition n of bookings. */
+#define CLUSTER_BOOKINGS_PARTITIONS 64
+
+/* Node that owns the partition in the table, -1 if there is no row. */
+int cluster_row_owner(struct cluster *c, uint32_t partition);
+
+/*
+ * Waits until every row of both services names only processes that run and
+ * every partition is held; false after limit_ms.
+ */
+bool cluster_settle(struct cluster *c, unsigned int limit_ms);
+
+/* Partition of bookings that a key belongs to. */
+uint32_t cluster_partition(const char *key);
+
+/*
+ * Load: requests of all kinds from many keys to all daemons at once. A node
+ * that is skipped is not asked. What was told "not run" is kept and compared
+ * with the journal.
+ */
+struct load;
+
+struct load_counts {
+	size_t done;
+	size_t not_run;
+	size_t unknown;
+	size_t shed;
+	size_t other; /* any other outcome, or no response */
+};
+
+struct load *load_create(struct cluster *c);
+void load_destroy(struct load *l);
+void load_skip(struct load *l, size_t node, bool skip);
+
+/* Keeps requests going for a while; counts are those of this run. */
+struct load_counts load_run(struct load *l, unsigned int ms);
+
+/* Waits until no request is open. */
+void load_finish(struct load *l);
+
+/* Requests that were told not run although the journal has a start. */
+size_t load_check_not_run(struct load *l);
+
 /* Lets the loop run for a while. */
 void cluster_sleep(struct cluster *c, unsigned int ms);
 
--- a/packages/daemon/tests/cluster_http.c
+++ b/packages/daemon/tests/cluster_http.c
@@ -5,11 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-struct exchange {
-	struct reply *reply;
-	bool over;
-};
-
 static void on_head(void *arg, const struct ups_response *response)
 {
 	struct exchange *x = arg;
@@ -36,19 +31,26 @@
 	r->len += len;
 }
 
+static void end_exchange(struct exchange *x)
+{
+	x->over = true;
+	if (x->ended)
+		x->ended(x->arg);
+}
+
 static void on_end(void *arg)
 {
-	((struct exchange *)arg)->over = true;
+	end_exchange(arg);
 }
 
 static void on_failed(void *arg, enum ups_failure why)
 {
 	struct exchange *x = arg;
 
-	x->over = true;
 	x->reply->sent = why != UPS_NOT_SENT && why != UPS_REFUSED;
 	x->reply->broken = why == UPS_BROKEN;
 	x->reply->status = 0;
+	end_exchange(x);
 }
 
 static const struct ups_events events = {
@@ -58,10 +60,10 @@
 	.failed = on_failed,
 };
 
-/* Sends one request and runs the loop until it has ended. */
-void cluster_send(struct cluster *c, struct ups *pool, const char *method,
-		  const char *path, const char *id, const char *body,
-		  unsigned int timeout_ms, struct reply *r)
+/* Sends one request; false if no connection was free. */
+bool cluster_begin(struct ups *pool, const char *method, const char *path,
+		   const char *id, const char *body, unsigned int timeout_ms,
+		   struct exchange *x)
 {
 	char timeout[16];
 	struct htp_header headers[] = { { "geranium-timeout-ms", timeout },
@@ -77,15 +79,26 @@
 				   .end = true,
 				   .timeout_us =
 					   (timeout_ms + 500) * US_PER_MS };
-	struct exchange x = { .reply = r };
 
-	memset(r, 0, sizeof(*r));
-	r->sent = true;
+	memset(x->reply, 0, sizeof(*x->reply));
+	x->over = false;
+	x->reply->sent = true;
 	snprintf(timeout, sizeof(timeout), "%u", timeout_ms);
-	if (!ups_start(pool, &req, &events, &x)) {
-		r->sent = false;
-		return;
-	}
+	if (ups_start(pool, &req, &events, x))
+		return true;
+	x->reply->sent = false;
+	x->over = true;
+	return false;
+}
+
+/* Sends one request and runs the loop until it has ended. */
+void cluster_send(struct cluster *c, struct ups *pool, const char *method,
+		  const char *path, const char *id, const char *body,
+		  unsigned int timeout_ms, struct reply *r)
+{
+	struct exchange x = { .reply = r };
+
+	cluster_begin(pool, method, path, id, body, timeout_ms, &x);
 	while (!x.over)
 		lop_step(c->loop);
 }
@@ -126,6 +139,12 @@
 	return ask_pool(c, c->nodes[node].admin, method, target, NULL);
 }
 
+/* Asks the platform stand-in, whose table row is at the target. */
+json_t *cluster_ask_platform(struct cluster *c, const char *target)
+{
+	return ask_pool(c, c->platform_pool, "GET", target, NULL);
+}
+
 /* Sets the behaviour of the platform stand-in. */
 void cluster_control_platform(struct cluster *c, const char *json)
 {
--- a/packages/daemon/tests/cluster_int.h
+++ b/packages/daemon/tests/cluster_int.h
@@ -33,6 +33,22 @@
 	size_t count;
 };
 
+/* Number of partitions that are held, over all daemons that run. */
+json_int_t cluster_held(struct cluster *c);
+
+/* A request in progress. */
+struct exchange {
+	struct reply *reply;
+	bool over;
+	void (*ended)(void *arg); /* may be NULL */
+	void *arg;
+};
+
+/* Starts a request; false, and over, if no connection was free. */
+bool cluster_begin(struct ups *pool, const char *method, const char *path,
+		   const char *id, const char *body, unsigned int timeout_ms,
+		   struct exchange *x);
+
 /* Sends a request over a pool and waits for its end. */
 void cluster_send(struct cluster *c, struct ups *pool, const char *method,
 		  const char *path, const char *id, const char *body,
