daemon: carry a rewrite of a row out when it is due

Cause: bal_want() carried a rewrite out only when the lease module asked a second time, 600 ms after the first, and forgot it when no room was left among the 32 writes in flight. A rewrite could so come more than 2 s after a takeover, and an owner whose witnesses had ended could lose its term before its row named others; it was then served by nobody.

A timer now carries out what is due and keeps what finds no room. A request is dropped when its row has changed or it was not repeated for 1 s.

--- a/packages/daemon/src/bal.c
+++ b/packages/daemon/src/bal.c
@@ -20,6 +20,9 @@
 #define STABLE_US (1500 * US_PER_MS) /* members unchanged before creation */
 #define BALANCE_INTERVAL_US US_PER_S
 #define DRAIN_INTERVAL_US (100 * US_PER_MS)
+#define REWRITE_INTERVAL_US (50 * US_PER_MS)
+/* Longer than the time between two requests of the lease module. */
+#define WANT_AGE_US (1 * US_PER_S)
 #define REARM_RATE 100 /* rows a second of the whole system */
 #define SECONDS_PER_MINUTE 60
 #define LOAD_DECAY 0.9 /* of the load of a partition, each second */
@@ -27,7 +30,10 @@
 /* A rewrite that waits for its turn. */
 struct pending {
 	uint64_t part;
+	uint64_t version; /* of the row that is to be replaced */
 	uint64_t due_us;
+	uint64_t wanted_us; /* when it was last asked for */
+	enum lse_want want;
 	UT_hash_handle hh;
 };
 
@@ -148,36 +154,77 @@
 	plc_view_free(&view);
 }
 
+static struct pending *add_pending(struct bal *b, uint64_t part)
+{
+	uint64_t window =
+		mir_member_count(b->n->mirror) * US_PER_S / REARM_RATE;
+	struct pending *p = calloc(1, sizeof(*p));
+
+	if (!p)
+		return NULL;
+	p->part = part;
+	p->due_us = nod_now_us(b->n) + clk_random_below(b->n->clk, window + 1);
+	HASH_ADD(hh, b->pending, part, sizeof(p->part), p);
+	return p;
+}
+
+static void drop_pending(struct bal *b, struct pending *p)
+{
+	HASH_DEL(b->pending, p);
+	free(p);
+}
+
+static uint64_t row_version(const struct bal *b, uint64_t part)
+{
+	const struct row *row = mir_row(b->n->mirror, part);
+
+	return row ? row->set.version : 0;
+}
+
 /*
- * Requests repeat while their reason lasts. The first one draws a time in a
+ * Requests repeat while their reason lasts. Each rewrite draws a time in a
  * window sized by the members, so that the loss of a data centre does not
- * bring more writes a second than the table takes; a later one after that time
- * is carried out.
+ * bring more writes a second than the table takes.
  */
 void bal_want(struct bal *b, uint64_t part, enum lse_want want)
 {
-	uint64_t now = nod_now_us(b->n);
-	uint64_t window =
-		mir_member_count(b->n->mirror) * US_PER_S / REARM_RATE;
 	struct pending *p;
 
 	if (!syn_platform_up(b->n->syn) || wrt_is_busy(b->n->writer, part))
 		return;
 	HASH_FIND(hh, b->pending, &part, sizeof(part), p);
-	if (!p) {
-		p = calloc(1, sizeof(*p));
-		if (!p)
-			return;
-		p->part = part;
-		p->due_us = now + clk_random_below(b->n->clk, window + 1);
-		HASH_ADD(hh, b->pending, part, sizeof(p->part), p);
+	if (!p)
+		p = add_pending(b, part);
+	if (!p)
 		return;
+	p->version = row_version(b, part);
+	p->wanted_us = nod_now_us(b->n);
+	p->want = want;
+}
+
+/*
+ * Carries out the rewrites that are due. One that finds no room among the
+ * writes in flight keeps its place: the term of its owner may end before the
+ * lease module asks again.
+ */
+static void rewrite_due(void *arg, uint64_t now_us)
+{
+	struct bal *b = arg;
+	struct pending *p;
+	struct pending *next;
+
+	HASH_ITER(hh, b->pending, p, next) {
+		if (now_us - p->wanted_us > WANT_AGE_US ||
+		    p->version != row_version(b, p->part)) {
+			drop_pending(b, p);
+			continue;
+		}
+		if (now_us < p->due_us || !wrt_room(b->n->writer) ||
+		    !syn_platform_up(b->n->syn))
+			continue;
+		rewrite(b, p->part, p->want);
+		drop_pending(b, p);
 	}
-	if (now < p->due_us)
-		return;
-	HASH_DEL(b->pending, p);
-	free(p);
-	rewrite(b, part, want);
 }
 
 /* True if the members table shows that a process is not running. */
@@ -389,6 +436,8 @@
 	b->members_since_us = now;
 	tmr_every(n->timers, now + CREATE_INTERVAL_US, CREATE_INTERVAL_US,
 		  create_due, b);
+	tmr_every(n->timers, now + REWRITE_INTERVAL_US, REWRITE_INTERVAL_US,
+		  rewrite_due, b);
 	tmr_every(n->timers, now + BALANCE_INTERVAL_US, BALANCE_INTERVAL_US,
 		  balance_due, b);
 	tmr_every(n->timers, now + DRAIN_INTERVAL_US, DRAIN_INTERVAL_US,
@@ -407,8 +456,7 @@
 	if (!b)
 		return;
 	HASH_ITER(hh, b->pending, p, next_pending) {
-		HASH_DEL(b->pending, p);
-		free(p);
+		drop_pending(b, p);
 	}
 	HASH_ITER(hh, b->work, w, next_work) {
 		HASH_DEL(b->work, w);
