Test ownership under failure over separate processes

Each case ends with a settled table, all keys served through all daemons, and the checks of the journals.

--- /dev/null
+++ b/packages/daemon/tests/test_outage.c
@@ -0,0 +1,105 @@
+/*
+ * Guards against two owners, lost rows and a rush of requests to the platform
+ * when the platform is down, slow or loses replies, with the loss of a daemon
+ * in the middle. The rows are created while replies are lost.
+ */
+
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <cmocka.h>
+
+#include "failure.h"
+
+#define OUTAGE_MS 20000
+
+/* Requests to the table for each daemon and second, with room for a burst. */
+#define READS_PER_NODE_S 4
+#define WRITES_AFTER_OUTAGE 400
+
+static void lost_replies_during_creation(void **state)
+{
+	(void)state;
+	assert_int_equal(platform_count("dropped"), CREATION_DROPS);
+	check_recovered();
+}
+
+/* The requests that the daemons made of the platform stay bounded. */
+static void check_rates(long long reads, long long writes, uint64_t since_ms)
+{
+	uint64_t seconds = (cluster_now_ms() - since_ms) / 1000 + 1;
+	long long limit = (long long)(seconds * cluster_nodes(cluster) *
+				      READS_PER_NODE_S);
+
+	reads = platform_count("reads") - reads;
+	writes = platform_count("writes") - writes;
+	printf("after the outage: %lld reads, %lld writes in under %llu s\n",
+	       reads, writes, (unsigned long long)seconds);
+	assert_true(reads <= limit);
+	assert_true(writes <= WRITES_AFTER_OUTAGE);
+}
+
+static void outage_of_the_platform_with_a_kill(void **state)
+{
+	size_t victim = owner_of_bookings();
+	uint64_t since;
+	long long reads;
+	long long writes;
+
+	(void)state;
+	cluster_control_platform(cluster, "{\"down\":true}");
+	failure_run("down", OUTAGE_MS / 2);
+	kill_daemon(victim);
+	failure_run("down and killed", 3000);
+	failure_run("down after the takeover", OUTAGE_MS / 2 - 3000);
+	reads = platform_count("reads");
+	writes = platform_count("writes");
+	since = cluster_now_ms();
+	cluster_control_platform(cluster, "{\"down\":false}");
+	restart_daemon(victim);
+	failure_run("back", 9000);
+	check_rates(reads, writes, since);
+	check_recovered();
+}
+
+static void slow_platform_with_a_kill(void **state)
+{
+	size_t victim = owner_of_bookings();
+
+	(void)state;
+	cluster_control_platform(cluster, "{\"latency_ms\":1500}");
+	kill_daemon(victim);
+	failure_run("slow", 5000);
+	cluster_control_platform(cluster, "{\"latency_ms\":0}");
+	restart_daemon(victim);
+	check_recovered();
+}
+
+static void lost_replies_during_a_takeover(void **state)
+{
+	size_t victim = owner_of_bookings();
+	long long dropped = platform_count("dropped");
+
+	(void)state;
+	cluster_control_platform(cluster, "{\"drop_replies\":15}");
+	kill_daemon(victim);
+	failure_run("lost replies", 2500);
+	restart_daemon(victim);
+	check_recovered();
+	assert_int_equal(platform_count("dropped") - dropped, 15);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(lost_replies_during_creation),
+		cmocka_unit_test(outage_of_the_platform_with_a_kill),
+		cmocka_unit_test(slow_platform_with_a_kill),
+		cmocka_unit_test(lost_replies_during_a_takeover),
+	};
+
+	return cmocka_run_group_tests(tests, failure_start, failure_stop);
+}
