Quarantine: one crash of an upstream is one strike for a request

Cause: upd_lost() kept an entry for each running request, and strike_lost() gave a strike for each entry. Equal requests (same kind, target and start of the body) have one fingerprint, so three of them running beside a request that crashed the upstream got three strikes, and two quarantine. Requests for a hot key would be refused with 422 after a single crash caused by another request.

--- a/packages/daemon/src/upd.c
+++ b/packages/daemon/src/upd.c
@@ -412,14 +412,27 @@
 	return u->phase == PHASE_SERVING;
 }
 
-/* Remembers the request and asks whether the upstream still lives. */
+/* Entry of a fingerprint, a new one if it has none; NULL without room. */
+static struct lost *take_lost(struct upd *u, uint64_t fingerprint)
+{
+	for (size_t i = 0; i < u->lost_count; i++) {
+		if (u->lost[i].fingerprint == fingerprint)
+			return &u->lost[i];
+	}
+	return u->lost_count < LOST_MAX ? &u->lost[u->lost_count++] : NULL;
+}
+
+/*
+ * Remembers the request and asks whether the upstream still lives. Equal
+ * requests that ran at the same time share an entry: one crash is one strike,
+ * or the requests for a hot key would be quarantined by the crash of another.
+ */
 void upd_lost(struct upd *u, uint64_t fingerprint, const char *label)
 {
-	struct lost *l;
+	struct lost *l = take_lost(u, fingerprint);
 
-	if (u->lost_count == LOST_MAX)
+	if (!l)
 		return;
-	l = &u->lost[u->lost_count++];
 	l->fingerprint = fingerprint;
 	l->at_us = nod_now_us(u->n);
 	snprintf(l->label, sizeof(l->label), "%s", label);
--- a/packages/daemon/tests/cluster.c
+++ b/packages/daemon/tests/cluster.c
@@ -396,3 +396,29 @@
 	c->nodes[node].daemon = 0;
 	return WIFEXITED(status) ? WEXITSTATUS(status) : 128;
 }
+
+/* Takes note of an upstream that has ended by itself. */
+bool cluster_upstream_ended(struct cluster *c, size_t node)
+{
+	pid_t *pid = &c->nodes[node].upstream;
+
+	if (*pid > 0 && waitpid(*pid, NULL, WNOHANG) == *pid)
+		*pid = 0;
+	return *pid <= 0;
+}
+
+/* Takes note of a daemon that has ended by itself. */
+bool cluster_daemon_ended(struct cluster *c, size_t node)
+{
+	pid_t *pid = &c->nodes[node].daemon;
+
+	if (*pid > 0 && waitpid(*pid, NULL, WNOHANG) == *pid)
+		*pid = 0;
+	return *pid <= 0;
+}
+
+/* Port on which the daemon of a node listens for peers. */
+uint16_t cluster_peer_port(const struct cluster *c, size_t node)
+{
+	return c->nodes[node].peer_port;
+}
--- a/packages/daemon/tests/cluster.h
+++ b/packages/daemon/tests/cluster.h
@@ -41,6 +41,7 @@
 const char *cluster_dir(const struct cluster *c);
 uint16_t cluster_http_port(const struct cluster *c, size_t node);
 uint16_t cluster_admin_port(const struct cluster *c, size_t node);
+uint16_t cluster_peer_port(const struct cluster *c, size_t node);
 pid_t cluster_daemon_pid(const struct cluster *c, size_t node);
 
 /* Sends a signal to the daemon, the upstream, or the platform stand-in. */
@@ -50,6 +51,10 @@
 /* Waits for the end of a process after a signal; returns its exit status. */
 int cluster_wait_daemon(struct cluster *c, size_t node, unsigned int limit_ms);
 
+/* True if the process is not running; one that crashed is noticed here. */
+bool cluster_upstream_ended(struct cluster *c, size_t node);
+bool cluster_daemon_ended(struct cluster *c, size_t node);
+
 /* Starts a process again that has ended. */
 void cluster_restart_daemon(struct cluster *c, size_t node);
 void cluster_restart_upstream(struct cluster *c, size_t node);
