Upstream client: a cancelled request ends its connection at once

Cause: ups_call_drop() destroyed the vhost of the connection, and libwebsockets 4.1 closes the connections of a destroyed vhost only some 5 s later. The upstream did not learn that the caller had gone and worked until the deadline of the kind. The same held for a call whose time was over. The socket is now shut down when the call is dropped. Excluded: the server side (the daemon counted the caller as gone and the request as cancelled at once) and the upstream stand-in (it stops when the connection is closed).

--- a/packages/net/src/ups.c
+++ b/packages/net/src/ups.c
@@ -34,6 +34,7 @@
 
 	(void)now_us;
 	c->timer = 0;
+	ups_call_hang_up(c);
 	ups_call_fail(c, c->sent ? UPS_TIMEOUT : UPS_NOT_SENT);
 }
 
--- a/packages/net/src/ups_call.c
+++ b/packages/net/src/ups_call.c
@@ -84,9 +84,22 @@
 	events->failed(arg, why);
 }
 
-/* Closes the connection by destroying its vhost. */
+/*
+ * Tells the other side at once that nobody waits for the response. libwebsockets
+ * 4.1 closes the connections of a destroyed vhost some 5 s later only.
+ */
+void ups_call_hang_up(struct ups_call *c)
+{
+	int fd = c->wsi ? lws_get_socket_fd(c->wsi) : -1;
+
+	if (fd >= 0)
+		shutdown(fd, SHUT_RDWR);
+}
+
+/* Ends the connection; its place is closed by destroying its vhost. */
 void ups_call_drop(struct ups_call *c)
 {
+	ups_call_hang_up(c);
 	free_call(c, false);
 }
 
--- a/packages/net/src/ups_int.h
+++ b/packages/net/src/ups_int.h
@@ -89,6 +89,9 @@
 void ups_call_end(struct ups_call *c);
 void ups_call_fail(struct ups_call *c, enum ups_failure why);
 
+/* Ends the connection of a call that is still open on our side. */
+void ups_call_hang_up(struct ups_call *c);
+
 /* Closes the connection of a call without any event and frees the call. */
 void ups_call_drop(struct ups_call *c);
 
