Forwarding: an idempotent request may use its whole deadline

Cause: ing_out_open() passed half of the time that was left as the deadline of an idempotent request, so that a frozen owner left time for another attempt. The upstream stopped a slow request at half of the deadline, and its 504 went to the caller. Now the whole time is passed on, and at half time the other daemon is asked whether it runs; only without an answer within 100 ms the attempt is given up. Excluded: the upstream stand-in (over one hop it stops at the whole deadline).

Before: GET with a deadline of 400 ms through two hops is answered 504 after 201 ms. After: after 401 ms, as through one hop.

A refusal closer to the deadline than another attempt could be is 504, as the upstream's daemon may round the remaining time down by a millisecond.

--- a/packages/daemon/src/ing_call.h
+++ b/packages/daemon/src/ing_call.h
@@ -68,6 +68,7 @@
 	uint64_t stream; /* number of the remote stream, 0 if none */
 	uint32_t data_call;
 	uint32_t read_call;
+	uint32_t alive_call; /* asks whether the other daemon runs */
 	bool remote_open; /* OPEN was answered with a head */
 
 	struct early_refusal early;
--- a/packages/daemon/src/ing_out.c
+++ b/packages/daemon/src/ing_out.c
@@ -7,7 +7,8 @@
 #include "syn.h"
 
 #define READ_TIMEOUT_US (30 * US_PER_S) /* also of DATA and CANCEL */
-#define MIN_ATTEMPT_US (100 * US_PER_MS)
+#define ALIVE_TIMEOUT_US (100 * US_PER_MS) /* of a daemon that is asked */
+#define NO_STREAM 0 /* no request has this number */
 
 static void read_more(struct call *c);
 
@@ -155,22 +156,20 @@
 	c->stream = 0;
 }
 
-/* The reply to OPEN. */
-static void opened(void *arg, enum per_failure failure, void *result)
+/* Ends the check of the other daemon. */
+static void stop_check(struct call *c)
 {
-	struct call *c = arg;
-	struct peer_opened *o = result;
+	struct nod *n = c->ing->n;
 
-	c->remote = 0;
-	if (failure == PER_OK && o->status == PEER_OK) {
-		pass_head(c, o);
-		return;
-	}
-	if (failure == PER_OK) {
-		c->forwards++;
-		pass_refusal(c, o);
-		return;
-	}
+	tmr_cancel(n->timers, c->timer);
+	c->timer = 0;
+	per_drop(n->peers, c->alive_call);
+	c->alive_call = 0;
+}
+
+/* The attempt has failed without an answer of the other daemon. */
+static void attempt_failed(struct call *c, enum per_failure failure)
+{
 	cancel_stream(c);
 	prb_ask(c->ing->n->probes, &c->target_proc);
 	rte_failed(c->ing->routes, c->part, &c->target_proc);
@@ -182,15 +181,62 @@
 	}
 }
 
+/* The reply to OPEN. */
+static void opened(void *arg, enum per_failure failure, void *result)
+{
+	struct call *c = arg;
+	struct peer_opened *o = result;
+
+	c->remote = 0;
+	stop_check(c);
+	if (failure != PER_OK) {
+		attempt_failed(c, failure);
+	} else if (o->status == PEER_OK) {
+		pass_head(c, o);
+	} else {
+		c->forwards++;
+		pass_refusal(c, o);
+	}
+}
+
+/* The other daemon runs and its upstream is slow, or it is frozen. */
+static void alive_checked(void *arg, enum per_failure failure, void *result)
+{
+	struct call *c = arg;
+
+	(void)result;
+	c->alive_call = 0;
+	if (failure == PER_OK)
+		return;
+	per_drop(c->ing->n->peers, c->remote);
+	c->remote = 0;
+	attempt_failed(c, failure == PER_TIMEOUT ? PER_TIMEOUT : PER_LOST);
+}
+
+/* Half of the time is over: asks whether the other daemon still runs. */
+static void check_due(void *arg, uint64_t now_us)
+{
+	struct call *c = arg;
+	struct nod *n = c->ing->n;
+	struct peer_cancel args = { .from = nod_to_peer(&n->self),
+				    .stream = NO_STREAM };
+
+	(void)now_us;
+	c->timer = 0;
+	c->alive_call = per_call(n->peers, &c->target_address, PEER_CANCEL,
+				 &args, ALIVE_TIMEOUT_US, alive_checked, c);
+}
+
 /*
- * How long an attempt may take. An idempotent request keeps time for another
- * one, so that a frozen owner does not use up its whole deadline.
+ * A frozen owner must not use up the whole time of an idempotent request, and a
+ * slow upstream may use all of it. So the other daemon is asked at half time,
+ * early enough for another attempt.
  */
-static uint64_t attempt_time(const struct call *c, uint64_t left_us)
+static void plan_check(struct call *c, uint64_t now_us, uint64_t left_us)
 {
-	if (!c->retry.idempotent || left_us / 2 < MIN_ATTEMPT_US)
-		return left_us;
-	return left_us / 2;
+	if (c->retry.idempotent && left_us / 2 > ALIVE_TIMEOUT_US)
+		c->timer = tmr_at(c->ing->n->timers, now_us + left_us / 2,
+				  check_due, c);
 }
 
 static void fill_open(struct call *c, struct peer_open *args,
@@ -244,17 +290,18 @@
 		peer_headers[i].name = (char *)headers[i].name;
 		peer_headers[i].value = (char *)headers[i].value;
 	}
-	left = attempt_time(c, left);
 	args.deadline_left_ms = (u_int)(left / US_PER_MS);
 	c->sent_end = args.end;
 	c->can_send = !args.end;
 	ctr_add(CTR_FORWARDS, 1);
 	c->remote = per_call(n->peers, &c->target_address, PEER_OPEN, &args,
 			     left, opened, c);
-	if (!c->remote)
+	if (!c->remote) {
 		ing_failed(c, RET_NOT_RUN, 0);
-	else
-		ing_send_body(c);
+		return;
+	}
+	plan_check(c, now, left);
+	ing_send_body(c);
 }
 
 /* Tells the other daemon that the caller has gone. */
@@ -262,6 +309,7 @@
 {
 	struct per *peers = c->ing->n->peers;
 
+	stop_check(c);
 	per_drop(peers, c->remote);
 	per_drop(peers, c->read_call);
 	per_drop(peers, c->data_call);
--- a/packages/daemon/src/ing_try.c
+++ b/packages/daemon/src/ing_try.c
@@ -313,7 +313,9 @@
 		ing_tell(c, OUTCOME_NOT_RUN, 503, NOT_RUN_RETRY_MS,
 			 "no upstream ran the request");
 	else
-		ing_tell(c, OUTCOME_UNKNOWN, now >= c->deadline_us ? 504 : 502,
+		ing_tell(c, OUTCOME_UNKNOWN,
+			 now + CLOSE_TO_DEADLINE_US >= c->deadline_us ? 504 :
+									502,
 			 0, "the request may have run");
 }
 
--- a/packages/daemon/tests/test_cancel.c
+++ b/packages/daemon/tests/test_cancel.c
@@ -8,6 +8,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <setjmp.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -178,6 +179,7 @@
 		/* The upstream's own 504 may come first and is passed on. */
 		assert_int_equal(r.status, 504);
 		assert_true(took < DEADLINE_MS + SLACK_MS);
+		assert_true(took > DEADLINE_MS - SLACK_MS / 2);
 		assert_true(runs.starts >= 1);
 		assert_int_equal(runs.ends, runs.starts);
 		assert_true(runs.span_ms < DEADLINE_MS + SLACK_MS / 2);
@@ -295,6 +297,31 @@
 	assert_int_equal(cluster_check_once(cluster, "bookings"), 0);
 }
 
+/*
+ * Time is kept for an attempt at the successor. The kind has a deadline of 5 s,
+ * and a key is served again within 3 s of a loss.
+ */
+static void a_frozen_owner_does_not_use_up_the_deadline(void **state)
+{
+	int owner = cluster_owner(cluster, "documents", "frozen");
+	struct reply r;
+	uint64_t took;
+
+	(void)state;
+	assert_true(owner >= 0);
+	cluster_signal_daemon(cluster, (size_t)owner, SIGSTOP);
+	took = cluster_now_ms();
+	cluster_request(cluster, 0, "GET",
+			"/documents/members/frozen/invoices/i", NULL, NULL,
+			5000, &r);
+	took = cluster_now_ms() - took;
+	cluster_signal_daemon(cluster, (size_t)owner, SIGCONT);
+	printf("frozen owner: answered %d %s after %d ms\n", r.status,
+	       r.outcome, (int)took);
+	assert_int_equal(r.status, 200);
+	assert_string_equal(r.outcome, "done");
+}
+
 int main(void)
 {
 	/*
@@ -309,6 +336,7 @@
 		cmocka_unit_test(a_caller_that_leaves_stops_the_work),
 		cmocka_unit_test(a_deadline_of_the_caller_stops_the_work),
 		cmocka_unit_test(the_deadline_of_the_kind_stops_the_work),
+		cmocka_unit_test(a_frozen_owner_does_not_use_up_the_deadline),
 	};
 
 	return cmocka_run_group_tests(tests, start, stop);
