--- a/packages/daemon/tests/cluster.h
+++ b/packages/daemon/tests/cluster.h
@@ -63,6 +63,10 @@
 void cluster_control_platform(struct cluster *c, const char *json);
 void cluster_control_upstream(struct cluster *c, size_t node, const char *json);
 
+/* A number of the status of an upstream stand-in, such as "refused_shed". */
+long long cluster_upstream_count(struct cluster *c, size_t node,
+				 const char *name);
+
 struct reply {
 	int status; /* 0 if there was no whole response */
 	bool sent; /* false: proof that no byte left */
--- a/packages/daemon/tests/cluster_http.c
+++ b/packages/daemon/tests/cluster_http.c
@@ -139,6 +139,18 @@
 		ask_pool(c, c->upstream_pools[node], "POST", "/control", json));
 }
 
+/* Reads a number of the status of an upstream stand-in. */
+long long cluster_upstream_count(struct cluster *c, size_t node,
+				 const char *name)
+{
+	json_t *json =
+		ask_pool(c, c->upstream_pools[node], "POST", "/control", "{}");
+	long long count = json_integer_value(json_object_get(json, name));
+
+	json_decref(json);
+	return count;
+}
+
 /* Asks each daemon whether it holds the partition of the key. */
 int cluster_owner(struct cluster *c, const char *service, const char *key)
 {
