--- a/packages/daemon/src/ing_out.c
+++ b/packages/daemon/src/ing_out.c
@@ -8,7 +8,6 @@
 
 #define READ_TIMEOUT_US (30 * US_PER_S) /* also of DATA and CANCEL */
 #define ALIVE_TIMEOUT_US (100 * US_PER_MS) /* of a daemon that is asked */
-#define NO_STREAM 0 /* no request has this number */
 
 static void read_more(struct call *c);
 
@@ -218,12 +217,11 @@
 {
 	struct call *c = arg;
 	struct nod *n = c->ing->n;
-	struct peer_cancel args = { .from = nod_to_peer(&n->self),
-				    .stream = NO_STREAM };
+	struct peer_hello args = { .from = nod_to_peer(&n->self) };
 
 	(void)now_us;
 	c->timer = 0;
-	c->alive_call = per_call(n->peers, &c->target_address, PEER_CANCEL,
+	c->alive_call = per_call(n->peers, &c->target_address, PEER_HELLO,
 				 &args, ALIVE_TIMEOUT_US, alive_checked, c);
 }
 
