--- a/packages/daemon/tests/cluster.h
+++ b/packages/daemon/tests/cluster.h
@@ -43,6 +43,7 @@
 const char *cluster_dir(const struct cluster *c);
 uint16_t cluster_http_port(const struct cluster *c, size_t node);
 uint16_t cluster_admin_port(const struct cluster *c, size_t node);
+uint16_t cluster_peer_port(const struct cluster *c, size_t node);
 pid_t cluster_daemon_pid(const struct cluster *c, size_t node);
 
 /* Sends a signal to the daemon, the upstream, or the platform stand-in. */
@@ -52,6 +53,10 @@
 /* Waits for the end of a process after a signal; returns its exit status. */
 int cluster_wait_daemon(struct cluster *c, size_t node, unsigned int limit_ms);
 
+/* True if the process is not running; one that crashed is noticed here. */
+bool cluster_upstream_ended(struct cluster *c, size_t node);
+bool cluster_daemon_ended(struct cluster *c, size_t node);
+
 /* Starts a process again that has ended. */
 void cluster_restart_daemon(struct cluster *c, size_t node);
 void cluster_restart_upstream(struct cluster *c, size_t node);
@@ -60,6 +65,10 @@
 void cluster_control_platform(struct cluster *c, const char *json);
 void cluster_control_upstream(struct cluster *c, size_t node, const char *json);
 
+/* A number of the status of an upstream stand-in, such as "refused_shed". */
+long long cluster_upstream_count(struct cluster *c, size_t node,
+				 const char *name);
+
 struct reply {
 	int status; /* 0 if there was no whole response */
 	bool sent; /* false: proof that no byte left */
