Ownership: a release hands the duplicate window over; bad handovers are refused

Cause: a partition that was given up without a new row left its duplicate window behind, so that the successor refused recent resends as unknown; an empty window in HANDOVER ended the daemon under UBSan (test_bad_handover). A server that stops kept connections open for further requests. Excluded: sealing before the release, which would block the reserved step. Before: window=new after each release; test_bad_handover failed. After: the window is sent before the release; test_bad_handover passes. Conclusion: the drain during an outage is tested by test_drain_outage.

--- a/packages/daemon/src/own.c
+++ b/packages/daemon/src/own.c
@@ -200,10 +200,6 @@
 {
 	struct heard *h;
 	struct heard *next_heard;
-	struct transfer *t;
-	struct transfer *next_transfer;
-	struct window *w;
-	struct window *next_window;
 
 	if (!o)
 		return;
@@ -211,12 +207,7 @@
 		HASH_DEL(o->heard, h);
 		free(h);
 	}
-	HASH_ITER(hh, o->transfers, t, next_transfer) {
-		own_drop_transfer(o, t);
-	}
-	HASH_ITER(hh, o->windows, w, next_window) {
-		own_drop_window(o, w);
-	}
+	own_free_windows(o);
 	lse_destroy(o->lease);
 	cht_destroy(o->chart);
 	free(o);
@@ -272,7 +263,11 @@
 /* Asks the lease module. */
 bool own_may_act(const struct own *o, uint64_t part, struct lse_term *term)
 {
-	return lse_may_act(o->lease, part, nod_now_us(o->n), term);
+	if (!lse_may_act(o->lease, part, nod_now_us(o->n), term))
+		return false;
+	if (own_is_handing_over((struct own *)o, part))
+		term->draining = true;
+	return true;
 }
 
 /* Compares the newest row with this process. */
@@ -321,9 +316,8 @@
 	size_t pos = 0;
 
 	while (lse_next_part(o->lease, &pos, &part)) {
-		if (own_may_act(o, part, &term) &&
-		    exe_is_idle(o->n->exec, part))
-			lse_release(o->lease, part, nod_now_us(o->n));
+		if (own_may_act(o, part, &term))
+			own_begin_release(o, part);
 	}
 }
 
--- a/packages/daemon/src/own_int.h
+++ b/packages/daemon/src/own_int.h
@@ -26,6 +26,7 @@
 		TRANSFER_IMPORTED
 	} step;
 	struct proc new_owner;
+	bool release; /* given up to the successor, without a new row */
 	struct own *own;
 	UT_hash_handle hh;
 };
@@ -64,6 +65,9 @@
 void own_on_send(void *arg, const struct proc *to, const struct lse_msg *msg);
 
 /* own_window.c: duplicate windows and their handover */
+void own_free_windows(struct own *o);
+void own_begin_release(struct own *o, uint64_t part);
+bool own_is_handing_over(struct own *o, uint64_t part);
 struct transfer *own_find_transfer(struct own *o, uint64_t part);
 void own_drop_transfer(struct own *o, struct transfer *t);
 struct window *own_find_window(struct own *o, uint64_t part);
--- a/packages/daemon/src/own_window.c
+++ b/packages/daemon/src/own_window.c
@@ -100,13 +100,17 @@
 	struct own *o = t->own;
 	struct peer_answer *answer = result;
 	uint64_t part = t->part;
+	bool release = t->release;
 
 	if (failure != PER_OK || answer->status != PEER_OK)
 		log_emit(LOG_HANDOVER_FAILED, "service=%u partition=%u to=%u",
 			 part_service(part), part_index(part),
 			 t->new_owner.instance);
 	own_drop_transfer(o, t);
-	lse_drained(o->lease, part, nod_now_us(o->n));
+	if (release)
+		lse_release(o->lease, part, nod_now_us(o->n));
+	else
+		lse_drained(o->lease, part, nod_now_us(o->n));
 	own_close_window(o, part);
 }
 
@@ -165,9 +169,61 @@
 		return;
 	t->step = TRANSFER_DRAINING;
 	t->new_owner = *new_owner;
+	t->release = false;
 	tmr_at(o->n->timers, nod_now_us(o->n), own_drain_check_due, o);
 }
 
+/* Frees all windows and transfers; their timers end with the service. */
+void own_free_windows(struct own *o)
+{
+	struct transfer *t = o->transfers;
+	struct window *w = o->windows;
+
+	HASH_CLEAR(hh, o->transfers);
+	HASH_CLEAR(hh, o->windows);
+	while (t) {
+		struct transfer *next = t->hh.next;
+
+		free(t);
+		t = next;
+	}
+	while (w) {
+		struct window *next = w->hh.next;
+
+		tmr_cancel(o->n->timers, w->timer);
+		free(w);
+		w = next;
+	}
+}
+
+/*
+ * Gives a partition up to the successor of its row without a new row: what
+ * runs is finished, the window is sent, then the version is released.
+ */
+void own_begin_release(struct own *o, uint64_t part)
+{
+	const struct row *row = mir_row(o->n->mirror, part);
+	struct transfer *t = own_find_transfer(o, part);
+
+	if (!row || (t && t->step != TRANSFER_IMPORTED))
+		return;
+	t = own_add_transfer(o, part);
+	if (!t)
+		return;
+	t->step = TRANSFER_DRAINING;
+	t->new_owner = row->set.witness[ROW_SUCCESSOR];
+	t->release = true;
+	tmr_at(o->n->timers, nod_now_us(o->n), own_drain_check_due, o);
+}
+
+/* True from the begin of a drain to the end of the handover. */
+bool own_is_handing_over(struct own *o, uint64_t part)
+{
+	const struct transfer *t = own_find_transfer(o, part);
+
+	return t && t->step != TRANSFER_IMPORTED;
+}
+
 /* Keeps the window for the moment at which this process begins to act. */
 void own_handover(struct own *o, struct per_question *q,
 		  const struct peer_handover *args)
@@ -178,7 +234,7 @@
 	struct transfer *t = NULL;
 	char *text = NULL;
 
-	if (proc_equal(&to, &o->n->self)) {
+	if (proc_equal(&to, &o->n->self) && args->window.window_len > 0) {
 		text = strndup(args->window.window_val,
 			       args->window.window_len);
 		if (text && dup_import(exe_duplicates(o->n->exec), args->part,
--- a/packages/net/src/htp_conn.c
+++ b/packages/net/src/htp_conn.c
@@ -143,6 +143,9 @@
 		htp_refuse(r, status);
 		return 0;
 	}
+	/* A server that stops lets no further request follow. */
+	if (h->listen_fd < 0)
+		c->close_after = true;
 	h->req_count++;
 	expect = htp_header(r, "expect");
 	if (expect && strcasecmp(expect, "100-continue") == 0)
