Requests: an id that is too long is invalid through each daemon

Cause: PEER_OPEN has room for 127 bytes of request id; per_call() could not encode a longer one, and the caller was told not-run, which is an invitation to repeat the request. Only the owner's own daemon checked the id. Now the daemon that takes the request checks the length. Excluded: the other malformed ids of the test (missing or bad time, missing text), which reach the owner and are refused there as invalid.

Before: ids_that_are_malformed_do_not_run gets not-run through daemons beside the owner.

--- a/packages/daemon/src/ing.c
+++ b/packages/daemon/src/ing.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "ctr.h"
+#include "dup.h"
 #include "ing_call.h"
 #include "plc.h"
 #include "pub.h"
@@ -58,6 +59,25 @@
 	c->retry.deadline_us = c->deadline_us;
 }
 
+/*
+ * Checks the request id; false if the caller was refused. No message to the
+ * owner has room for a longer one; the owner checks its form.
+ */
+static bool check_id(struct call *c)
+{
+	if (!c->request_id[0]) {
+		ing_tell(c, OUTCOME_INVALID, 400, 0,
+			 "the header Idempotency-Key is missing");
+		return false;
+	}
+	if (strlen(c->request_id) >= DUP_ID_MAX) {
+		ing_tell(c, OUTCOME_INVALID, 400, 0,
+			 "the header Idempotency-Key is too long");
+		return false;
+	}
+	return true;
+}
+
 /* Matches a request; false if the caller was refused. */
 static bool match(struct call *c)
 {
@@ -99,12 +119,7 @@
 		return false;
 	}
 	take_match(c, &m);
-	if (!kind->idempotent && !c->request_id[0]) {
-		ing_tell(c, OUTCOME_INVALID, 400, 0,
-			 "the header Idempotency-Key is missing");
-		return false;
-	}
-	return true;
+	return kind->idempotent || check_id(c);
 }
 
 /* Checks the length of the body; false if the caller was refused. */
--- a/packages/daemon/tests/test_once.c
+++ b/packages/daemon/tests/test_once.c
@@ -266,6 +266,30 @@
 	}
 }
 
+/* An id that no daemon can keep is invalid through each of them. */
+static void ids_that_are_malformed_do_not_run(void **state)
+{
+	static const char *const forms[] = { "%" PRIu64, "x%" PRIu64 "-a",
+					     "%" PRIu64 "-%0200d",
+					     "%" PRIu64 "-" };
+	char id[256];
+	struct reply r;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(forms) / sizeof(forms[0]); i++) {
+		snprintf(id, sizeof(id), forms[i], clk_wall_ms(clk_system()),
+			 7);
+		for (size_t node = 0; node < cluster_nodes(cluster); node++) {
+			cluster_request(cluster, node, "POST",
+					"/bookings/clients/form/deposits", id,
+					"{}", TIMEOUT_MS, &r);
+			assert_string_equal(r.outcome, "invalid");
+			assert_int_equal(r.status, 400);
+			assert_false(cluster_did_run(cluster, "bookings", id));
+		}
+	}
+}
+
 static void ids_of_other_times_do_not_run(void **state)
 {
 	uint64_t now = clk_wall_ms(clk_system());
@@ -382,6 +406,7 @@
 		cmocka_unit_test(a_whole_answer_comes_back_through_each_daemon),
 		cmocka_unit_test(a_lost_answer_is_unknown_and_runs_once),
 		cmocka_unit_test(ids_of_other_times_do_not_run),
+		cmocka_unit_test(ids_that_are_malformed_do_not_run),
 		cmocka_unit_test(a_planned_move_takes_the_answers_along),
 		cmocka_unit_test(a_dead_owner_leaves_no_second_run),
 		cmocka_unit_test(random_kills_cause_no_second_run),
