--- a/packages/daemon/src/own.c
+++ b/packages/daemon/src/own.c
@@ -203,8 +203,10 @@
 
 	if (!o)
 		return;
-	HASH_ITER(hh, o->heard, h, next_heard) {
-		HASH_DEL(o->heard, h);
+	h = o->heard;
+	HASH_CLEAR(hh, o->heard);
+	for (; h; h = next_heard) {
+		next_heard = h->hh.next;
 		free(h);
 	}
 	own_free_windows(o);
