--- a/packages/daemon/src/exe_run.h
+++ b/packages/daemon/src/exe_run.h
@@ -25,8 +25,6 @@
 	void *arg;
 	struct exe_run *prev;
 	struct exe_run *next;
-	enum exe_phase phase;
-	uint32_t timer;
 	uint64_t part;
 	uint64_t deadline_us;
 	uint64_t hold_until_us; /* longest wait for ownership */
@@ -43,35 +41,38 @@
 	long long content_length;
 	const void *first;
 	size_t first_len;
-	bool end;
 	void *pending; /* one piece of the body that came before the slot */
 	size_t pending_len;
-	bool pending_end;
 
 	/* what was decided */
-	uint32_t kind_index;
-	bool idempotent;
-	bool suspect; /* holds the place of the one running suspect */
 	uint64_t fingerprint;
-	uint32_t duplicate; /* handle in the duplicate window, 0 if none */
 	struct adm *admission;
-	bool has_slot;
 
 	/* the call to the upstream */
 	struct ups *pool;
-	uint32_t call;
 	uint64_t started_us;
+	struct dup_response stored;
+	char *stored_body;
+	struct trc_span span;
+
+	uint32_t timer;
+	uint32_t kind_index;
+	uint32_t duplicate; /* handle in the duplicate window, 0 if none */
+	uint32_t call; /* handle of the call, 0 if none */
+	enum exe_phase phase;
+	enum peer_status
+		refused; /* the upstream did not run it; PEER_OK else */
 	char fence[EXE_NUMBER_MAX];
 	char partition[EXE_NUMBER_MAX];
 	char start_by[EXE_NUMBER_MAX];
 	char deadline[EXE_NUMBER_MAX];
 	char traceparent[TRC_PARENT_MAX];
-	struct trc_span span;
+	bool end; /* the body is complete with first */
+	bool pending_end;
+	bool idempotent;
+	bool suspect; /* holds the place of the one running suspect */
+	bool has_slot;
 	bool head_seen;
-	enum peer_status
-		refused; /* the upstream did not run it; PEER_OK else */
-	struct dup_response stored;
-	char *stored_body;
 };
 
 void exe_link(struct exe *e, struct exe_run *r);
--- a/packages/daemon/src/pin.c
+++ b/packages/daemon/src/pin.c
@@ -52,10 +52,12 @@
 static struct stream *find(struct pin *p, const peer_proc *from,
 			   uint64_t number)
 {
-	struct stream_key key = { .incarnation = from->incarnation,
-				  .number = number };
+	struct stream_key key;
 	struct stream *s;
 
+	memset(&key, 0, sizeof(key));
+	key.incarnation = from->incarnation;
+	key.number = number;
 	HASH_FIND(hh, p->streams, &key, sizeof(key), s);
 	return s;
 }
