place, state: satisfy the linter in the kept counts

clang-tidy reported a use after free in a loop that deletes from a hash table, a hash of a partly unknown key, and two null pointers that cannot occur.

--- a/packages/place/src/plc_count.c
+++ b/packages/place/src/plc_count.c
@@ -36,13 +36,16 @@
 void plc_counts_destroy(struct plc_counts *c)
 {
 	struct count *count;
-	struct count *next;
 
 	if (!c)
 		return;
-	HASH_ITER(hh, c->counts, count, next) {
-		HASH_DEL(c->counts, count);
+	count = c->counts;
+	HASH_CLEAR(hh, c->counts);
+	while (count) {
+		struct count *next = count->hh.next;
+
 		free(count);
+		count = next;
 	}
 	free(c);
 }
@@ -50,9 +53,13 @@
 static struct count *find(const struct plc_counts *c, uint16_t service,
 			  const struct proc *p)
 {
-	struct count_key key = { p->incarnation, p->instance, service };
+	struct count_key key;
 	struct count *count;
 
+	memset(&key, 0, sizeof(key));
+	key.incarnation = p->incarnation;
+	key.instance = p->instance;
+	key.service = service;
 	HASH_FIND(hh, c->counts, &key, sizeof(key), count);
 	return count;
 }
@@ -93,7 +100,7 @@
 
 static void drop_unused(struct plc_counts *c, struct count *count)
 {
-	if (count->owned || count->succeeds || count->witnesses)
+	if (!c->counts || count->owned || count->succeeds || count->witnesses)
 		return;
 	HASH_DEL(c->counts, count);
 	free(count);
--- a/packages/state/src/mir.c
+++ b/packages/state/src/mir.c
@@ -308,10 +308,13 @@
 	return node;
 }
 
-static void update_node(struct node *node, const struct parsed *p)
+static void update_node(struct mir *m, struct node *node,
+			const struct parsed *p)
 {
-	if (p->is_row)
+	if (p->is_row && node->row) {
+		m->before = node->row->row.set;
 		node->row->row = p->row;
+	}
 	if (p->is_member)
 		node->member->member = p->member;
 }
@@ -332,7 +335,7 @@
 	}
 	if (held) {
 		remove_write(m, node);
-		update_node(node, p);
+		update_node(m, node, p);
 	}
 	free(node->entry.value);
 	node->entry.value = value;
