--- a/packages/lease/src/lse_want.c
+++ b/packages/lease/src/lse_want.c
@@ -26,6 +26,11 @@
 		*want = LSE_WANT_WITNESS;
 		return is_lost(l, p, 1, now_us) || is_lost(l, p, 2, now_us);
 	}
+	/* Without a witness nobody can renew the term that has run out. */
+	if (p->phase == PHASE_RENEWING) {
+		*want = LSE_WANT_WITNESS;
+		return is_lost(l, p, 1, now_us) && is_lost(l, p, 2, now_us);
+	}
 	if (p->phase == PHASE_GIVEN_UP && p->released == set->version) {
 		*want = LSE_WANT_REARM;
 		return !l->unable;
--- a/packages/lease/tests/test_lse.c
+++ b/packages/lease/tests/test_lse.c
@@ -23,6 +23,30 @@
 	assert_true(w->nodes[A].wants[LSE_WANT_WITNESS] > 0);
 }
 
+/*
+ * The term runs out before there is a proof that both witnesses have ended:
+ * nobody else can replace them.
+ */
+static void owner_without_a_term_asks_for_witnesses(void **state)
+{
+	struct world *w = *state;
+	struct row row = wld_begin(w);
+
+	wld_kill(w, B);
+	wld_kill(w, C);
+	wld_run(w, 2500);
+	assert_int_equal(wld_acting(w), NOBODY);
+	assert_int_equal(w->nodes[A].wants[LSE_WANT_WITNESS], 0);
+	wld_prove_end(w, B);
+	wld_prove_end(w, C);
+	wld_run(w, 1000);
+	assert_true(w->nodes[A].wants[LSE_WANT_WITNESS] > 0);
+	row = wld_next_row(w, &row, A, D, E);
+	wld_learn(w, &row);
+	wld_run(w, 3000);
+	assert_int_equal(wld_acting(w), A);
+}
+
 static void successor_takes_over_from_a_silent_owner(void **state)
 {
 	struct world *w = *state;
@@ -398,6 +422,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		TEST(owner_renews_without_a_gap),
+		TEST(owner_without_a_term_asks_for_witnesses),
 		TEST(successor_takes_over_from_a_silent_owner),
 		TEST(claim_is_refused_while_the_owner_renews),
 		TEST(late_grant_is_not_used),
