--- a/packages/daemon/tests/test_ownership.c
+++ b/packages/daemon/tests/test_ownership.c
@@ -15,6 +15,7 @@
 #include "failure.h"
 
 #define FREEZE_MS 4500 /* longer than the lease and the announcements */
+#define DOCUMENTS_NODE 4 /* the first of the nodes of the service documents */
 
 static void kill_of_a_daemon(void **state)
 {
@@ -29,10 +30,8 @@
 }
 
 /* Freezes what is beside an owner for longer than its lease. */
-static void freeze(bool daemon, bool upstream)
+static void freeze(size_t victim, bool daemon, bool upstream)
 {
-	size_t victim = owner_of_bookings();
-
 	failure_run("before", 300);
 	if (daemon)
 		cluster_signal_daemon(cluster, victim, SIGSTOP);
@@ -50,19 +49,26 @@
 static void freeze_of_a_daemon(void **state)
 {
 	(void)state;
-	freeze(true, false);
+	freeze(owner_of_bookings(), true, false);
+}
+
+/* Its upstream does not check fences, so only the term protects the key. */
+static void freeze_of_a_daemon_without_fences(void **state)
+{
+	(void)state;
+	freeze(DOCUMENTS_NODE, true, false);
 }
 
 static void freeze_of_an_upstream(void **state)
 {
 	(void)state;
-	freeze(false, true);
+	freeze(owner_of_bookings(), false, true);
 }
 
 static void freeze_of_both(void **state)
 {
 	(void)state;
-	freeze(true, true);
+	freeze(owner_of_bookings(), true, true);
 }
 
 static void kill_of_an_upstream(void **state)
@@ -126,6 +132,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(kill_of_a_daemon),
 		cmocka_unit_test(freeze_of_a_daemon),
+		cmocka_unit_test(freeze_of_a_daemon_without_fences),
 		cmocka_unit_test(freeze_of_an_upstream),
 		cmocka_unit_test(freeze_of_both),
 		cmocka_unit_test(kill_of_an_upstream),
