lease: tell the new owner at once that the old one has drained

Cause: after a planned move the old owner sealed when its requests had ended, but the new owner learned this only from its next SEAL, 200 ms later.

Excluded: the handover of the window and the propagation of the row, which took under 30 ms in the log.

The old owner now answers as if it had been asked at that moment, and the new owner asks the witnesses without waiting for its next interval. The meaning of the messages is unchanged; test_lse and test_lse_model pass.

--- a/packages/lease/src/lse.c
+++ b/packages/lease/src/lse.c
@@ -224,15 +224,21 @@
 	lse_tick(l, now_us);
 }
 
-/* Seals the version that was drained, which lets the new owner begin. */
+/*
+ * Seals the version that was drained and tells the new owner as if it had just
+ * asked: until it asks again, nobody serves the partition.
+ */
 void lse_drained(struct lse *l, uint64_t part, uint64_t now_us)
 {
 	struct part *p = find_part(l, part);
+	struct lse_msg question = { .type = LSE_SEAL, .part = part };
 
 	if (!p || p->phase != PHASE_DRAINING)
 		return;
 	p->drained = true;
 	lse_seal_to(l, p, p->row.set.version, now_us);
+	question.version = p->row.set.version;
+	lse_on_seal(l, p, &p->row.set.owner, &question, now_us);
 }
 
 /*
--- a/packages/lease/src/lse_seal.c
+++ b/packages/lease/src/lse_seal.c
@@ -213,6 +213,9 @@
 			s->until_us = now_us + msg->promise_left_us;
 		}
 	}
+	/* The witnesses may be asked from now on. */
+	if (p->row.prev_count && proc_equal(from, &newest_old(p)->owner))
+		p->next_seal_us = now_us;
 	lse_gather_seals(l, p, now_us);
 }
 
