--- a/packages/daemon/tests/test_outage.c
+++ b/packages/daemon/tests/test_outage.c
@@ -15,6 +15,8 @@
 #include "failure.h"
 
 #define OUTAGE_MS 20000
+#define TIMEOUT_MS 5000
+#define KEYS 12
 
 /* Requests to the table for each daemon and second, with room for a burst. */
 #define READS_PER_NODE_S 4
@@ -65,6 +67,38 @@
 	check_recovered();
 }
 
+/*
+ * The rows still name the frozen owner, so a daemon has to find the successor
+ * by itself.
+ */
+static void outage_of_the_platform_with_a_freeze(void **state)
+{
+	size_t victim = owner_of_bookings();
+	size_t served = 0;
+	char path[64];
+	struct reply r;
+
+	(void)state;
+	cluster_control_platform(cluster, "{\"down\":true}");
+	cluster_signal_daemon(cluster, victim, SIGSTOP);
+	load_skip(load, victim, true);
+	failure_run("down and frozen", 4000);
+	load_finish(load);
+	for (int key = 0; key < KEYS; key++) {
+		snprintf(path, sizeof(path), "/bookings/clients/f%d/history",
+			 key);
+		cluster_request(cluster, (victim + 1) % 4, "GET", path, NULL,
+				NULL, TIMEOUT_MS, &r);
+		served += r.status == 200;
+	}
+	printf("%zu of %d keys served\n", served, KEYS);
+	cluster_control_platform(cluster, "{\"down\":false}");
+	cluster_signal_daemon(cluster, victim, SIGCONT);
+	load_skip(load, victim, false);
+	check_recovered();
+	assert_int_equal(served, KEYS);
+}
+
 static void slow_platform_with_a_kill(void **state)
 {
 	size_t victim = owner_of_bookings();
@@ -97,6 +131,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(lost_replies_during_creation),
 		cmocka_unit_test(outage_of_the_platform_with_a_kill),
+		cmocka_unit_test(outage_of_the_platform_with_a_freeze),
 		cmocka_unit_test(slow_platform_with_a_kill),
 		cmocka_unit_test(lost_replies_during_a_takeover),
 	};
