Demo: the Association's layout with a kill, a drain and a stop

make demo starts 11 daemons and upstream stand-ins, publishes the manifest with geraniumspokectl and sends every kind of request of it. It kills one booking instance, drains one document instance and stops the daemon of that, while requests go on. It prints imbalance, churn and unavailable time and exits with 1 if a check of the journals or of the answers fails.

tests/demo_*.c are not linked into the tests of the package.

--- a/Makefile
+++ b/Makefile
@@ -67,14 +67,23 @@
 	@echo CC $$@
 	@$(CC) $(CFLAGS) $$< $(call libs,$(1)) -o $$@ $(LIBS)
 
-# Helpers shared by the tests of a package: every tests/*.c not named test_*.
-$(BUILD)/tests/$(1)/%: packages/$(1)/tests/%.c $(filter-out packages/$(1)/tests/test_%,$(wildcard packages/$(1)/tests/*.c)) $(call libs,$(1))
+# Helpers shared by the tests of a package: every tests/*.c not named test_*
+# or demo_*.
+$(BUILD)/tests/$(1)/%: packages/$(1)/tests/%.c $(filter-out packages/$(1)/tests/test_% packages/$(1)/tests/demo_%,$(wildcard packages/$(1)/tests/*.c)) $(call libs,$(1))
 	@mkdir -p $$(@D)
 	@echo CC $$@
 	@$(CC) $(CFLAGS) -MMD -MP -MF $$@.d $(call incs,$(1)) -Ipackages/$(1)/tests $$(filter %.c,$$^) $(call libs,$(1)) -o $$@ $(LIBS) -lcmocka
 endef
 $(foreach p,$(PACKAGES),$(eval $(call package_rules,$(p))))
 
+# The demo is built over the harness of the daemon's tests.
+DEMO := $(BUILD)/tests/daemon/demo_association
+DEMO_SOURCES := $(wildcard packages/daemon/tests/demo*.c packages/daemon/tests/cluster*.c)
+$(DEMO): $(DEMO_SOURCES) $(wildcard packages/daemon/tests/*.h) $(call libs,daemon)
+	@mkdir -p $(@D)
+	@echo CC $@
+	@$(CC) $(CFLAGS) $(call incs,daemon) -Ipackages/daemon/tests $(DEMO_SOURCES) $(call libs,daemon) -o $@ $(LIBS)
+
 tests: $(TESTS) $(PROGRAMS)
 
 setup:
@@ -86,8 +95,8 @@
 	tools/run_tests.sh build/san
 
 demo: setup
-	$(MAKE) all
-	tools/demo.sh $(BUILD)/bin
+	$(MAKE) all $(DEMO)
+	GERANIUMSPOKE_BIN=$(BUILD)/bin $(DEMO)
 
 C_FILES := $(wildcard packages/*/src/*.[ch] packages/*/tests/*.[ch])
 
--- a/packages/daemon/tests/cluster.c
+++ b/packages/daemon/tests/cluster.c
@@ -219,6 +219,36 @@
 	return text;
 }
 
+/* Starts geraniumspokectl with the operators' port of a node. */
+pid_t cluster_start_ctl(struct cluster *c, size_t node, const char *command,
+			const char *argument)
+{
+	char daemon[32];
+	char *args[] = { "geraniumspokectl", "--daemon",       daemon,
+			 (char *)command,    (char *)argument, NULL };
+
+	snprintf(daemon, sizeof(daemon), "127.0.0.1:%u",
+		 c->nodes[node].admin_port);
+	return spawn(c, "ctl", args);
+}
+
+/* Publishes the manifest by geraniumspokectl. */
+static void publish_with_ctl(struct cluster *c)
+{
+	uint64_t limit = cluster_now_ms() + READY_LIMIT_MS;
+	int status = -1;
+
+	while (status != 0 && cluster_now_ms() < limit) {
+		pid_t pid = cluster_start_ctl(c, 0, "publish",
+					      "manifests/loopback.yaml");
+
+		check(waitpid(pid, &status, 0) == pid, "waitpid");
+		if (status != 0)
+			cluster_sleep(c, 100);
+	}
+	check(status == 0, "geraniumspokectl does not publish the manifest");
+}
+
 /* Publishes the manifest for loopback through the first daemon. */
 static void publish(struct cluster *c)
 {
@@ -287,7 +317,10 @@
 		write_settings(c, i);
 		cluster_restart_daemon(c, i);
 	}
-	publish(c);
+	if (c->params.publish_with_ctl)
+		publish_with_ctl(c);
+	else
+		publish(c);
 	for (size_t i = 0; i < c->count; i++)
 		cluster_restart_upstream(c, i);
 	wait_ready(c);
--- a/packages/daemon/tests/cluster.h
+++ b/packages/daemon/tests/cluster.h
@@ -23,6 +23,7 @@
 	size_t documents; /* the same of documents */
 	unsigned int service_ms; /* time of a request on an upstream */
 	bool fences; /* the upstreams of bookings check fences */
+	bool publish_with_ctl; /* by geraniumspokectl, not by the harness */
 };
 
 /* The layout of the Association: 8 and 3 instances. */
@@ -50,6 +51,13 @@
 /* Waits for the end of a process after a signal; returns its exit status. */
 int cluster_wait_daemon(struct cluster *c, size_t node, unsigned int limit_ms);
 
+/*
+ * Starts geraniumspokectl for the daemon of a node; the caller waits for its
+ * end. argument is NULL for a command without one.
+ */
+pid_t cluster_start_ctl(struct cluster *c, size_t node, const char *command,
+			const char *argument);
+
 /* Starts a process again that has ended. */
 void cluster_restart_daemon(struct cluster *c, size_t node);
 void cluster_restart_upstream(struct cluster *c, size_t node);
