net: send the body of a response without waiting for an acknowledgement

Accepted sockets had Nagle's algorithm on. A daemon writes the head of a response and its body separately, so that each body waited for the caller's delayed acknowledgement.

--- a/packages/net/src/htp_watch.c
+++ b/packages/net/src/htp_watch.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -21,12 +22,15 @@
 static void adopt(struct htp *h, int fd, const char *peer)
 {
 	struct htp_conn *c;
+	int on = 1;
 
 	if (h->conn_count >= h->params.max_connections) {
 		ctr_add(CTR_HTTP_CONNECTIONS_REFUSED, 1);
 		close(fd);
 		return;
 	}
+	/* Without it a body waits until the caller acknowledges the head. */
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	c = htp_conn_add(h, peer);
 	if (!c || !htp_watch_add(c, fd)) {
 		if (c)
--- a/packages/net/tests/test_htp_ups.c
+++ b/packages/net/tests/test_htp_ups.c
@@ -185,6 +185,34 @@
 	app_close(&a);
 }
 
+#define QUICK_CALLS 50
+
+/*
+ * A body that is written after its head must not wait for the acknowledgement
+ * of the head, which the other side puts off for 40 ms.
+ */
+static void body_after_head_is_not_delayed(void **state)
+{
+	uint64_t start_us;
+	struct app a;
+	struct result r;
+	struct ups *u;
+
+	(void)state;
+	app_open(&a, NULL);
+	u = ups_lws_create(a.loop, "127.0.0.1", htp_port(a.server), 4, NULL);
+	start_us = lop_now_us(a.loop);
+	for (int i = 0; i < QUICK_CALLS; i++) {
+		begin(&r, u, "POST", "/echo", "some text");
+		app_run(&a, is_over, &r);
+		assert_true(r.ended);
+	}
+	assert_true(lop_now_us(a.loop) - start_us <
+		    QUICK_CALLS * 20 * US_PER_MS);
+	ups_destroy(u);
+	app_close(&a);
+}
+
 #define CALLS 100
 
 static void fast_calls_pass_slow_ones(void **state)
@@ -218,6 +246,7 @@
 		cmocka_unit_test(calls_come_back_whole),
 		cmocka_unit_test(cut_responses_are_broken),
 		cmocka_unit_test(refused_is_told_from_lost),
+		cmocka_unit_test(body_after_head_is_not_delayed),
 		cmocka_unit_test(fast_calls_pass_slow_ones),
 	};
 
