net: keep body bytes that arrive while a request is paused

A request that its user pauses at the head got the body bytes that were read together with the head nevertheless. They are kept now and given when the request goes on, and input is held back by a timer rather than inside the callback of libwebsockets. test_htp_pause failed before.

--- a/packages/net/src/htp_conn.c
+++ b/packages/net/src/htp_conn.c
@@ -58,7 +58,8 @@
 {
 	struct htp_req *r = c->req;
 	bool read = !c->lingering &&
-		    (!r || c->finishing || (!r->body_done && !r->paused));
+		    (!r || c->finishing ||
+		     (!r->body_done && !r->early_end && !r->paused));
 
 	if (read != c->held_back)
 		return;
@@ -66,18 +67,12 @@
 	lws_rx_flow_control(c->wsi, read);
 }
 
-static void flow_due(void *arg, uint64_t now_us)
-{
-	struct htp_conn *c = arg;
-
-	(void)now_us;
-	c->flow_timer = 0;
-	htp_conn_flow(c);
-}
+static void flow_due(void *arg, uint64_t now_us);
 
 /*
  * The body callbacks of libwebsockets 4.1 are repeated without end when input
- * is held back from inside them at the end of the body.
+ * is held back from inside them, or from inside that of the head if the body
+ * has been read with it.
  */
 static void flow_later(struct htp_conn *c)
 {
@@ -88,6 +83,55 @@
 			tmr_at(lop_timers(l), lop_now_us(l), flow_due, c);
 }
 
+/*
+ * Keeps body bytes that libwebsockets has read before the pause took effect,
+ * at most what it reads at once.
+ */
+static void keep_early(struct htp_req *r, const void *data, size_t len,
+		       bool end)
+{
+	char *more = len ? realloc(r->early, r->early_len + len) : r->early;
+
+	if (len && !more) {
+		htp_conn_kill(r->conn);
+		return;
+	}
+	r->early = more;
+	if (len)
+		memcpy(r->early + r->early_len, data, len);
+	r->early_len += len;
+	r->early_end = r->early_end || end;
+	flow_later(r->conn);
+}
+
+/* Gives what was kept during a pause to the user. */
+static void give_early(struct htp_req *r)
+{
+	struct htp *h = r->conn->server;
+	char *data = r->early;
+	size_t len = r->early_len;
+
+	r->early = NULL;
+	r->early_len = 0;
+	r->body_done = r->early_end;
+	if (!r->ended && !r->conn->aborted)
+		h->ops->body(h->arg, r, data, len, r->body_done);
+	free(data);
+}
+
+/* Does what must not be done inside a callback of libwebsockets. */
+static void flow_due(void *arg, uint64_t now_us)
+{
+	struct htp_conn *c = arg;
+	struct htp_req *r = c->req;
+
+	(void)now_us;
+	c->flow_timer = 0;
+	if (r && !r->paused && !r->body_done && (r->early_len || r->early_end))
+		give_early(r);
+	htp_conn_flow(c);
+}
+
 /* Tells the user that the request is over and frees it. */
 void htp_req_close(struct htp_conn *c, bool complete)
 {
@@ -103,6 +147,7 @@
 	}
 	htp_head_free(r);
 	htp_out_free(r);
+	free(r->early);
 	free(r);
 }
 
@@ -111,8 +156,13 @@
 {
 	struct htp *h = r->conn->server;
 
-	if (r->body_done || r->conn->aborted)
+	if (r->body_done || r->early_end || r->conn->aborted)
+		return;
+	if (r->content_length != 0 && !r->ended &&
+	    (r->paused || r->early_len)) {
+		keep_early(r, data, len, end);
 		return;
+	}
 	r->body_done = end;
 	if (!r->ended)
 		h->ops->body(h->arg, r, data, len, end);
@@ -233,6 +283,20 @@
 	}
 }
 
+/* Marks the time in which input must not be held back. */
+static int guarded_event(struct htp_conn *c, enum lws_callback_reasons reason,
+			 void *in, size_t len)
+{
+	int result;
+
+	if (reason == LWS_CALLBACK_WSI_DESTROY)
+		return conn_event(c, reason, in, len);
+	c->in_event = true;
+	result = conn_event(c, reason, in, len);
+	c->in_event = false;
+	return result;
+}
+
 /* Connections without a record belong to a server that is gone. */
 static int htp_callback(struct lws *wsi, enum lws_callback_reasons reason,
 			void *user, void *in, size_t len)
@@ -251,7 +315,7 @@
 	case LWS_CALLBACK_CLOSED_HTTP:
 	case LWS_CALLBACK_WSI_DESTROY:
 		c = lws_get_opaque_user_data(wsi);
-		return c ? conn_event(c, reason, in, len) : 0;
+		return c ? guarded_event(c, reason, in, len) : 0;
 	default:
 		return 0;
 	}
@@ -281,7 +345,10 @@
 		return;
 	r->paused = paused;
 	r->conn->progress_us = lop_now_us(r->conn->server->loop);
-	htp_conn_flow(r->conn);
+	if (r->conn->in_event || r->early_len || r->early_end)
+		flow_later(r->conn);
+	else
+		htp_conn_flow(r->conn);
 }
 
 /* Closes the connection in the next step of the loop. */
--- a/packages/net/src/htp_int.h
+++ b/packages/net/src/htp_int.h
@@ -59,6 +59,7 @@
 	uint64_t progress_us; /* when the caller last sent or took bytes */
 	uint32_t flow_timer;
 	bool held_back; /* libwebsockets does not read */
+	bool in_event; /* a callback of libwebsockets runs */
 	bool used; /* a request has arrived on it */
 	bool close_after; /* no further request can follow this one */
 	bool lingering; /* answered; the rest of the request is discarded */
@@ -81,6 +82,9 @@
 	unsigned int body_ends; /* reports of the end of the body */
 	bool body_done; /* the whole body has arrived */
 	bool paused;
+	char *early; /* body bytes that arrived while it was paused */
+	size_t early_len;
+	bool early_end; /* the body ends with them */
 	bool responded;
 	bool blocked; /* htp_write() has returned false */
 	bool ended; /* the last byte of the response is queued */
