--- a/packages/daemon/tests/cluster.c
+++ b/packages/daemon/tests/cluster.c
@@ -219,6 +219,43 @@
 	return text;
 }
 
+/* Writes PREFIX=IP:PORT,... of the upstreams of a service. */
+static void write_route(const struct cluster *c, const char *prefix,
+			bool bookings, char *out, size_t size)
+{
+	size_t len = (size_t)snprintf(out, size, "%s", prefix);
+	char separator = '=';
+
+	for (size_t i = 0; i < c->count; i++) {
+		if (c->nodes[i].is_booking != bookings)
+			continue;
+		len += (size_t)snprintf(out + len, size - len, "%c127.0.0.1:%u",
+					separator, c->nodes[i].upstream_port);
+		separator = ',';
+	}
+}
+
+/* Starts a naive router. */
+void cluster_start_naive(struct cluster *c)
+{
+	char port[8];
+	char bookings[2048];
+	char documents[2048];
+	char *args[] = { "naive_router", "--port",  port,      "--route",
+			 bookings,	 "--route", documents, NULL };
+	uint16_t number = free_port();
+	struct err err = { 0 };
+
+	snprintf(port, sizeof(port), "%u", number);
+	write_route(c, "/bookings", true, bookings, sizeof(bookings));
+	write_route(c, "/documents", false, documents, sizeof(documents));
+	c->naive = spawn(c, "naive", args);
+	c->naive_pool =
+		ups_lws_create(c->loop, "127.0.0.1", number, CONNECTIONS, &err);
+	check(c->naive_pool != NULL, err.text);
+	cluster_sleep(c, 500);
+}
+
 /* Starts geraniumspokectl with the operators' port of a node. */
 pid_t cluster_start_ctl(struct cluster *c, size_t node, const char *command,
 			const char *argument)
@@ -361,6 +398,9 @@
 		ups_destroy(c->upstream_pools[i]);
 	}
 	end_process(&c->platform);
+	end_process(&c->naive);
+	if (c->naive_pool)
+		ups_destroy(c->naive_pool);
 	ups_destroy(c->platform_pool);
 	lop_destroy(c->loop);
 	remove_files(c);
--- a/packages/daemon/tests/cluster.h
+++ b/packages/daemon/tests/cluster.h
@@ -71,6 +71,7 @@
 	bool sent; /* false: proof that no byte left */
 	bool broken; /* the response was cut short */
 	char outcome[24]; /* header geranium-outcome */
+	char type[48]; /* header content-type */
 	size_t len;
 	char body[8192]; /* the first bytes, ended by NUL */
 };
@@ -83,6 +84,15 @@
 		     const char *path, const char *id, const char *body,
 		     unsigned int timeout_ms, struct reply *r);
 
+/*
+ * Starts a naive router over the upstreams of the cluster, once, and sends a
+ * request to it.
+ */
+void cluster_start_naive(struct cluster *c);
+void cluster_request_naive(struct cluster *c, const char *method,
+			   const char *path, const char *id, const char *body,
+			   unsigned int timeout_ms, struct reply *r);
+
 /* Writes a fresh request id that was first sent now. */
 void cluster_new_id(char *out, size_t size);
 
--- a/packages/daemon/tests/cluster_http.c
+++ b/packages/daemon/tests/cluster_http.c
@@ -19,6 +19,9 @@
 		if (strcmp(response->headers[i].name, "geranium-outcome") == 0)
 			snprintf(x->reply->outcome, sizeof(x->reply->outcome),
 				 "%s", response->headers[i].value);
+		if (strcmp(response->headers[i].name, "content-type") == 0)
+			snprintf(x->reply->type, sizeof(x->reply->type), "%s",
+				 response->headers[i].value);
 	}
 }
 
@@ -99,6 +102,14 @@
 		     r);
 }
 
+/* Sends a request as a caller of the naive router. */
+void cluster_request_naive(struct cluster *c, const char *method,
+			   const char *path, const char *id, const char *body,
+			   unsigned int timeout_ms, struct reply *r)
+{
+	cluster_send(c, c->naive_pool, method, path, id, body, timeout_ms, r);
+}
+
 /* Makes an id whose first part is the time of now. */
 void cluster_new_id(char *out, size_t size)
 {
--- a/packages/daemon/tests/cluster_int.h
+++ b/packages/daemon/tests/cluster_int.h
@@ -28,6 +28,8 @@
 	uint16_t platform_port;
 	pid_t platform;
 	struct ups *platform_pool;
+	pid_t naive; /* 0 if none was started */
+	struct ups *naive_pool;
 	struct ups *upstream_pools[CLUSTER_NODES_MAX];
 	struct node nodes[CLUSTER_NODES_MAX];
 	size_t count;
