net: the loop waits whole milliseconds instead of polling without waiting

libwebsockets rounds the time of a poll down to milliseconds, and the loop polled without waiting for the rest.

--- a/packages/net/src/lop.c
+++ b/packages/net/src/lop.c
@@ -10,6 +10,14 @@
 /* The loop wakes at least this often even when no timer is due. */
 #define IDLE_WAKE_US (1 * US_PER_S)
 
+/*
+ * libwebsockets polls for whole milliseconds, rounded down, and would poll
+ * without waiting until the rest has passed. Waits are therefore rounded up,
+ * with a margin for the time until it reads the clock.
+ */
+#define POLL_STEP_US (1 * US_PER_MS)
+#define POLL_MARGIN_US 300
+
 /* Bytes of headers that a request or a response may have. */
 #define HEADER_BYTES_MAX 8192
 
@@ -46,7 +54,9 @@
 	if (next <= now)
 		wait = 1;
 	else if (next - now < wait)
-		wait = next - now;
+		wait = (next - now + POLL_STEP_US - 1) / POLL_STEP_US *
+			       POLL_STEP_US +
+		       POLL_MARGIN_US;
 	lws_sul_schedule(l->context, 0, &l->wake, on_wake, (lws_usec_t)wait);
 }
 
