--- a/packages/daemon/tests/cluster.c
+++ b/packages/daemon/tests/cluster.c
@@ -219,6 +219,73 @@
 	return text;
 }
 
+/* Writes PREFIX=IP:PORT,... of the upstreams of a service. */
+static void write_route(const struct cluster *c, const char *prefix,
+			bool bookings, char *out, size_t size)
+{
+	size_t len = (size_t)snprintf(out, size, "%s", prefix);
+	char separator = '=';
+
+	for (size_t i = 0; i < c->count; i++) {
+		if (c->nodes[i].is_booking != bookings)
+			continue;
+		len += (size_t)snprintf(out + len, size - len, "%c127.0.0.1:%u",
+					separator, c->nodes[i].upstream_port);
+		separator = ',';
+	}
+}
+
+/* Starts a naive router. */
+void cluster_start_naive(struct cluster *c)
+{
+	char port[8];
+	char bookings[2048];
+	char documents[2048];
+	char *args[] = { "naive_router", "--port",  port,      "--route",
+			 bookings,	 "--route", documents, NULL };
+	uint16_t number = free_port();
+	struct err err = { 0 };
+
+	snprintf(port, sizeof(port), "%u", number);
+	write_route(c, "/bookings", true, bookings, sizeof(bookings));
+	write_route(c, "/documents", false, documents, sizeof(documents));
+	c->naive = spawn(c, "naive", args);
+	c->naive_pool =
+		ups_lws_create(c->loop, "127.0.0.1", number, CONNECTIONS, &err);
+	check(c->naive_pool != NULL, err.text);
+	cluster_sleep(c, 500);
+}
+
+/* Starts geraniumspokectl with the operators' port of a node. */
+pid_t cluster_start_ctl(struct cluster *c, size_t node, const char *command,
+			const char *argument)
+{
+	char daemon[32];
+	char *args[] = { "geraniumspokectl", "--daemon",       daemon,
+			 (char *)command,    (char *)argument, NULL };
+
+	snprintf(daemon, sizeof(daemon), "127.0.0.1:%u",
+		 c->nodes[node].admin_port);
+	return spawn(c, "ctl", args);
+}
+
+/* Publishes the manifest by geraniumspokectl. */
+static void publish_with_ctl(struct cluster *c)
+{
+	uint64_t limit = cluster_now_ms() + READY_LIMIT_MS;
+	int status = -1;
+
+	while (status != 0 && cluster_now_ms() < limit) {
+		pid_t pid = cluster_start_ctl(c, 0, "publish",
+					      "manifests/loopback.yaml");
+
+		check(waitpid(pid, &status, 0) == pid, "waitpid");
+		if (status != 0)
+			cluster_sleep(c, 100);
+	}
+	check(status == 0, "geraniumspokectl does not publish the manifest");
+}
+
 /* Publishes the manifest for loopback through the first daemon. */
 static void publish(struct cluster *c)
 {
@@ -292,7 +359,10 @@
 		write_settings(c, i);
 		cluster_restart_daemon(c, i);
 	}
-	publish(c);
+	if (c->params.publish_with_ctl)
+		publish_with_ctl(c);
+	else
+		publish(c);
 	for (size_t i = 0; i < c->count; i++)
 		cluster_restart_upstream(c, i);
 	wait_ready(c);
@@ -333,6 +403,9 @@
 		ups_destroy(c->upstream_pools[i]);
 	}
 	end_process(&c->platform);
+	end_process(&c->naive);
+	if (c->naive_pool)
+		ups_destroy(c->naive_pool);
 	ups_destroy(c->platform_pool);
 	lop_destroy(c->loop);
 	remove_files(c);
--- a/packages/daemon/tests/cluster.h
+++ b/packages/daemon/tests/cluster.h
@@ -25,6 +25,7 @@
 	bool fences; /* the upstreams of bookings check fences */
 	const char *platform_control; /* JSON for the platform before a daemon
 				       * is started; NULL for none */
+	bool publish_with_ctl; /* by geraniumspokectl, not by the harness */
 };
 
 /* The layout of the Association: 8 and 3 instances. */
@@ -57,6 +58,13 @@
 bool cluster_upstream_ended(struct cluster *c, size_t node);
 bool cluster_daemon_ended(struct cluster *c, size_t node);
 
+/*
+ * Starts geraniumspokectl for the daemon of a node; the caller waits for its
+ * end. argument is NULL for a command without one.
+ */
+pid_t cluster_start_ctl(struct cluster *c, size_t node, const char *command,
+			const char *argument);
+
 /* Starts a process again that has ended. */
 void cluster_restart_daemon(struct cluster *c, size_t node);
 void cluster_restart_upstream(struct cluster *c, size_t node);
@@ -74,6 +82,7 @@
 	bool sent; /* false: proof that no byte left */
 	bool broken; /* the response was cut short */
 	char outcome[24]; /* header geranium-outcome */
+	char type[48]; /* header content-type */
 	size_t len;
 	char body[8192]; /* the first bytes, ended by NUL */
 };
@@ -86,6 +95,15 @@
 		     const char *path, const char *id, const char *body,
 		     unsigned int timeout_ms, struct reply *r);
 
+/*
+ * Starts a naive router over the upstreams of the cluster, once, and sends a
+ * request to it.
+ */
+void cluster_start_naive(struct cluster *c);
+void cluster_request_naive(struct cluster *c, const char *method,
+			   const char *path, const char *id, const char *body,
+			   unsigned int timeout_ms, struct reply *r);
+
 /* Writes a fresh request id that was first sent now. */
 void cluster_new_id(char *out, size_t size);
 
