Publication: queue behind one in progress, repeat a lost store, ask any peer

The test over separate processes found three faults.

Two publishers at one daemon: the second was told "unreachable" (exit 4) without a look at the version. Cause: a daemon refused a publication while another was in progress. Publications now wait for their turn, at most 8. A lost reply to the store of the body ended the publication as "unreachable". Cause: only the write of the pointer was settled. The store is repeated, at most 4 times; it is safe, since the name of an object is made from its bytes. A daemon that starts while the platform is down had the pointer from its seed and no manifest. Cause: a seed is not a known member, so the body was asked of the object store alone. Excluded: the rows, which had arrived (MIRROR_READY with all members). Another member is asked now.

--- a/packages/daemon/src/pub.c
+++ b/packages/daemon/src/pub.c
@@ -22,8 +22,6 @@
 static const char *const event_names[] = { "begin",  "ok",   "conflict",
 					   "failed", "lost", NULL };
 
-#define SETTLE_ATTEMPTS_MAX 4
-
 static void fetch(struct pub *p);
 
 /* Reads the value of the row "manifest". */
@@ -111,6 +109,7 @@
 
 static void fetch_later(struct pub *p)
 {
+	p->fetch_failed = true;
 	tmr_at(p->n->timers, nod_now_us(p->n) + RETRY_US, retry_due, p);
 }
 
@@ -143,11 +142,25 @@
 	plt_get_object(p->n->platform, p->wanted.object, object_fetched, p);
 }
 
-/* Fetches the wanted body, from the peer that told of it if there is one. */
+/*
+ * The peer that told of the version; any other one if it is unknown, as a seed
+ * is, or did not have the body. The name of the body proves that it is right.
+ */
+static const struct member *choose_peer(const struct pub *p)
+{
+	const struct member *m = NULL;
+
+	if (!p->n->syn)
+		return NULL;
+	if (!p->fetch_failed)
+		m = mir_member(p->n->mirror, syn_last_source(p->n->syn));
+	return m ? m : syn_random_member(p->n->syn);
+}
+
+/* Fetches the wanted body from a peer, else from the object store. */
 static void fetch(struct pub *p)
 {
-	uint32_t instance = p->n->syn ? syn_last_source(p->n->syn) : 0;
-	const struct member *m = mir_member(p->n->mirror, instance);
+	const struct member *m;
 	struct peer_fetch args = { .from = nod_to_peer(&p->n->self),
 				   .name = p->wanted.object };
 	struct per_address to;
@@ -155,6 +168,7 @@
 	if (p->fetching || p->wanted.version <= pub_version(p))
 		return;
 	p->fetching = true;
+	m = choose_peer(p);
 	if (m) {
 		nod_peer_address(m, &to);
 		if (per_call(p->n->peers, &to, PEER_FETCH, &args,
@@ -176,6 +190,7 @@
 	if (pointer.version <= p->wanted.version)
 		return;
 	p->wanted = pointer;
+	p->fetch_failed = false;
 	fetch(p);
 }
 
@@ -208,6 +223,7 @@
 	man_destroy(p->man);
 	free(p->text);
 	free(p->new_text);
+	pub_free_waiting(p);
 	free(p);
 }
 
--- a/packages/daemon/src/pub.h
+++ b/packages/daemon/src/pub.h
@@ -35,7 +35,7 @@
 	PUB_CONFLICT, /* another version is in force; nothing was written */
 	PUB_UNREACHABLE, /* the platform does not answer; nothing was written */
 	PUB_UNKNOWN, /* it may have been accepted; ask again later */
-	PUB_BUSY /* another publication is in progress here */
+	PUB_BUSY /* too many publications wait here; nothing changed */
 };
 
 /* version is that of the manifest in the table now, 0 if not known. */
--- a/packages/daemon/src/pub_int.h
+++ b/packages/daemon/src/pub_int.h
@@ -39,6 +39,17 @@
 	void *arg;
 };
 
+/* A publication that waits for the one in progress. */
+struct waiting {
+	char *text;
+	size_t len;
+	uint64_t expect;
+	char publication[PUBLICATION_MAX];
+	pub_done_fn done;
+	void *done_arg;
+	struct waiting *next;
+};
+
 struct pub {
 	struct nod *n;
 	struct cht *chart;
@@ -49,6 +60,7 @@
 	size_t subscriber_count;
 	struct pointer wanted; /* newest pointer that is known */
 	bool fetching;
+	bool fetch_failed; /* the peer that told of it did not have the body */
 
 	/* the publication in progress */
 	int phase;
@@ -61,9 +73,12 @@
 	pub_done_fn done;
 	void *done_arg;
 	int settle_attempts;
+	int store_attempts;
+	struct waiting *waiting; /* in the order of arrival */
 };
 
 bool pub_decode_pointer(const struct mir_entry *row, struct pointer *out);
 void pub_name_object(const void *text, size_t len, char *out);
+void pub_free_waiting(struct pub *p);
 
 #endif
--- a/packages/daemon/src/pub_publish.c
+++ b/packages/daemon/src/pub_publish.c
@@ -12,6 +12,9 @@
 #include "syn.h"
 
 #define SETTLE_ATTEMPTS_MAX 4
+#define STORE_ATTEMPTS_MAX 4
+/* Publications that wait here; each holds a text of up to MAN_BYTES_MAX. */
+#define WAITING_MAX 8
 
 /* Writes the value of the row "manifest"; freed by the caller. */
 static char *encode_pointer(const struct pointer *p)
@@ -25,7 +28,9 @@
 	return text;
 }
 
-/* Ends the publication in progress and tells the publisher. */
+static void begin_next(struct pub *p);
+
+/* Ends the publication in progress, tells the publisher, begins the next. */
 static void finish(struct pub *p, enum pub_result result)
 {
 	pub_done_fn done = p->done;
@@ -41,6 +46,7 @@
 	p->new_text = NULL;
 	p->done = NULL;
 	done(p->done_arg, result, version, &p->refusal);
+	begin_next(p);
 }
 
 static int fire(struct pub *p, enum event event)
@@ -123,7 +129,12 @@
 					   PUB_UNREACHABLE);
 }
 
-/* The body is stored; nothing points to it yet. */
+static void store_due(void *arg, uint64_t now_us);
+
+/*
+ * The body is stored; nothing points to it yet. Without an answer it is stored
+ * again, which is safe since the name of an object is made from its bytes.
+ */
 static void object_stored(void *arg, enum plt_result result, const void *body,
 			  size_t len)
 {
@@ -132,6 +143,10 @@
 
 	(void)body;
 	(void)len;
+	if (result == PLT_UNKNOWN && ++p->store_attempts < STORE_ATTEMPTS_MAX) {
+		tmr_at(p->n->timers, nod_now_us(p->n) + RETRY_US, store_due, p);
+		return;
+	}
 	if (fire(p, result == PLT_OK ? EVENT_OK : EVENT_FAILED) !=
 	    PHASE_WRITING) {
 		finish(p, PUB_UNREACHABLE);
@@ -144,6 +159,15 @@
 	free(value);
 }
 
+static void store_due(void *arg, uint64_t now_us)
+{
+	struct pub *p = arg;
+
+	(void)now_us;
+	plt_put_object(p->n->platform, p->new_pointer.object, p->new_text,
+		       p->new_len, object_stored, p);
+}
+
 /* True if the new manifest may replace the one in the table. */
 static bool may_replace(struct pub *p, enum pub_result *why)
 {
@@ -180,8 +204,8 @@
 		return;
 	}
 	fire(p, EVENT_OK);
-	plt_put_object(p->n->platform, p->new_pointer.object, p->new_text,
-		       p->new_len, object_stored, p);
+	p->store_attempts = 0;
+	store_due(p, 0);
 }
 
 /* Checks the text; false with the reason in p->refusal. */
@@ -199,13 +223,9 @@
 }
 
 /* Checks, then reads, stores and writes, as the chart says. */
-void pub_publish(struct pub *p, const char *text, size_t len, uint64_t expect,
-		 const char *publication, pub_done_fn fn, void *arg)
+static void begin(struct pub *p, const char *text, size_t len, uint64_t expect,
+		  const char *publication, pub_done_fn fn, void *arg)
 {
-	if (p->done) {
-		fn(arg, PUB_BUSY, p->wanted.version, NULL);
-		return;
-	}
 	err_clear(&p->refusal);
 	memset(&p->new_pointer, 0, sizeof(p->new_pointer));
 	p->found = p->wanted;
@@ -225,3 +245,73 @@
 	fire(p, EVENT_BEGIN);
 	plt_get(p->n->platform, MANIFEST_KEY, pointer_read, p);
 }
+
+static void free_waiting(struct waiting *w)
+{
+	free(w->text);
+	free(w);
+}
+
+/* Begins the publications that wait until one is in progress. */
+static void begin_next(struct pub *p)
+{
+	while (p->waiting && !p->done) {
+		struct waiting *w = p->waiting;
+
+		p->waiting = w->next;
+		begin(p, w->text, w->len, w->expect, w->publication, w->done,
+		      w->done_arg);
+		free_waiting(w);
+	}
+}
+
+/* Adds a publication to those that wait; false if there are too many. */
+static bool wait_for_turn(struct pub *p, const char *text, size_t len,
+			  uint64_t expect, const char *publication,
+			  pub_done_fn fn, void *arg)
+{
+	struct waiting **at = &p->waiting;
+	struct waiting *w = NULL;
+	size_t count = 0;
+
+	for (; *at; at = &(*at)->next)
+		count++;
+	if (count < WAITING_MAX)
+		w = calloc(1, sizeof(*w));
+	if (!w)
+		return false;
+	w->text = malloc(len + 1);
+	if (!w->text) {
+		free(w);
+		return false;
+	}
+	memcpy(w->text, text, len);
+	w->len = len;
+	w->expect = expect;
+	snprintf(w->publication, sizeof(w->publication), "%s", publication);
+	w->done = fn;
+	w->done_arg = arg;
+	*at = w;
+	return true;
+}
+
+/* Frees the publications that wait; their publishers are not told. */
+void pub_free_waiting(struct pub *p)
+{
+	while (p->waiting) {
+		struct waiting *w = p->waiting;
+
+		p->waiting = w->next;
+		free_waiting(w);
+	}
+}
+
+/* Begins a publication, or lets it wait for the one in progress. */
+void pub_publish(struct pub *p, const char *text, size_t len, uint64_t expect,
+		 const char *publication, pub_done_fn fn, void *arg)
+{
+	if (!p->done)
+		begin(p, text, len, expect, publication, fn, arg);
+	else if (!wait_for_turn(p, text, len, expect, publication, fn, arg))
+		fn(arg, PUB_BUSY, p->wanted.version, NULL);
+}
--- a/packages/daemon/src/syn.c
+++ b/packages/daemon/src/syn.c
@@ -49,7 +49,7 @@
 static void poll_due(void *arg, uint64_t now_us);
 
 /* Picks a member other than this one at random; NULL if there is none. */
-static const struct member *random_member(struct syn *s)
+const struct member *syn_random_member(struct syn *s)
 {
 	size_t count = mir_member_count(s->n->mirror);
 	const struct member *m = NULL;
@@ -98,7 +98,7 @@
 static void digest_due(void *arg, uint64_t now_us)
 {
 	struct syn *s = arg;
-	const struct member *m = random_member(s);
+	const struct member *m = syn_random_member(s);
 
 	(void)now_us;
 	if (m)
@@ -113,7 +113,7 @@
 	(void)now_us;
 	s->fanout_pending = false;
 	for (int i = 0; i < FANOUT; i++) {
-		const struct member *m = random_member(s);
+		const struct member *m = syn_random_member(s);
 
 		if (m)
 			send_digest(s, m, false);
--- a/packages/daemon/src/syn.h
+++ b/packages/daemon/src/syn.h
@@ -37,4 +37,7 @@
 /* The member that last sent rows, 0 if none has. */
 uint32_t syn_last_source(const struct syn *s);
 
+/* A member that is not this one and not gone, NULL if none is known. */
+const struct member *syn_random_member(struct syn *s);
+
 #endif
--- a/packages/daemon/tests/cluster_http.c
+++ b/packages/daemon/tests/cluster_http.c
@@ -5,6 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Longest wait of a step of the loop while the test sleeps. */
+#define STEP_US (5 * US_PER_MS)
+
 struct exchange {
 	struct reply *reply;
 	bool over;
@@ -162,13 +165,23 @@
 	return -1;
 }
 
-/* Lets the loop run. */
+static void wake(void *arg, uint64_t now_us)
+{
+	(void)arg;
+	(void)now_us;
+}
+
+/* Lets the loop run, and a load with it. */
 void cluster_sleep(struct cluster *c, unsigned int ms)
 {
 	uint64_t until = cluster_now_ms() + ms;
-	struct timespec pause = { .tv_nsec = 2000000 };
+	uint32_t id = tmr_every(lop_timers(c->loop), lop_now_us(c->loop),
+				STEP_US, wake, c);
 
-	(void)c;
-	while (cluster_now_ms() < until)
-		nanosleep(&pause, NULL);
+	while (cluster_now_ms() < until) {
+		if (c->pump)
+			c->pump(c->pump_arg);
+		lop_step(c->loop);
+	}
+	tmr_cancel(lop_timers(c->loop), id);
 }
--- a/packages/daemon/tests/cluster_int.h
+++ b/packages/daemon/tests/cluster_int.h
@@ -31,6 +31,8 @@
 	struct ups *upstream_pools[CLUSTER_NODES_MAX];
 	struct node nodes[CLUSTER_NODES_MAX];
 	size_t count;
+	void (*pump)(void *arg); /* called by cluster_sleep(), or NULL */
+	void *pump_arg;
 };
 
 /* Sends a request over a pool and waits for its end. */
