--- a/packages/ctl/src/ctl.c
+++ b/packages/ctl/src/ctl.c
@@ -1,10 +1,12 @@
 #include "ctl.h"
 
+#include <ctype.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define TARGET_MAX 512
+#define TARGET_MAX 4096
+#define ENCODED_BYTES 3 /* longest form of one byte, %XX */
 
 /*
  * Asks one daemon after the other until one can be reached. Returns the status
@@ -50,6 +52,9 @@
 	int status = ctl_ask(c, method, target, NULL, 0, &a);
 	json_t *json = a.body ? json_loadb(a.body, a.len, 0, NULL) : NULL;
 
+	/* The manifest and the counters are text. */
+	if (!json && a.body && c->json)
+		json = json_pack("{s:s%}", "text", a.body, a.len);
 	if (json)
 		ctl_print(c, json);
 	else if (a.body)
@@ -99,87 +104,140 @@
 	return ask_and_print(c, "POST", "/-/undrain");
 }
 
-static enum ctl_exit run_lift(struct ctl *c)
+/* Appends a query field; every byte but the unreserved ones is encoded. */
+static bool add_field(char *target, const char *name, const char *value)
 {
-	char target[TARGET_MAX];
+	size_t len = strlen(target);
+	char mark = strchr(target, '?') ? '&' : '?';
 
-	snprintf(target, sizeof(target), "/-/quarantine/lift?fingerprint=%s",
-		 c->args[0]);
-	return ask_and_print(c, "POST", target);
+	len += (size_t)snprintf(target + len, TARGET_MAX - len, "%c%s=", mark,
+				name);
+	for (; *value && len + ENCODED_BYTES < TARGET_MAX; value++) {
+		unsigned char c = (unsigned char)*value;
+		bool plain = c < 0x80 && (isalnum(c) || strchr("-._~", c));
+
+		len += (size_t)snprintf(target + len, TARGET_MAX - len,
+					plain ? "%c" : "%%%02X", c);
+	}
+	return !*value;
 }
 
-static enum ctl_exit run_ended(struct ctl *c)
+/* Sends a request with two fields; the second one may be NULL. */
+static enum ctl_exit ask_with(struct ctl *c, const char *method,
+			      const char *path, const char *first,
+			      const char *second)
 {
 	char target[TARGET_MAX];
 
-	snprintf(target, sizeof(target), "/-/ended?instance=%s&incarnation=%s",
-		 c->args[0], c->args[1]);
-	return ask_and_print(c, "POST", target);
+	snprintf(target, sizeof(target), "%s", path);
+	if (!add_field(target, first, c->args[0]) ||
+	    (second && !add_field(target, second, c->args[1]))) {
+		fprintf(stderr, "geraniumspokectl: the argument is too long\n");
+		return CTL_EXIT_USAGE;
+	}
+	return ask_and_print(c, method, target);
 }
 
-static enum ctl_exit run_explain(struct ctl *c)
+static enum ctl_exit run_lift(struct ctl *c)
 {
-	char target[TARGET_MAX];
+	return ask_with(c, "POST", "/-/quarantine/lift", "fingerprint", NULL);
+}
+
+static enum ctl_exit run_ended(struct ctl *c)
+{
+	return ask_with(c, "POST", "/-/ended", "instance", "incarnation");
+}
 
-	snprintf(target, sizeof(target), "/-/explain?service=%s&key=%s",
-		 c->args[0], c->args[1]);
-	return ask_and_print(c, "GET", target);
+static enum ctl_exit run_explain(struct ctl *c)
+{
+	return ask_with(c, "GET", "/-/explain", "service", "key");
 }
 
-/* One line for a daemon; returns its version in force, -1 if unreachable. */
-static json_int_t print_status(struct ctl *c, const struct ctl_endpoint *d)
+/* Asks a daemon for its status; NULL if it cannot be reached. */
+static json_t *fetch_status(struct ctl *c, const struct ctl_endpoint *d)
 {
 	struct ctl_answer a = { 0 };
 	struct err err = { 0 };
-	json_int_t version = -1;
-	json_t *json;
+	json_t *json = NULL;
 
-	if (!ctl_request(c->loop, d, "GET", "/-/status", NULL, 0, c->timeout_ms,
-			 &a, &err)) {
-		printf("daemon=%s:%u unreachable\n", d->address, d->port);
-		return -1;
-	}
-	json = json_loadb(a.body ? a.body : "", a.len, 0, NULL);
-	version = json_integer_value(json_object_get(json, "manifest"));
+	if (ctl_request(c->loop, d, "GET", "/-/status", NULL, 0, c->timeout_ms,
+			&a, &err) &&
+	    a.status == 200)
+		json = json_loadb(a.body ? a.body : "", a.len, 0, NULL);
+	ctl_answer_free(&a);
+	return json;
+}
+
+/* One line for a daemon. */
+static void print_status(const struct ctl_endpoint *d, const json_t *status)
+{
 	printf("daemon=%s:%u ", d->address, d->port);
-	if (c->json) {
-		json_dumpf(json, stdout, JSON_COMPACT);
-		putchar('\n');
-	} else {
-		printf("name=%s manifest=%" JSON_INTEGER_FORMAT
-		       " partitions=%" JSON_INTEGER_FORMAT
-		       " upstream=%s platform_up=%s\n",
-		       json_string_value(json_object_get(json, "name")),
-		       version,
-		       json_integer_value(json_object_get(json, "partitions")),
-		       json_string_value(json_object_get(json, "upstream")),
-		       json_is_true(json_object_get(json, "platform_up")) ?
-			       "yes" :
-			       "no");
+	if (!status) {
+		printf("unreachable\n");
+		return;
 	}
-	json_decref(json);
-	ctl_answer_free(&a);
-	return version;
+	printf("name=%s manifest=%" JSON_INTEGER_FORMAT
+	       " partitions=%" JSON_INTEGER_FORMAT
+	       " upstream=%s platform_up=%s\n",
+	       json_string_value(json_object_get(status, "name")),
+	       json_integer_value(json_object_get(status, "manifest")),
+	       json_integer_value(json_object_get(status, "partitions")),
+	       json_string_value(json_object_get(status, "upstream")),
+	       json_is_true(json_object_get(status, "platform_up")) ? "yes" :
+								      "no");
+}
+
+/* Adds a daemon to the list for --json; status is null if unreachable. */
+static void add_status(json_t *list, const struct ctl_endpoint *d,
+		       json_t *status)
+{
+	json_array_append_new(list,
+			      json_pack("{s:s,s:i,s:O?}", "address", d->address,
+					"port", d->port, "status", status));
+}
+
+/* Prints what follows from the status of all daemons. */
+static void conclude(struct ctl *c, json_t *list, bool agree)
+{
+	json_t *all;
+
+	if (!c->json) {
+		printf("%s\n",
+		       agree ? "all daemons reached have one manifest in force" :
+			       "the daemons differ");
+		return;
+	}
+	all = json_pack("{s:b,s:O}", "agree", agree, "daemons", list);
+	ctl_print(c, all);
+	json_decref(all);
 }
 
 /* Shows every daemon and whether all have the same manifest in force. */
 static enum ctl_exit run_status(struct ctl *c)
 {
+	json_t *list = json_array();
 	json_int_t first = -1;
 	bool agree = true;
 	bool reached = true;
 
 	for (size_t i = 0; i < c->daemon_count; i++) {
-		json_int_t version = print_status(c, &c->daemons[i]);
+		json_t *status = fetch_status(c, &c->daemons[i]);
+		json_int_t version =
+			json_integer_value(json_object_get(status, "manifest"));
 
-		reached = reached && version >= 0;
-		if (first < 0)
+		if (!status)
+			reached = false;
+		else if (first < 0)
 			first = version;
-		agree = agree && (version < 0 || version == first);
+		agree = agree && (!status || version == first);
+		if (c->json)
+			add_status(list, &c->daemons[i], status);
+		else
+			print_status(&c->daemons[i], status);
+		json_decref(status);
 	}
-	printf("%s\n",
-	       agree ? "all daemons reached have one manifest in force" :
-		       "the daemons differ");
+	conclude(c, list, agree);
+	json_decref(list);
 	if (!reached)
 		return CTL_EXIT_UNREACHABLE;
 	return agree ? CTL_EXIT_DONE : CTL_EXIT_CONFLICT;
--- a/packages/ctl/src/ctl_publish.c
+++ b/packages/ctl/src/ctl_publish.c
@@ -47,8 +47,13 @@
 		return CTL_EXIT_REFUSED;
 	}
 	man_warn(man, print_warning, NULL);
-	printf("version %" PRIu64 ", %zu services: correct\n", man_version(man),
-	       man_service_count(man));
+	if (c->json)
+		printf("{\"result\":\"correct\",\"version\":%" PRIu64
+		       ",\"services\":%zu}\n",
+		       man_version(man), man_service_count(man));
+	else
+		printf("version %" PRIu64 ", %zu services: correct\n",
+		       man_version(man), man_service_count(man));
 	man_destroy(man);
 	return CTL_EXIT_DONE;
 }
@@ -78,6 +83,17 @@
 	return version;
 }
 
+/* Prints a result that no daemon has told. */
+static void tell_own(const struct ctl *c, const char *result,
+		     const char *reason)
+{
+	if (c->json)
+		printf("{\"result\":\"%s\",\"reason\":\"%s\"}\n", result,
+		       reason);
+	else
+		printf("%s: %s\n", result, reason);
+}
+
 /*
  * The answer was lost: the daemons are asked which version is in force. Only
  * the bytes of the manifest tell whether that version is the one sent.
@@ -94,16 +110,16 @@
 			is_ours =
 				a.len == len && memcmp(a.body, text, len) == 0;
 			ctl_answer_free(&a);
-			printf("%s\n", is_ours ?
-					       "done: the answer was lost, and "
-					       "the manifest is in force" :
-					       "conflict: the answer was lost, "
-					       "and another one is in force");
+			tell_own(c, is_ours ? "done" : "conflict",
+				 is_ours ? "the answer was lost, and the "
+					   "manifest is in force" :
+					   "the answer was lost, and another "
+					   "one is in force");
 			return is_ours ? CTL_EXIT_DONE : CTL_EXIT_CONFLICT;
 		}
 		wait_on_loop(c, SETTLE_PAUSE_US);
 	}
-	printf("unknown: the answer was lost; ask later with status\n");
+	tell_own(c, "unknown", "the answer was lost; ask later with status");
 	return CTL_EXIT_UNKNOWN;
 }
 
--- a/packages/ctl/src/main_geraniumspokectl.c
+++ b/packages/ctl/src/main_geraniumspokectl.c
@@ -132,6 +132,7 @@
 	const struct ctl_command *command;
 
 	describe(description, sizeof(description));
+	argp_err_exit_status = CTL_EXIT_USAGE;
 	argp_parse(&arguments, argc, argv, 0, NULL, &options);
 	command = find_command(options.command);
 	if (!command || command->arg_count != options.count) {
--- a/packages/daemon/tests/cluster_ctl.c
+++ b/packages/daemon/tests/cluster_ctl.c
@@ -97,3 +97,35 @@
 	ctl_end(c, run);
 	return run->status;
 }
+
+/* Compares the answer with the journal. */
+bool ctl_explains(struct cluster *c, const char *key, const char *encoded)
+{
+	const char *const args[] = { "--json", "explain", "bookings", key,
+				     NULL };
+	struct ctl_run *run = calloc(1, sizeof(*run));
+	struct entry *entries;
+	json_int_t told = -1;
+	json_int_t ran = -1;
+	struct reply r;
+	char path[128];
+	json_t *json;
+	size_t count;
+
+	if (!run)
+		exit(99);
+	ctl_do(c, run, 0, args);
+	json = json_loads(run->output, 0, NULL);
+	if (run->status == 0 && json)
+		told = json_integer_value(json_object_get(json, "partition"));
+	json_decref(json);
+	free(run);
+	snprintf(path, sizeof(path), "/bookings/clients/%s/history", encoded);
+	cluster_request(c, 0, "GET", path, NULL, NULL, 2000, &r);
+	count = cluster_journal(c, "bookings", &entries);
+	if (r.status == 200 && count)
+		ran = (json_int_t)entries[count - 1].partition;
+	free(entries);
+	printf("%s: explained %d, ran on %d\n", key, (int)told, (int)ran);
+	return told >= 0 && told == ran;
+}
--- a/packages/daemon/tests/cluster_ctl.h
+++ b/packages/daemon/tests/cluster_ctl.h
@@ -28,4 +28,10 @@
 int ctl_do(struct cluster *c, struct ctl_run *run, int node,
 	   const char *const *args);
 
+/*
+ * True if the command explain names the partition of the service bookings on
+ * which a request for the key runs; encoded is the key in a path.
+ */
+bool ctl_explains(struct cluster *c, const char *key, const char *encoded);
+
 #endif
--- /dev/null
+++ b/packages/daemon/tests/test_ctl_query.c
@@ -0,0 +1,34 @@
+/*
+ * Guards against a key with the separators of a query that is cut at the
+ * first of them, so that explain tells of another partition.
+ */
+
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <setjmp.h>
+#include <cmocka.h>
+
+#include "cluster.h"
+#include "cluster_ctl.h"
+
+static void explain_takes_separators(void **state)
+{
+	struct cluster *c = cluster_start(&cluster_small);
+	bool equals = ctl_explains(c, "a=b", "a=b");
+	bool both = ctl_explains(c, "a&b=c", "a&b=c");
+
+	(void)state;
+	cluster_stop(c);
+	assert_true(equals);
+	assert_true(both);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(explain_takes_separators),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
