--- a/packages/daemon/src/syn.c
+++ b/packages/daemon/src/syn.c
@@ -308,6 +308,7 @@
 		return NULL;
 	s->n = n;
 	s->platform_up = true;
+	ctr_set(CTR_PLATFORM_UP, true);
 	s->poll_timer = tmr_at(n->timers, now, poll_due, s);
 	tmr_every(n->timers, now + clk_random_below(n->clk, DIGEST_INTERVAL_US),
 		  DIGEST_INTERVAL_US, digest_due, s);
--- a/packages/daemon/tests/test_ctl.c
+++ b/packages/daemon/tests/test_ctl.c
@@ -88,7 +88,8 @@
 	{ { "explain", "bookings", "c1" }, "partition " },
 	{ { "hot" }, "" },
 	{ { "quarantine" }, "" },
-	{ { "counters" }, "geraniumspoke_" },
+	{ { "counters" }, "\ngeraniumspoke_platform_up 1\n" },
+	{ { "counters" }, "\ngeraniumspoke_manifest_version 1\n" },
 	{ { "validate", MANIFEST }, "version 1, 2 services: correct" },
 };
 
