Tests of drain: name the steady load callers

Cause: the tests of ownership have a module of the same name. Excluded: one module for both; they judge by different rules. Before and after: no behaviour changed. Conclusion: both link into the tests of the package.

--- a/packages/daemon/tests/cluster_load.c
+++ b/packages/daemon/tests/callers.c
@@ -1,4 +1,4 @@
-#include "cluster_load.h"
+#include "callers.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -26,7 +26,7 @@
 };
 
 struct slot {
-	struct load *load;
+	struct callers *load;
 	size_t node;
 	struct sent *sent; /* NULL for an idempotent request */
 	bool busy;
@@ -35,16 +35,16 @@
 	char outcome[24];
 };
 
-struct load {
+struct callers {
 	struct cluster *c;
-	struct load_params params;
+	struct callers_params params;
 	struct slot *slots;
 	size_t slot_count;
 	struct sent *sent;
 	size_t sent_count;
 	unsigned int number;
 	bool stopping;
-	struct load_result result;
+	struct callers_result result;
 };
 
 static void on_head(void *arg, const struct ups_response *response)
@@ -76,7 +76,7 @@
 static void on_end(void *arg)
 {
 	struct slot *s = arg;
-	struct load_result *r = &s->load->result;
+	struct callers_result *r = &s->load->result;
 
 	if (strcmp(s->outcome, "done") == 0) {
 		r->done++;
@@ -100,7 +100,7 @@
 static void on_failed(void *arg, enum ups_failure why)
 {
 	struct slot *s = arg;
-	struct load_result *r = &s->load->result;
+	struct callers_result *r = &s->load->result;
 
 	s->not_before_ms = cluster_now_ms() + PAUSE_MS;
 	if (why == UPS_NOT_SENT || why == UPS_REFUSED) {
@@ -122,7 +122,7 @@
 };
 
 /* Every second request is one that may not be repeated. */
-static void choose(struct load *l, struct slot *s, struct ups_request *req,
+static void choose(struct callers *l, struct slot *s, struct ups_request *req,
 		   char *target, size_t size)
 {
 	unsigned int key = l->number % KEYS;
@@ -143,7 +143,7 @@
 	l->number++;
 }
 
-static void start_request(struct load *l, struct slot *s)
+static void start_request(struct callers *l, struct slot *s)
 {
 	char timeout[16];
 	char target[128];
@@ -175,7 +175,7 @@
 /* Starts a request in each slot that is free. */
 static void pump(void *arg)
 {
-	struct load *l = arg;
+	struct callers *l = arg;
 	uint64_t now = cluster_now_ms();
 
 	for (size_t i = 0; i < l->slot_count && !l->stopping; i++) {
@@ -185,9 +185,9 @@
 }
 
 /* Starts the load. */
-struct load *load_start(struct cluster *c, const struct load_params *params)
+struct callers *callers_start(struct cluster *c, const struct callers_params *params)
 {
-	struct load *l = calloc(1, sizeof(*l));
+	struct callers *l = calloc(1, sizeof(*l));
 
 	if (!l)
 		exit(99);
@@ -207,7 +207,7 @@
 	return l;
 }
 
-static bool is_busy(const struct load *l)
+static bool is_busy(const struct callers *l)
 {
 	for (size_t i = 0; i < l->slot_count; i++) {
 		if (l->slots[i].busy)
@@ -217,7 +217,7 @@
 }
 
 /* Lets the requests in flight end. */
-void load_finish(struct load *l)
+void callers_finish(struct callers *l)
 {
 	l->stopping = true;
 	while (is_busy(l))
@@ -226,7 +226,7 @@
 }
 
 /* Answers are compared with what the upstreams wrote. */
-static void check_sent(struct load *l, const struct entry *entries,
+static void check_sent(struct callers *l, const struct entry *entries,
 		       size_t count, bool *ran)
 {
 	for (size_t i = 0; i < count; i++) {
@@ -240,7 +240,7 @@
 	}
 }
 
-static void count_sent(struct load *l, const bool *ran)
+static void count_sent(struct callers *l, const bool *ran)
 {
 	for (size_t k = 0; k < l->sent_count; k++) {
 		const struct sent *s = &l->sent[k];
@@ -257,11 +257,11 @@
 }
 
 /* Checks and prints. */
-struct load_result load_check(struct load *l)
+struct callers_result callers_check(struct callers *l)
 {
 	static const char *const services[] = { "bookings", "documents" };
 	bool *ran = calloc(IDS_MAX, sizeof(*ran));
-	const struct load_result *r = &l->result;
+	const struct callers_result *r = &l->result;
 
 	if (!ran)
 		exit(99);
@@ -281,11 +281,11 @@
 }
 
 /* Frees the load; what is still in flight is waited for. */
-void load_destroy(struct load *l)
+void callers_destroy(struct callers *l)
 {
 	if (!l)
 		return;
-	load_finish(l);
+	callers_finish(l);
 	l->c->pump = NULL;
 	free(l->slots);
 	free(l->sent);
--- a/packages/daemon/tests/cluster_load.h
+++ b/packages/daemon/tests/callers.h
@@ -1,5 +1,5 @@
-#ifndef CLUSTER_LOAD_H
-#define CLUSTER_LOAD_H
+#ifndef CALLERS_H
+#define CALLERS_H
 
 /*
  * A steady load over all daemons of a cluster. It runs while the test waits in
@@ -8,15 +8,15 @@
 
 #include "cluster.h"
 
-struct load;
+struct callers;
 
-struct load_params {
+struct callers_params {
 	size_t per_node; /* requests in flight through each daemon */
 	unsigned int timeout_ms; /* of a request */
 };
 
 /* How the requests ended; a caller has seen each of them end once. */
-struct load_result {
+struct callers_result {
 	size_t done;
 	size_t not_run; /* outcomes not-run and shed */
 	size_t unknown; /* outcome unknown */
@@ -28,14 +28,14 @@
 };
 
 /* Starts the load; half of the requests may not be repeated. */
-struct load *load_start(struct cluster *c, const struct load_params *params);
+struct callers *callers_start(struct cluster *c, const struct callers_params *params);
 
 /* Sends nothing more and waits until every request has ended. */
-void load_finish(struct load *l);
+void callers_finish(struct callers *l);
 
 /* Compares the answers with the journals; prints and returns the counts. */
-struct load_result load_check(struct load *l);
+struct callers_result callers_check(struct callers *l);
 
-void load_destroy(struct load *l);
+void callers_destroy(struct callers *l);
 
 #endif
--- a/packages/daemon/tests/drain.c
+++ b/packages/daemon/tests/drain.c
@@ -10,7 +10,7 @@
 #include <string.h>
 #include <cmocka.h>
 
-#include "cluster_load.h"
+#include "callers.h"
 
 #define SERVICE_MS 200
 /*
@@ -24,14 +24,14 @@
 
 struct cluster *drain_cluster;
 size_t drain_node;
-static struct load *load;
+static struct callers *load;
 
 static const struct cluster_params layout = { .bookings = 4,
 					      .documents = 3,
 					      .service_ms = SERVICE_MS,
 					      .fences = true };
 
-static const struct load_params steady = { .per_node = 2, .timeout_ms = 3000 };
+static const struct callers_params steady = { .per_node = 2, .timeout_ms = 3000 };
 
 int drain_start(void **state)
 {
@@ -43,7 +43,7 @@
 int drain_stop(void **state)
 {
 	(void)state;
-	load_destroy(load);
+	callers_destroy(load);
 	load = NULL;
 	cluster_stop(drain_cluster);
 	return 0;
@@ -78,7 +78,7 @@
 
 void drain_begin_load(void)
 {
-	load = load_start(drain_cluster, &steady);
+	load = callers_start(drain_cluster, &steady);
 	cluster_sleep(drain_cluster, WARM_MS);
 	drain_node = busiest_node();
 }
@@ -86,10 +86,10 @@
 /* Ends the load; every request was answered whole or refused without a run. */
 void drain_end_load(void)
 {
-	struct load_result r;
+	struct callers_result r;
 
-	load_finish(load);
-	r = load_check(load);
+	callers_finish(load);
+	r = callers_check(load);
 	assert_true(r.done > 100);
 	assert_int_equal(r.lost, 0);
 	assert_int_equal(r.unknown, 0);
