--- a/packages/daemon/src/syn.c
+++ b/packages/daemon/src/syn.c
@@ -60,7 +60,7 @@
  * of this member or of one that is gone is repeated. Where nearly all are gone,
  * the first peer after the last draw is taken.
  */
-static const struct member *random_member(struct syn *s)
+const struct member *syn_random_member(struct syn *s)
 {
 	size_t count = mir_member_count(s->n->mirror);
 	const struct member *m;
@@ -109,7 +109,7 @@
 static void digest_due(void *arg, uint64_t now_us)
 {
 	struct syn *s = arg;
-	const struct member *m = random_member(s);
+	const struct member *m = syn_random_member(s);
 
 	(void)now_us;
 	if (m)
@@ -124,7 +124,7 @@
 	(void)now_us;
 	s->fanout_pending = false;
 	for (int i = 0; i < FANOUT; i++) {
-		const struct member *m = random_member(s);
+		const struct member *m = syn_random_member(s);
 
 		if (m)
 			send_digest(s, m, false);
@@ -319,6 +319,7 @@
 		return NULL;
 	s->n = n;
 	s->platform_up = true;
+	ctr_set(CTR_PLATFORM_UP, true);
 	s->poll_timer = tmr_at(n->timers, now, poll_due, s);
 	tmr_every(n->timers, now + clk_random_below(n->clk, DIGEST_INTERVAL_US),
 		  DIGEST_INTERVAL_US, digest_due, s);
--- a/packages/daemon/tests/cluster_int.h
+++ b/packages/daemon/tests/cluster_int.h
@@ -33,6 +33,8 @@
 	struct ups *upstream_pools[CLUSTER_NODES_MAX];
 	struct node nodes[CLUSTER_NODES_MAX];
 	size_t count;
+	void (*pump)(void *arg); /* called by cluster_sleep(), or NULL */
+	void *pump_arg;
 };
 
 /* Number of partitions that are held, over all daemons that run. */
