Drain: a stopping daemon keeps connections until its callers have been told

Cause: callers reused connections that a stopping daemon closed: the client started a request on a connection whose response had said close, and the daemon ended while kept connections were still in use. Excluded: closing idle connections at once, which loses the request that is on its way.

--- a/packages/daemon/src/ing.c
+++ b/packages/daemon/src/ing.c
@@ -248,6 +248,12 @@
 	htp_stop_listening(i->server);
 }
 
+/* Counts the connections of callers. */
+size_t ing_connections(const struct ing *i)
+{
+	return htp_connections(i->server);
+}
+
 /* Counts the requests in progress. */
 size_t ing_count(const struct ing *i)
 {
--- a/packages/daemon/src/ing.h
+++ b/packages/daemon/src/ing.h
@@ -11,6 +11,9 @@
 /* Accepts no further connections. */
 void ing_stop(struct ing *i);
 
+/* Number of open connections of callers. */
+size_t ing_connections(const struct ing *i);
+
 /* Number of requests in progress. */
 size_t ing_count(const struct ing *i);
 
--- a/packages/daemon/src/nod.c
+++ b/packages/daemon/src/nod.c
@@ -25,8 +25,12 @@
 #define LEAVE_CHECK_US (50 * US_PER_MS)
 /* How long partitions are moved by rows before they are released to peers. */
 #define MOVE_TIME_US (3 * US_PER_S)
-/* How long callers with kept connections are served after the last move. */
-#define LINGER_US (300 * US_PER_MS)
+/*
+ * How long idle connections of callers are kept after the last move. A caller
+ * that sends its next request meanwhile gets its answer with "connection:
+ * close"; on a connection that is closed first the request would be lost.
+ */
+#define LINGER_US (2 * US_PER_S)
 
 static void on_lease(void *arg, const struct peer_lease *m)
 {
@@ -130,7 +134,7 @@
 struct stop {
 	struct nod *n;
 	uint64_t begun_us;
-	uint64_t idle_since_us;
+	uint64_t idle_since_us; /* when the last partition had gone */
 };
 
 /* Moves partitions by rows, then by release, and ends the loop when idle. */
@@ -149,13 +153,12 @@
 	if (own_acting_count(n->own) &&
 	    (waited > MOVE_TIME_US || !syn_platform_up(n->syn)))
 		own_release_all(n->own);
-	if (!is_idle(n)) {
-		s->idle_since_us = 0;
-		return;
-	}
-	if (!s->idle_since_us)
+	if (own_acting_count(n->own) == 0 && !s->idle_since_us)
 		s->idle_since_us = now_us;
-	if (now_us - s->idle_since_us > LINGER_US)
+	if (!is_idle(n))
+		return;
+	if (now_us - s->idle_since_us > LINGER_US ||
+	    ing_connections(n->ingress) == 0)
 		lop_stop(n->loop);
 }
 
--- a/packages/net/src/htp.c
+++ b/packages/net/src/htp.c
@@ -203,6 +203,12 @@
 	return h->port;
 }
 
+/* Counts the open connections. */
+size_t htp_connections(const struct htp *h)
+{
+	return h->conn_count;
+}
+
 /* Counts the requests that the user has been told of and that go on. */
 size_t htp_in_progress(const struct htp *h)
 {
--- a/packages/net/src/htp.h
+++ b/packages/net/src/htp.h
@@ -58,6 +58,9 @@
 
 uint16_t htp_port(const struct htp *h);
 
+/* Number of open connections, with those that are idle. */
+size_t htp_connections(const struct htp *h);
+
 /* Number of requests between head() and closed(). */
 size_t htp_in_progress(const struct htp *h);
 
--- a/packages/net/src/ups_call.c
+++ b/packages/net/src/ups_call.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -52,7 +53,7 @@
 	void *arg = c->arg;
 
 	/* After a response without a body the connection is not reused. */
-	free_call(c, c->completed);
+	free_call(c, c->completed && !c->closing);
 	events->end(arg);
 }
 
@@ -238,6 +239,19 @@
 		     strcmp(c->method, "HEAD") == 0;
 }
 
+/*
+ * True if the response ends its connection. libwebsockets 4.1 would still start
+ * the next request on it, which is then lost.
+ */
+static bool says_close(struct lws *wsi)
+{
+	char value[16];
+
+	return lws_hdr_copy(wsi, value, sizeof(value), WSI_TOKEN_CONNECTION) >
+		       0 &&
+	       strcasecmp(value, "close") == 0;
+}
+
 /* Reports the head; a response without a body ends with it. */
 static int on_established(struct ups_call *c)
 {
@@ -252,6 +266,7 @@
 	r.header_count = copy_headers(c->wsi, headers);
 	read_framing(c, &r);
 	c->established = true;
+	c->closing = says_close(c->wsi);
 	c->events->head(c->arg, &r);
 	for (size_t i = 0; i < r.header_count; i++)
 		free((char *)headers[i].value);
--- a/packages/net/src/ups_int.h
+++ b/packages/net/src/ups_int.h
@@ -55,6 +55,7 @@
 	bool chunked_in;
 	bool read_any; /* bytes came in this event */
 	bool starting; /* start() has not returned yet */
+	bool closing; /* the server closes the connection after the response */
 	bool completed; /* libwebsockets takes the response for complete */
 	enum ups_failure why;
 	long long length_in;
