Balance: split rewrites of rows from decisions; stale known faults removed

Excluded: suppressions. Conclusion: no change of behaviour but that loads of partitions once held stay as zero.

--- a/packages/daemon/src/bal.c
+++ b/packages/daemon/src/bal.c
@@ -1,16 +1,13 @@
-#include "bal.h"
+#include "bal_int.h"
 
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include <uthash.h>
-
 #include "ctr.h"
 #include "log.h"
 #include "mem.h"
 #include "own.h"
-#include "plc.h"
 #include "pub.h"
 #include "syn.h"
 #include "upd.h"
@@ -21,221 +18,11 @@
 #define BALANCE_INTERVAL_US US_PER_S
 #define DRAIN_INTERVAL_US (100 * US_PER_MS)
 #define REWRITE_INTERVAL_US (50 * US_PER_MS)
-/* Longer than the time between two requests of the lease module. */
-#define WANT_AGE_US (1 * US_PER_S)
 #define SCAN_MAX 2048 /* partitions that one step looks at */
-#define REARM_RATE 100 /* rows a second of the whole system */
 #define SECONDS_PER_MINUTE 60
 #define PERCENT 100.0
 #define LOAD_DECAY 0.9 /* of the load of a partition, each second */
 
-/* A rewrite that waits for its turn. */
-struct pending {
-	uint64_t part;
-	uint64_t version; /* of the row that is to be replaced */
-	uint64_t due_us;
-	uint64_t wanted_us; /* when it was last asked for */
-	enum lse_want want;
-	UT_hash_handle hh;
-};
-
-/* Load of a partition of this owner. */
-struct work {
-	uint64_t part;
-	uint64_t busy_us; /* since the last second */
-	double load;
-	UT_hash_handle hh;
-};
-
-struct bal {
-	struct nod *n;
-	struct pending *pending;
-	struct work *work;
-	struct plc_counts *counts; /* of all rows of the mirror */
-	uint32_t
-		scanned; /* partition at which the search for orphans goes on */
-	size_t member_count;
-	uint64_t members_since_us;
-	double move_tokens;
-};
-
-/* The policy of a service, from the manifest. */
-static bool get_policy(const struct bal *b, uint16_t service,
-		       struct plc_policy *policy)
-{
-	const struct man *man = pub_manifest(b->n->pub);
-	const struct man_service *s =
-		man ? man_service_by_id(man, service) : NULL;
-
-	if (!s)
-		return false;
-	policy->weigh =
-		s->weigh == MAN_CHURN ? PLC_CHURN : PLC_UNAVAILABLE_TIME;
-	policy->imbalance_tolerance_pct = s->imbalance_tolerance_pct;
-	policy->moves_per_minute = s->moves_per_minute;
-	return true;
-}
-
-static bool make_view(const struct bal *b, uint16_t service,
-		      struct plc_view *view)
-{
-	return plc_counts_view(b->counts, b->n->mirror, service, syn_load_of,
-			       b->n->syn, view);
-}
-
-static bool same_processes(const struct row_set *x, const struct row_set *y)
-{
-	return proc_equal(&x->owner, &y->owner) &&
-	       proc_equal(&x->witness[0], &y->witness[0]) &&
-	       proc_equal(&x->witness[1], &y->witness[1]);
-}
-
-static void count_write(uint64_t part, const char *why,
-			const struct row_set *set)
-{
-	ctr_add(CTR_ROWS_WRITTEN, 1);
-	log_emit(LOG_ROW_CHANGE,
-		 "service=%u partition=%u why=%s owner=%u witnesses=%u,%u",
-		 part_service(part), part_index(part), why, set->owner.instance,
-		 set->witness[0].instance, set->witness[1].instance);
-}
-
-/*
- * Writes a row for an owner that keeps or takes the partition. A row with the
- * same processes is written only if that is forced: an owner that has released
- * a version needs a newer one.
- */
-static bool write_armed(struct bal *b, const struct plc_view *view,
-			uint64_t part, const struct proc *owner, bool forced,
-			const char *why)
-{
-	const struct row *row = mir_row(b->n->mirror, part);
-	struct plc_policy policy;
-	struct row_set set = { 0 };
-	struct lse_term term;
-	bool active;
-
-	if (!row || !get_policy(b, part_service(part), &policy))
-		return false;
-	if (!plc_arm(view, part, &row->set, owner, &policy, &set) &&
-	    !set.owner.incarnation)
-		return false;
-	if (!forced && same_processes(&set, &row->set))
-		return false;
-	active = own_may_act(b->n->own, part, &term) &&
-		 term.version == row->set.version;
-	if (!wrt_row(b->n->writer, part, &set, active))
-		return false;
-	count_write(part, why, &set);
-	return true;
-}
-
-/* Gives a partition without a usable set a new owner. */
-static bool write_chosen(struct bal *b, const struct plc_view *view,
-			 uint64_t part, const char *why, struct row_set *set)
-{
-	const struct row *row = mir_row(b->n->mirror, part);
-	struct plc_policy policy;
-
-	memset(set, 0, sizeof(*set));
-	if (!get_policy(b, part_service(part), &policy) ||
-	    !plc_choose(view, part, row ? row->set.version + 1 : 1, &policy,
-			set) ||
-	    !wrt_row(b->n->writer, part, set, false))
-		return false;
-	count_write(part, why, set);
-	return true;
-}
-
-/* Rewrites a row as the lease module asked for. */
-static void rewrite(struct bal *b, uint64_t part, enum lse_want want)
-{
-	struct plc_view view;
-	struct row_set set;
-
-	if (!make_view(b, part_service(part), &view))
-		return;
-	if (want == LSE_WANT_REASSIGN)
-		write_chosen(b, &view, part, "reassign", &set);
-	else
-		write_armed(b, &view, part, &b->n->self, want == LSE_WANT_REARM,
-			    want == LSE_WANT_REARM ? "takeover" : "witness");
-	plc_view_free(&view);
-}
-
-static struct pending *add_pending(struct bal *b, uint64_t part)
-{
-	uint64_t window =
-		mir_member_count(b->n->mirror) * US_PER_S / REARM_RATE;
-	struct pending *p = calloc(1, sizeof(*p));
-
-	if (!p)
-		return NULL;
-	p->part = part;
-	p->due_us = nod_now_us(b->n) + clk_random_below(b->n->clk, window + 1);
-	HASH_ADD(hh, b->pending, part, sizeof(p->part), p);
-	return p;
-}
-
-static void drop_pending(struct bal *b, struct pending *p)
-{
-	HASH_DEL(b->pending, p);
-	free(p);
-}
-
-static uint64_t row_version(const struct bal *b, uint64_t part)
-{
-	const struct row *row = mir_row(b->n->mirror, part);
-
-	return row ? row->set.version : 0;
-}
-
-/*
- * Requests repeat while their reason lasts. Each rewrite draws a time in a
- * window sized by the members, so that the loss of a data centre does not
- * bring more writes a second than the table takes.
- */
-void bal_want(struct bal *b, uint64_t part, enum lse_want want)
-{
-	struct pending *p;
-
-	if (!syn_platform_up(b->n->syn) || wrt_is_busy(b->n->writer, part))
-		return;
-	HASH_FIND(hh, b->pending, &part, sizeof(part), p);
-	if (!p)
-		p = add_pending(b, part);
-	if (!p)
-		return;
-	p->version = row_version(b, part);
-	p->wanted_us = nod_now_us(b->n);
-	p->want = want;
-}
-
-/*
- * Carries out the rewrites that are due. One that finds no room among the
- * writes in flight keeps its place: the term of its owner may end before the
- * lease module asks again.
- */
-static void rewrite_due(void *arg, uint64_t now_us)
-{
-	struct bal *b = arg;
-	struct pending *p;
-	struct pending *next;
-
-	HASH_ITER(hh, b->pending, p, next) {
-		if (now_us - p->wanted_us > WANT_AGE_US ||
-		    p->version != row_version(b, p->part)) {
-			drop_pending(b, p);
-			continue;
-		}
-		if (now_us < p->due_us || !wrt_room(b->n->writer) ||
-		    !syn_platform_up(b->n->syn))
-			continue;
-		rewrite(b, p->part, p->want);
-		drop_pending(b, p);
-	}
-}
-
 /* True if the members table shows that a process is not running. */
 static bool is_dead(const struct bal *b, const struct proc *p)
 {
@@ -298,10 +85,10 @@
 
 	if (!plc_is_creator_in(b->n->mirror, part_id(s->id, 0), &b->n->self) ||
 	    !wrt_room(b->n->writer) || !find_orphan(b, s, &steps, &part) ||
-	    !make_view(b, s->id, &view))
+	    !bal_make_view(b, s->id, &view))
 		return;
 	do {
-		if (write_chosen(b, &view, part, "create", &set))
+		if (bal_write_chosen(b, &view, part, "create", &set))
 			plc_view_apply(&view, NULL, &set, 0);
 	} while (wrt_room(b->n->writer) && find_orphan(b, s, &steps, &part));
 	plc_view_free(&view);
@@ -328,7 +115,7 @@
 		create_rows(b, s);
 }
 
-/* Brings the loads of the partitions up to date. */
+/* Brings the loads of the partitions that were held here up to date. */
 static void decay_loads(struct bal *b)
 {
 	struct work *w;
@@ -339,10 +126,6 @@
 
 		w->load = w->load * LOAD_DECAY + now * (1 - LOAD_DECAY);
 		w->busy_us = 0;
-		if (w->load < 1e-6) {
-			HASH_DEL(b->work, w);
-			free(w);
-		}
 	}
 }
 
@@ -409,10 +192,11 @@
 	if (!held)
 		return;
 	max = list_held(b, held, max);
-	if (make_view(b, mem_service(b->n->member), &view)) {
+	if (bal_make_view(b, mem_service(b->n->member), &view)) {
 		if (plc_next_move(&view, &b->n->self, held, max, policy, &part,
 				  &target) &&
-		    write_armed(b, &view, part, &target, false, "balance")) {
+		    bal_write_armed(b, &view, part, &target, false,
+				    "balance")) {
 			b->move_tokens -= 1;
 			ctr_add(CTR_MOVES, 1);
 		}
@@ -430,7 +214,7 @@
 	decay_loads(b);
 	if (!syn_platform_up(b->n->syn) ||
 	    mem_state(b->n->member) != MEMBER_UP ||
-	    !get_policy(b, mem_service(b->n->member), &policy))
+	    !bal_get_policy(b, mem_service(b->n->member), &policy))
 		return;
 	b->move_tokens += (double)policy.moves_per_minute / SECONDS_PER_MINUTE;
 	b->move_tokens = fmin(b->move_tokens, 1);
@@ -451,13 +235,13 @@
 	(void)now_us;
 	if (mem_state(b->n->member) != MEMBER_DRAINING || !max ||
 	    !syn_platform_up(b->n->syn) ||
-	    !get_policy(b, mem_service(b->n->member), &policy))
+	    !bal_get_policy(b, mem_service(b->n->member), &policy))
 		return;
 	held = calloc(max, sizeof(*held));
 	if (!held)
 		return;
 	max = list_held(b, held, max);
-	if (make_view(b, mem_service(b->n->member), &view)) {
+	if (bal_make_view(b, mem_service(b->n->member), &view)) {
 		for (size_t i = 0; i < max; i++) {
 			const struct row *row =
 				mir_row(b->n->mirror, held[i].part);
@@ -465,8 +249,8 @@
 			if (row &&
 			    plc_drain_row(&view, &b->n->self, held[i].part,
 					  &row->set, &policy, &target))
-				write_armed(b, &view, held[i].part, &target,
-					    false, "drain");
+				bal_write_armed(b, &view, held[i].part, &target,
+						false, "drain");
 		}
 		plc_view_free(&view);
 	}
@@ -502,7 +286,7 @@
 	tmr_every(n->timers, now + CREATE_INTERVAL_US, CREATE_INTERVAL_US,
 		  create_due, b);
 	tmr_every(n->timers, now + REWRITE_INTERVAL_US, REWRITE_INTERVAL_US,
-		  rewrite_due, b);
+		  bal_rewrite_due, b);
 	tmr_every(n->timers, now + BALANCE_INTERVAL_US, BALANCE_INTERVAL_US,
 		  balance_due, b);
 	tmr_every(n->timers, now + DRAIN_INTERVAL_US, DRAIN_INTERVAL_US,
@@ -513,18 +297,16 @@
 /* Frees the module. */
 void bal_destroy(struct bal *b)
 {
-	struct pending *p;
-	struct pending *next_pending;
 	struct work *w;
 	struct work *next_work;
 
 	if (!b)
 		return;
-	HASH_ITER(hh, b->pending, p, next_pending) {
-		drop_pending(b, p);
-	}
-	HASH_ITER(hh, b->work, w, next_work) {
-		HASH_DEL(b->work, w);
+	bal_free_pending(b);
+	w = b->work;
+	HASH_CLEAR(hh, b->work);
+	for (; w; w = next_work) {
+		next_work = w->hh.next;
 		free(w);
 	}
 	plc_counts_destroy(b->counts);
--- a/packages/daemon/src/syn.c
+++ b/packages/daemon/src/syn.c
@@ -334,8 +334,10 @@
 
 	if (!s)
 		return;
-	HASH_ITER(hh, s->loads, l, next) {
-		HASH_DEL(s->loads, l);
+	l = s->loads;
+	HASH_CLEAR(hh, s->loads);
+	for (; l; l = next) {
+		next = l->hh.next;
 		free(l);
 	}
 	free(s);
