--- a/packages/daemon/src/exe.h
+++ b/packages/daemon/src/exe.h
@@ -19,6 +19,7 @@
 
 struct exe_request {
 	uint64_t part;
+	uint64_t row_version; /* newest one that the sender knows, 0 if none */
 	const char *kind;
 	const char *method;
 	const char *target; /* path and query */
--- a/packages/daemon/src/exe_run.c
+++ b/packages/daemon/src/exe_run.c
@@ -7,6 +7,7 @@
 #include "ctr.h"
 #include "own.h"
 #include "pub.h"
+#include "syn.h"
 #include "upd.h"
 
 #define RECHECK_US (5 * US_PER_MS) /* while waiting for ownership */
@@ -150,6 +151,7 @@
 	r->events = events;
 	r->arg = arg;
 	r->part = req->part;
+	r->row_version = req->row_version;
 	r->deadline_us = req->deadline_us;
 	r->hold_until_us = now + HOLD_MAX_US;
 	if (r->hold_until_us > r->deadline_us)
@@ -296,6 +298,23 @@
 	}
 }
 
+/*
+ * True if this process will act soon: the newest row names it, or the sender
+ * knows a newer row, which is then read.
+ */
+static bool waits_for_term(const struct exe_run *r)
+{
+	struct nod *n = exe_run_node(r);
+	const struct row *row = mir_row(n->mirror, r->part);
+
+	if (own_is_named(n->own, r->part))
+		return true;
+	if (r->row_version <= (row ? row->set.version : 0))
+		return false;
+	syn_poll_soon(n->syn);
+	return true;
+}
+
 /*
  * Checks the ownership. A process that the newest row names, but that may not
  * act yet, keeps the request for a while: its lease is about to begin.
@@ -307,7 +326,7 @@
 
 	if (own_may_act(n->own, r->part, &term) && !term.draining)
 		return true;
-	if (own_is_named(n->own, r->part) && now_us < r->hold_until_us &&
+	if (waits_for_term(r) && now_us < r->hold_until_us &&
 	    upd_is_serving(n->upstream))
 		step_at(r, now_us + RECHECK_US);
 	else
--- a/packages/daemon/src/exe_run.h
+++ b/packages/daemon/src/exe_run.h
@@ -26,6 +26,7 @@
 	struct exe_run *prev;
 	struct exe_run *next;
 	uint64_t part;
+	uint64_t row_version; /* newest one that the sender knows */
 	uint64_t deadline_us;
 	uint64_t hold_until_us; /* longest wait for ownership */
 
--- a/packages/daemon/src/nod.c
+++ b/packages/daemon/src/nod.c
@@ -31,6 +31,8 @@
  * close"; on a connection that is closed first the request would be lost.
  */
 #define LINGER_US (2 * US_PER_S)
+/* Answers that are queued leave in this time after the last request. */
+#define FLUSH_US (200 * US_PER_MS)
 
 static void on_lease(void *arg, const struct peer_lease *m)
 {
@@ -115,7 +117,7 @@
 static bool is_idle(const struct nod *n)
 {
 	return own_acting_count(n->own) == 0 && exe_count(n->exec) == 0 &&
-	       ing_count(n->ingress) == 0;
+	       ing_count(n->ingress) == 0 && pin_count(n->peer_in) == 0;
 }
 
 /*
@@ -134,7 +136,8 @@
 struct stop {
 	struct nod *n;
 	uint64_t begun_us;
-	uint64_t idle_since_us; /* when the last partition had gone */
+	uint64_t empty_since_us; /* when the last partition had gone */
+	uint64_t idle_since_us; /* when the last request had ended */
 };
 
 /* Moves partitions by rows, then by release, and ends the loop when idle. */
@@ -153,12 +156,17 @@
 	if (own_acting_count(n->own) &&
 	    (waited > MOVE_TIME_US || !syn_platform_up(n->syn)))
 		own_release_all(n->own);
-	if (own_acting_count(n->own) == 0 && !s->idle_since_us)
-		s->idle_since_us = now_us;
-	if (!is_idle(n))
+	if (own_acting_count(n->own) == 0 && !s->empty_since_us)
+		s->empty_since_us = now_us;
+	if (!is_idle(n)) {
+		s->idle_since_us = 0;
 		return;
-	if (now_us - s->idle_since_us > LINGER_US ||
-	    ing_connections(n->ingress) == 0)
+	}
+	if (!s->idle_since_us)
+		s->idle_since_us = now_us;
+	if (now_us - s->idle_since_us > FLUSH_US &&
+	    (now_us - s->empty_since_us > LINGER_US ||
+	     ing_connections(n->ingress) == 0))
 		lop_stop(n->loop);
 }
 
@@ -174,6 +182,7 @@
 	log_emit(LOG_DRAIN_BEGUN, "signal=%d", signo);
 	stop.n = n;
 	stop.begun_us = nod_now_us(n);
+	stop.empty_since_us = 0;
 	stop.idle_since_us = 0;
 	upd_drain(n->upstream, true);
 	mem_set_upstream(n->member, mem_service(n->member), 0, MEMBER_DRAINING);
--- a/packages/daemon/src/own.c
+++ b/packages/daemon/src/own.c
@@ -280,12 +280,18 @@
 	return row && proc_equal(&row->set.owner, &o->n->self);
 }
 
-/* Asks the lease module, which knows more than the row in a takeover. */
+/*
+ * Asks the lease module, which knows more than the row in a takeover. Who hands
+ * a partition over names the next owner, although it still holds the lease.
+ */
 struct proc own_actor(const struct own *o, uint64_t part)
 {
+	const struct transfer *t = own_find_transfer((struct own *)o, part);
 	const struct row *row = mir_row(o->n->mirror, part);
 	struct proc p = lse_actor(o->lease, part, nod_now_us(o->n));
 
+	if (t && t->step != TRANSFER_IMPORTED)
+		return t->new_owner;
 	if (!p.incarnation && row)
 		p = row->set.owner;
 	return p;
--- a/packages/daemon/src/pin.c
+++ b/packages/daemon/src/pin.c
@@ -368,6 +368,12 @@
 	free(p);
 }
 
+/* Counts the streams. */
+size_t pin_count(const struct pin *p)
+{
+	return HASH_COUNT(p->streams);
+}
+
 /* Refuses an OPEN before anything is started for it. */
 static void refuse_open(struct pin *p, struct per_question *q,
 			enum peer_status status)
@@ -385,6 +391,7 @@
 {
 	struct htp_header headers[PEER_HEADERS_MAX];
 	struct exe_request req = { .part = a->part,
+				   .row_version = a->row_version,
 				   .kind = a->kind,
 				   .method = a->method,
 				   .target = a->target,
--- a/packages/daemon/src/pin.h
+++ b/packages/daemon/src/pin.h
@@ -8,6 +8,9 @@
 struct pin *pin_create(struct nod *n);
 void pin_destroy(struct pin *p);
 
+/* Number of streams whose response has not been fetched whole. */
+size_t pin_count(const struct pin *p);
+
 void pin_open(struct pin *p, struct per_question *q,
 	      const struct peer_open *args);
 void pin_data(struct pin *p, struct per_question *q,
--- a/packages/daemon/tests/attempts.c
+++ b/packages/daemon/tests/attempts.c
@@ -157,7 +157,7 @@
 				  .sin_port = htons((uint16_t)port) };
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
-	to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	to.sin_addr.s_addr = inet_addr(cluster_address());
 	if (fd >= 0 && connect(fd, (struct sockaddr *)&to, sizeof(to)) != 0) {
 		close(fd);
 		return -1;
--- a/packages/daemon/tests/cluster.c
+++ b/packages/daemon/tests/cluster.c
@@ -44,6 +44,19 @@
 	return clk_mono_us(clk_system()) / US_PER_MS;
 }
 
+/* Makes an address in 127.0.0.0/8 from the id of the process. */
+const char *cluster_address(void)
+{
+	static char address[16];
+	unsigned int pid = (unsigned int)getpid();
+
+	if (!address[0])
+		snprintf(address, sizeof(address), "127.%u.%u.%u",
+			 16 + (pid / 62500) % 200, 1 + (pid / 250) % 250,
+			 1 + pid % 250);
+	return address;
+}
+
 /* A port on which nothing listens now. */
 static uint16_t free_port(void)
 {
@@ -51,7 +64,7 @@
 	socklen_t len = sizeof(a);
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
-	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	a.sin_addr.s_addr = inet_addr(cluster_address());
 	check(fd >= 0 && bind(fd, (struct sockaddr *)&a, sizeof(a)) == 0 &&
 		      getsockname(fd, (struct sockaddr *)&a, &len) == 0,
 	      "free port");
@@ -88,7 +101,10 @@
 static void start_platform(struct cluster *c)
 {
 	char port[8];
-	char *args[] = { "standin_platform", "--port", port, NULL };
+	char *args[] = {
+		"standin_platform", "--address", (char *)cluster_address(),
+		"--port",	    port,	 NULL
+	};
 
 	snprintf(port, sizeof(port), "%u", c->platform_port);
 	c->platform = spawn(c, "platform", args);
@@ -106,13 +122,14 @@
 	check(f != NULL, path);
 	fprintf(f,
 		"instance: %u\nname: node%zu\ndata_centre: dc%zu\n"
-		"region: kingston\naddress: 127.0.0.1\nhttp_port: %u\n"
+		"region: kingston\naddress: %s\nhttp_port: %u\n"
 		"peer_port: %u\nadmin_port: %u\n"
-		"platform: { address: 127.0.0.1, port: %u }\n"
+		"platform: { address: %s, port: %u }\n"
 		"chart_dir: charts\nseeds:\n"
-		"  - { address: 127.0.0.1, port: %u }\n",
-		n->instance, i, i % 3 + 1, n->http_port, n->peer_port,
-		n->admin_port, c->platform_port,
+		"  - { address: %s, port: %u }\n",
+		n->instance, i, i % 3 + 1, cluster_address(), n->http_port,
+		n->peer_port, n->admin_port, cluster_address(),
+		c->platform_port, cluster_address(),
 		c->nodes[(i + 1) % c->count].peer_port);
 	fclose(f);
 }
@@ -137,6 +154,8 @@
 	bool fences = n->is_booking && c->params.fences;
 	char port[8], name[32], daemon[32], ms[16], journal[128], fence[128];
 	char *args[] = { "standin_upstream",
+			 "--address",
+			 (char *)cluster_address(),
 			 "--port",
 			 port,
 			 "--service",
@@ -162,7 +181,8 @@
 
 	snprintf(port, sizeof(port), "%u", n->upstream_port);
 	snprintf(name, sizeof(name), "node%zu", node);
-	snprintf(daemon, sizeof(daemon), "127.0.0.1:%u", n->admin_port);
+	snprintf(daemon, sizeof(daemon), "%s:%u", cluster_address(),
+		 n->admin_port);
 	snprintf(ms, sizeof(ms), "%u", c->params.service_ms);
 	snprintf(journal, sizeof(journal), "%s/%s.journal", c->dir, service);
 	snprintf(fence, sizeof(fence), "%s/%s.fences", c->dir, service);
@@ -193,18 +213,18 @@
 
 	c->loop = lop_create(clk_system(), 0, &err);
 	check(c->loop != NULL, err.text);
-	c->platform_pool = ups_lws_create(c->loop, "127.0.0.1",
+	c->platform_pool = ups_lws_create(c->loop, cluster_address(),
 					  c->platform_port, CONNECTIONS, &err);
 	for (size_t i = 0; i < c->count; i++) {
 		struct node *n = &c->nodes[i];
 
-		n->http = ups_lws_create(c->loop, "127.0.0.1", n->http_port,
-					 CONNECTIONS, &err);
-		n->admin = ups_lws_create(c->loop, "127.0.0.1", n->admin_port,
-					  CONNECTIONS, &err);
+		n->http = ups_lws_create(c->loop, cluster_address(),
+					 n->http_port, CONNECTIONS, &err);
+		n->admin = ups_lws_create(c->loop, cluster_address(),
+					  n->admin_port, CONNECTIONS, &err);
 		c->upstream_pools[i] =
-			ups_lws_create(c->loop, "127.0.0.1", n->upstream_port,
-				       CONNECTIONS, &err);
+			ups_lws_create(c->loop, cluster_address(),
+				       n->upstream_port, CONNECTIONS, &err);
 	}
 }
 
@@ -229,8 +249,9 @@
 	for (size_t i = 0; i < c->count; i++) {
 		if (c->nodes[i].is_booking != bookings)
 			continue;
-		len += (size_t)snprintf(out + len, size - len, "%c127.0.0.1:%u",
-					separator, c->nodes[i].upstream_port);
+		len += (size_t)snprintf(out + len, size - len, "%c%s:%u",
+					separator, cluster_address(),
+					c->nodes[i].upstream_port);
 		separator = ',';
 	}
 }
@@ -241,8 +262,16 @@
 	char port[8];
 	char bookings[2048];
 	char documents[2048];
-	char *args[] = { "naive_router", "--port",  port,      "--route",
-			 bookings,	 "--route", documents, NULL };
+	char *args[] = { "naive_router",
+			 "--address",
+			 (char *)cluster_address(),
+			 "--port",
+			 port,
+			 "--route",
+			 bookings,
+			 "--route",
+			 documents,
+			 NULL };
 	uint16_t number = free_port();
 	struct err err = { 0 };
 
@@ -250,8 +279,8 @@
 	write_route(c, "/bookings", true, bookings, sizeof(bookings));
 	write_route(c, "/documents", false, documents, sizeof(documents));
 	c->naive = spawn(c, "naive", args);
-	c->naive_pool =
-		ups_lws_create(c->loop, "127.0.0.1", number, CONNECTIONS, &err);
+	c->naive_pool = ups_lws_create(c->loop, cluster_address(), number,
+				       CONNECTIONS, &err);
 	check(c->naive_pool != NULL, err.text);
 	cluster_sleep(c, 500);
 }
@@ -264,7 +293,7 @@
 	char *args[] = { "geraniumspokectl", "--daemon",       daemon,
 			 (char *)command,    (char *)argument, NULL };
 
-	snprintf(daemon, sizeof(daemon), "127.0.0.1:%u",
+	snprintf(daemon, sizeof(daemon), "%s:%u", cluster_address(),
 		 c->nodes[node].admin_port);
 	return spawn(c, "ctl", args);
 }
--- a/packages/daemon/tests/cluster.h
+++ b/packages/daemon/tests/cluster.h
@@ -166,6 +166,12 @@
 /* Lets the loop run for a while. */
 void cluster_sleep(struct cluster *c, unsigned int ms);
 
+/*
+ * The loopback address of this test program: each has one of its own, so that
+ * programs that run at the same time do not take each other's ports.
+ */
+const char *cluster_address(void);
+
 /* Milliseconds of the monotonic clock. */
 uint64_t cluster_now_ms(void);
 
@@ -177,7 +183,8 @@
 	char how[24];
 	uint64_t partition;
 	uint64_t fence;
-	uint64_t number;
+	uint64_t number; /* counted from 1 by each process */
+	char incarnation[24]; /* of the upstream */
 	char path[256];
 	char key[128];
 };
--- a/packages/daemon/tests/cluster_ctl.c
+++ b/packages/daemon/tests/cluster_ctl.c
@@ -44,7 +44,7 @@
 	snprintf(run->file, sizeof(run->file), "%s/ctl%u.log", c->dir,
 		 ++number);
 	if (node >= 0) {
-		snprintf(daemon, sizeof(daemon), "127.0.0.1:%u",
+		snprintf(daemon, sizeof(daemon), "%s:%u", cluster_address(),
 			 c->nodes[node].admin_port);
 		all[count++] = "--daemon";
 		all[count++] = daemon;
--- a/packages/daemon/tests/cluster_journal.c
+++ b/packages/daemon/tests/cluster_journal.c
@@ -31,6 +31,7 @@
 	e->partition = number(json, "partition");
 	e->fence = number(json, "fence");
 	e->number = number(json, "number");
+	copy(e->incarnation, sizeof(e->incarnation), json, "incarnation");
 	copy(e->instance, sizeof(e->instance), json, "instance");
 	copy(e->event, sizeof(e->event), json, "event");
 	copy(e->how, sizeof(e->how), json, "how");
@@ -94,6 +95,8 @@
 	for (size_t j = i + 1; j < count; j++) {
 		if (!is_start(&entries[j]) &&
 		    entries[j].number == entries[i].number &&
+		    strcmp(entries[j].incarnation, entries[i].incarnation) ==
+			    0 &&
 		    strcmp(entries[j].instance, entries[i].instance) == 0)
 			return entries[j].at_us;
 	}
--- a/packages/daemon/tests/test_bad_bytes.c
+++ b/packages/daemon/tests/test_bad_bytes.c
@@ -111,7 +111,7 @@
 				  .sin_port = htons((uint16_t)port) };
 	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
 
-	to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	to.sin_addr.s_addr = inet_addr(cluster_address());
 	assert_true(fd >= 0);
 	sendto(fd, data, len, 0, (struct sockaddr *)&to, sizeof(to));
 	close(fd);
--- a/packages/daemon/tests/test_ctl.c
+++ b/packages/daemon/tests/test_ctl.c
@@ -132,7 +132,7 @@
 	char second[32];
 
 	(void)state;
-	snprintf(second, sizeof(second), "127.0.0.1:%u",
+	snprintf(second, sizeof(second), "%s:%u", cluster_address(),
 		 cluster_admin_port(cluster, 1));
 	cluster_signal_daemon(cluster, 6, SIGKILL);
 	expect(6, ARGS("--daemon", second, "members"), DONE, "name=node1 ");
--- a/tools/run_tests.sh
+++ b/tools/run_tests.sh
@@ -1,30 +1,32 @@
 #!/bin/sh
-# Runs every test program below DIR/tests, each with a time limit, and prints
-# the closing line "N passed, N failed". Tests named in KNOWN-RED.txt run and
-# are printed, but do not change the verdict.
+# Runs every test program below DIR/tests, several at once, each with a time
+# limit, and prints the closing line "N passed, N failed". Tests named in
+# KNOWN-RED.txt run and are printed, but do not change the verdict.
 dir=$1
-limit=${TEST_LIMIT_S:-240}
-logs=$dir/logs
-mkdir -p "$logs"
-passed=0
-failed=0
-known=0
+export TEST_LIMIT_S="${TEST_LIMIT_S:-240}"
+export LOGS="$dir/logs"
 export GERANIUMSPOKE_BIN="$dir/bin"
-for t in "$dir"/tests/*/test_*; do
-	[ -x "$t" ] && [ -f "$t" ] || continue
-	name=$(basename "$(dirname "$t")")/$(basename "$t")
-	if timeout "$limit" "$t" >"$logs/$(echo "$name" | tr / -).log" 2>&1; then
-		passed=$((passed + 1))
+# Programs at a time; each of those that start daemons has some twenty processes.
+at_once=${TEST_AT_ONCE:-3}
+rm -rf "$LOGS"
+mkdir -p "$LOGS"
+ls "$dir"/tests/*/test_* | grep -v '\.d$' | xargs -P "$at_once" -I{} sh -c '
+	name=$(basename "$(dirname {})")/$(basename {})
+	log=$LOGS/$(echo "$name" | tr / -).log
+	if timeout "$TEST_LIMIT_S" {} >"$log" 2>&1; then
 		echo "ok      $name"
 	elif grep -q "^test: $name\$" KNOWN-RED.txt 2>/dev/null; then
-		known=$((known + 1))
 		echo "known   $name (KNOWN-RED.txt)"
 	else
-		failed=$((failed + 1))
 		echo "FAILED  $name"
-		tail -40 "$logs/$(echo "$name" | tr / -).log"
-	fi
+	fi' | tee "$LOGS/verdicts"
+grep '^FAILED' "$LOGS/verdicts" | while read -r _ name; do
+	echo "--- $name"
+	tail -40 "$LOGS/$(echo "$name" | tr / -).log"
 done
-[ "$known" -gt 0 ] && echo "$known tests listed in KNOWN-RED.txt failed"
+passed=$(grep -c '^ok' "$LOGS/verdicts")
+failed=$(grep -c '^FAILED' "$LOGS/verdicts")
+known=$(grep -c '^known' "$LOGS/verdicts")
+[ "$known" -gt 0 ] && echo "$known test programs listed in KNOWN-RED.txt failed as known"
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
