Tests of failures: wait for daemons that were started a moment ago

Cause: the last case of test_outage asked the daemon that it had just started again; a trace shows "no manifest is in force yet" and, in another run, a refused connection, both of which a starting daemon may answer. Excluded: a fault of the daemon: its log ends with the kill and begins later. After: the check of every key through every daemon follows when each has the manifest; the check itself is unchanged.

--- a/packages/daemon/tests/failure.c
+++ b/packages/daemon/tests/failure.c
@@ -76,6 +76,33 @@
 	assert_int_equal(load_check_not_run(load), 0);
 }
 
+/* True if the daemon answers and has a manifest in force. */
+static bool is_up(size_t node)
+{
+	json_t *status = cluster_ask(cluster, node, "GET", "/-/status");
+	json_int_t version =
+		json_integer_value(json_object_get(status, "manifest"));
+
+	json_decref(status);
+	return version > 0;
+}
+
+/*
+ * Waits for daemons that were started a moment ago: until they listen and have
+ * read the manifest they answer nothing, or that it is missing.
+ */
+static void wait_up(void)
+{
+	uint64_t limit = cluster_now_ms() + SETTLE_LIMIT_MS;
+
+	for (size_t node = 0; node < cluster_nodes(cluster); node++) {
+		while (!is_up(node)) {
+			assert_true(cluster_now_ms() < limit);
+			cluster_sleep(cluster, 50);
+		}
+	}
+}
+
 /* Every key of a sample is served through every daemon. */
 static void check_served(void)
 {
@@ -101,6 +128,7 @@
 {
 	load_finish(load);
 	assert_true(cluster_settle(cluster, SETTLE_LIMIT_MS));
+	wait_up();
 	check_served();
 	check_journals();
 }
