--- a/Makefile
+++ b/Makefile
@@ -90,8 +90,8 @@
 	tools/install.sh
 
 check: setup
-	$(MAKE) SAN=1 tests
-	$(MAKE) SAN=0 all
+	$(MAKE) -j$$(nproc) SAN=1 tests
+	$(MAKE) -j$$(nproc) SAN=0 all
 	tools/run_tests.sh build/san
 
 demo: setup
