Daemon: remove what nothing uses

Cause: the last read found a function that was never called, a field that was never read and two unused constants. Before: own_idle(), transfer.version, PEERS_MAX and HTTP_OK in ing_try.c stood unused. Conclusion: no change of behaviour.

--- a/packages/daemon/src/ing_try.c
+++ b/packages/daemon/src/ing_try.c
@@ -13,7 +13,6 @@
 #define ROUND_PAUSE_US (50 * US_PER_MS) /* before candidates are tried again */
 #define CLOSE_TO_DEADLINE_US (20 * US_PER_MS)
 #define TEXT_MAX 256
-#define HTTP_OK 200
 #define NOT_RUN_RETRY_MS 1000
 
 static const char *const outcome_names[] = { "done",	   "not-run",
--- a/packages/daemon/src/own.h
+++ b/packages/daemon/src/own.h
@@ -34,9 +34,6 @@
 /* When a process was last heard, monotonic; 0 if never. */
 uint64_t own_last_heard(const struct own *o, const struct proc *p);
 
-/* The last running request of a draining partition has ended. */
-void own_idle(struct own *o, uint64_t part);
-
 /* The upstream can or cannot serve: without it nothing is held or claimed. */
 void own_set_able(struct own *o, bool able);
 
--- a/packages/daemon/src/own_int.h
+++ b/packages/daemon/src/own_int.h
@@ -19,7 +19,6 @@
 /* A partition that is being handed over, or was taken over with a window. */
 struct transfer {
 	uint64_t part;
-	uint64_t version; /* IMPORTED: of the row that the window is for */
 	enum {
 		TRANSFER_DRAINING,
 		TRANSFER_SENDING,
--- a/packages/daemon/src/own_window.c
+++ b/packages/daemon/src/own_window.c
@@ -243,18 +243,8 @@
 	}
 	if (t) {
 		t->step = TRANSFER_IMPORTED;
-		t->version = args->row_version;
 		answer.status = PEER_OK;
 	}
 	free(text);
 	per_reply(o->n->peers, q, &answer);
 }
-
-/* A partition that drains may be idle now. */
-void own_idle(struct own *o, uint64_t part)
-{
-	struct transfer *t = own_find_transfer(o, part);
-
-	if (t && t->step == TRANSFER_DRAINING)
-		tmr_at(o->n->timers, nod_now_us(o->n), own_drain_check_due, o);
-}
--- a/packages/daemon/src/prb.c
+++ b/packages/daemon/src/prb.c
@@ -16,7 +16,6 @@
 #define SILENCE_US (700 * US_PER_MS) /* a process is asked after this */
 #define ASK_AGAIN_US (400 * US_PER_MS)
 #define ASK_TIMEOUT_US (1 * US_PER_S)
-#define PEERS_MAX 64 /* processes watched; a node has about eight */
 
 /* States of a process as this daemon sees it, as in the chart "peer". */
 enum phase {
