--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets: all, check, demo, lint, format, format-check, clean.
 # The packages and what each of them uses; see README.md for their jobs.
-PACKAGES := base state lease place route config wire net daemon ctl standins
+PACKAGES := base state lease place route config wire net io keys router platform daemon ctl standins
 
 base_deps :=
 state_deps := base
@@ -10,7 +10,11 @@
 config_deps := base
 wire_deps := state base
 net_deps := wire state base
-daemon_deps := net config wire lease place route state base
+io_deps := base
+keys_deps := base
+router_deps := keys io route config base
+platform_deps := router keys io route config base
+daemon_deps := platform router keys io net config wire lease place route state base
 ctl_deps := net config wire state base
 standins_deps := net config wire lease place route state base
 
@@ -30,49 +34,51 @@
 OPT := -O2 -g -fno-omit-frame-pointer
 TIRPC := -I/usr/include/tirpc
 CFLAGS := $(CSTD) $(WARN) $(OPT) $(SANFLAGS) $(TIRPC) -D_GNU_SOURCE
-LIBS := -lwebsockets -ltirpc -lcyaml -lyaml -ljansson -lxxhash -lm
+LIBS := -lwebsockets -lhttp_parser -lev -ltirpc -lcyaml -lyaml -ljansson -lxxhash -lm
 
-SRC_DIR = packages/$(1)/src
-srcs = $(wildcard packages/$(1)/src/*.c packages/$(1)/src/gen/*.c)
+# The adapter of the platform has a folder of its own beside the packages.
+src_dir = $(if $(filter platform,$(1)),platform,packages/$(1)/src)
+test_dir = $(if $(filter platform,$(1)),platform/tests,packages/$(1)/tests)
+srcs = $(wildcard $(call src_dir,$(1))/*.c $(call src_dir,$(1))/gen/*.c)
 objs = $(patsubst %.c,$(BUILD)/obj/%.o,$(call srcs,$(1)))
-incs = $(foreach p,$(1) $($(1)_deps),-Ipackages/$(p)/src -Ipackages/$(p)/src/gen)
+incs = $(foreach p,$(1) $($(1)_deps),-I$(call src_dir,$(p)) -I$(call src_dir,$(p))/gen)
 libs = $(foreach p,$(1) $($(1)_deps),$(BUILD)/lib$(p).a)
 
 # A source file named main_NAME.c is the main file of the program NAME.
 mains = $(wildcard packages/*/src/main_*.c)
 PROGRAMS := $(patsubst main_%.c,$(BUILD)/bin/%,$(notdir $(mains)))
-TESTS := $(foreach p,$(PACKAGES),$(patsubst packages/$(p)/tests/%.c,$(BUILD)/tests/$(p)/%,$(wildcard packages/$(p)/tests/test_*.c)))
+TESTS := $(foreach p,$(PACKAGES),$(patsubst $(call test_dir,$(p))/%.c,$(BUILD)/tests/$(p)/%,$(wildcard $(call test_dir,$(p))/test_*.c)))
 
 .PHONY: all setup check demo lint lint-file format format-check clean tests
 all: $(PROGRAMS)
 
 define package_rules
-$(BUILD)/obj/packages/$(1)/src/gen/%.o: packages/$(1)/src/gen/%.c
+$(BUILD)/obj/$(call src_dir,$(1))/gen/%.o: $(call src_dir,$(1))/gen/%.c
 	@mkdir -p $$(@D)
 	@echo CC $$@
 	@$(CC) $(CFLAGS) -Wno-unused-variable -Wno-cast-function-type -MMD -MP $(call incs,$(1)) -c $$< -o $$@
 
-$(BUILD)/obj/packages/$(1)/src/%.o: packages/$(1)/src/%.c
+$(BUILD)/obj/$(call src_dir,$(1))/%.o: $(call src_dir,$(1))/%.c
 	@mkdir -p $$(@D)
 	@echo CC $$@
 	@$(CC) $(CFLAGS) -MMD -MP $(call incs,$(1)) -c $$< -o $$@
 
-$(BUILD)/lib$(1).a: $(filter-out $(BUILD)/obj/packages/$(1)/src/main_%,$(call objs,$(1)))
+$(BUILD)/lib$(1).a: $(filter-out $(BUILD)/obj/$(call src_dir,$(1))/main_%,$(call objs,$(1)))
 	@mkdir -p $$(@D)
 	@rm -f $$@
 	@ar rcs $$@ $$^
 
-$(BUILD)/bin/%: $(BUILD)/obj/packages/$(1)/src/main_%.o $(call libs,$(1))
+$(BUILD)/bin/%: $(BUILD)/obj/$(call src_dir,$(1))/main_%.o $(call libs,$(1))
 	@mkdir -p $$(@D)
 	@echo CC $$@
 	@$(CC) $(CFLAGS) $$< $(call libs,$(1)) -o $$@ $(LIBS)
 
 # Helpers shared by the tests of a package: every tests/*.c not named test_*
 # or demo_*.
-$(BUILD)/tests/$(1)/%: packages/$(1)/tests/%.c $(filter-out packages/$(1)/tests/test_% packages/$(1)/tests/demo_%,$(wildcard packages/$(1)/tests/*.c)) $(call libs,$(1))
+$(BUILD)/tests/$(1)/%: $(call test_dir,$(1))/%.c $(filter-out $(call test_dir,$(1))/test_% $(call test_dir,$(1))/demo_%,$(wildcard $(call test_dir,$(1))/*.c)) $(call libs,$(1))
 	@mkdir -p $$(@D)
 	@echo CC $$@
-	@$(CC) $(CFLAGS) -MMD -MP -MF $$@.d $(call incs,$(1)) -Ipackages/$(1)/tests $$(filter %.c,$$^) $(call libs,$(1)) -o $$@ $(LIBS) -lcmocka
+	@$(CC) $(CFLAGS) -MMD -MP -MF $$@.d $(call incs,$(1)) -I$(call test_dir,$(1)) $$(filter %.c,$$^) $(call libs,$(1)) -o $$@ $(LIBS) -lcmocka
 endef
 $(foreach p,$(PACKAGES),$(eval $(call package_rules,$(p))))
 
@@ -98,7 +104,7 @@
 	$(MAKE) all $(DEMO)
 	GERANIUMSPOKE_BIN=$(BUILD)/bin $(DEMO)
 
-C_FILES := $(wildcard packages/*/src/*.[ch] packages/*/tests/*.[ch])
+C_FILES := $(wildcard packages/*/src/*.[ch] packages/*/tests/*.[ch] platform/*.[ch] platform/tests/*.[ch])
 
 format:
 	clang-format -i $(C_FILES)
--- a/packages/daemon/src/main_geraniumspoked.c
+++ b/packages/daemon/src/main_geraniumspoked.c
@@ -3,20 +3,25 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "nod.h"
+#include "pf.h"
+#include "rtr.h"
 #include "set.h"
 
 #define OVERRIDES_MAX 32
 #define EXIT_SETTINGS 2
 #define EXIT_START 3
 #define KEY_CHECK 1000
+#define KEY_RANGES 1001
 
 struct options {
 	const char *path;
 	const char *overrides[OVERRIDES_MAX];
 	size_t override_count;
 	bool check_only;
+	bool ranges;
 };
 
 static const struct argp_option option_list[] = {
@@ -25,6 +30,10 @@
 	  "Replace a field of the file, for example http_port=8080", 0 },
 	{ "check-settings", KEY_CHECK, NULL, 0,
 	  "Check the settings, print nothing if they are right, and exit", 0 },
+	{ "ranges", KEY_RANGES, NULL, 0,
+	  "Route by key ranges on the operators' platform; the settings are "
+	  "those of docs/platform.md",
+	  0 },
 	{ 0 }
 };
 
@@ -44,9 +53,14 @@
 	case KEY_CHECK:
 		o->check_only = true;
 		return 0;
+	case KEY_RANGES:
+		o->ranges = true;
+		return 0;
 	case ARGP_KEY_END:
 		if (!o->path)
 			argp_error(state, "the option --settings is needed");
+		if (o->ranges && o->override_count > 0)
+			argp_error(state, "--set does not go with --ranges");
 		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
@@ -79,17 +93,41 @@
 	return ok;
 }
 
-int main(int argc, char **argv)
+/* Runs the daemon that routes by key ranges. */
+static int run_ranges(const struct options *o)
+{
+	struct err err = { 0 };
+	struct rse settings;
+	struct rtr *r;
+
+	if (!rse_load(o->path, &settings, &err)) {
+		fprintf(stderr, "geraniumspoked: %s\n", err.text);
+		return EXIT_SETTINGS;
+	}
+	if (o->check_only)
+		return EXIT_SUCCESS;
+	log_set_level(settings.log_level);
+	log_set_fd(STDOUT_FILENO);
+	r = rtr_create(&settings, o->path, pf_create, clk_system(), &err);
+	if (!r) {
+		fprintf(stderr, "geraniumspoked: %s\n", err.text);
+		return EXIT_START;
+	}
+	rtr_run(r);
+	rtr_destroy(r);
+	return EXIT_SUCCESS;
+}
+
+/* Runs the daemon whose instances hold partitions. */
+static int run_partitions(const struct options *o)
 {
-	struct options options = { 0 };
 	struct err err = { 0 };
 	struct set set;
 	struct nod *n;
 
-	argp_parse(&arguments, argc, argv, 0, NULL, &options);
-	if (!read_settings(&options, &set))
+	if (!read_settings(o, &set))
 		return EXIT_SETTINGS;
-	if (options.check_only)
+	if (o->check_only)
 		return EXIT_SUCCESS;
 	log_set_level(set.log_level);
 	n = nod_create(&set, clk_system(), &err);
@@ -101,3 +139,12 @@
 	nod_destroy(n);
 	return EXIT_SUCCESS;
 }
+
+int main(int argc, char **argv)
+{
+	struct options options = { 0 };
+
+	argp_parse(&arguments, argc, argv, 0, NULL, &options);
+	return options.ranges ? run_ranges(&options) :
+				run_partitions(&options);
+}
--- /dev/null
+++ b/packages/io/src/hcl.c
@@ -0,0 +1,357 @@
+#include "hcl.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "skt.h"
+
+/* A server that tells its idle time is left this much before its end. */
+#define KEEP_ALIVE_MARGIN_US (1 * US_PER_S)
+#define KEEP_ALIVE_MAX_S 3600
+#define SWEEP_US (1 * US_PER_S)
+
+/* An exchange and the connection that it uses; idle without ops. */
+struct hxc {
+	struct hxc *prev, *next;
+	struct hcl *pool;
+	struct skt *socket;
+	struct hps *parser;
+	const struct hxc_ops *ops;
+	void *arg;
+	uint64_t idle_since_us;
+	uint64_t idle_limit_us;
+	bool used; /* carried an exchange before this one */
+	bool parsing; /* the user may be in a callback of the parser */
+	bool reported_head;
+	bool skipping; /* the response that comes is foreign */
+	bool close_after;
+	bool invalid;
+	bool no_body;
+};
+
+struct hcl {
+	struct evl *loop;
+	struct sockaddr_in address;
+	uint64_t idle_us;
+	struct hxc *all;
+	uint64_t opened;
+	uint32_t open;
+	uint32_t sweep;
+};
+
+/* Closes the connection of an exchange and frees both. */
+static void drop(struct hxc *x)
+{
+	DL_DELETE(x->pool->all, x);
+	x->pool->open--;
+	skt_close(x->socket);
+	hps_destroy(x->parser);
+	free(x);
+}
+
+/* Reports a failure and drops the connection. */
+static void fail(struct hxc *x, enum hxc_failure failure)
+{
+	const struct hxc_ops *ops = x->ops;
+	void *arg = x->arg;
+
+	drop(x);
+	if (ops)
+		ops->on_failed(arg, failure);
+}
+
+/* Reads how long the server keeps an idle connection. */
+static void learn_idle_limit(struct hxc *x, const struct hmg *m)
+{
+	static const char name[] = "timeout=";
+	struct span v = hmg_find(m, "keep-alive");
+	const char *at = v.text ? memmem(v.text, v.len, name, strlen(name)) :
+				  NULL;
+	uint64_t seconds = 0;
+
+	if (!at)
+		return;
+	at += strlen(name);
+	while (at < v.text + v.len && *at >= '0' && *at <= '9' &&
+	       seconds < KEEP_ALIVE_MAX_S)
+		seconds = seconds * 10 + (uint64_t)(*at++ - '0');
+	seconds *= US_PER_S;
+	seconds = seconds > KEEP_ALIVE_MARGIN_US ?
+			  seconds - KEEP_ALIVE_MARGIN_US :
+			  0;
+	if (seconds < x->idle_limit_us)
+		x->idle_limit_us = seconds;
+}
+
+/* Decides whose response this is and gives its head to the user. */
+static bool on_head(void *arg, struct hmg *m)
+{
+	struct hxc *x = arg;
+	enum hxc_match match = HXC_OURS;
+
+	if (x->ops && x->ops->match)
+		match = x->ops->match(x->arg, m);
+	x->skipping = match == HXC_FOREIGN;
+	x->invalid = match == HXC_INVALID;
+	if (!m->keep_alive)
+		x->close_after = true;
+	if (x->invalid)
+		return false;
+	if (x->skipping || !x->ops)
+		return true;
+	learn_idle_limit(x, m);
+	x->reported_head = true;
+	x->ops->on_head(x->arg, m);
+	return true;
+}
+
+/* Gives bytes of the body to the user. */
+static void on_body(void *arg, const char *bytes, size_t len)
+{
+	struct hxc *x = arg;
+
+	if (!x->skipping && x->ops)
+		x->ops->on_body(x->arg, bytes, len);
+}
+
+static const struct hps_ops parser_ops = { on_head, on_body };
+
+/* A whole response has come: the connection is idle or dropped. */
+static void complete(struct hxc *x)
+{
+	const struct hxc_ops *ops = x->ops;
+	void *arg = x->arg;
+	/* Bytes behind the response, or a request that was answered before it
+	 * was sent, leave the connection in no usable state. */
+	bool usable = !x->close_after && buf_len(skt_input(x->socket)) == 0 &&
+		      buf_len(skt_output(x->socket)) == 0;
+
+	x->ops = NULL;
+	if (usable) {
+		x->idle_since_us = evl_now_us(x->pool->loop);
+		x->used = true;
+		skt_hold_input(x->socket, false);
+		hps_next(x->parser);
+	} else {
+		drop(x);
+	}
+	if (ops)
+		ops->on_done(arg);
+}
+
+/*
+ * Parses what has come. The user may cancel the exchange while it is told of
+ * the head or the body, so that nothing of it is touched after a cancel.
+ */
+static void on_input(void *arg)
+{
+	struct hxc *x = arg;
+	struct buf *in = skt_input(x->socket);
+	enum hps_state state;
+	size_t taken;
+
+	if (!x->ops) {
+		drop(x);
+		return;
+	}
+	while (buf_len(in) > 0) {
+		x->parsing = true;
+		state = hps_feed(x->parser, buf_data(in), buf_len(in), &taken);
+		x->parsing = false;
+		if (!x->ops) {
+			drop(x);
+			return;
+		}
+		if (state == HPS_BROKEN) {
+			fail(x, x->reported_head ? HXC_CUT : HXC_NO_RESPONSE);
+			return;
+		}
+		buf_take(in, taken);
+		if (state == HPS_MORE)
+			return;
+		if (!x->skipping) {
+			complete(x);
+			return;
+		}
+		hps_next(x->parser);
+		hps_expect_no_body(x->parser, x->no_body);
+	}
+}
+
+/* The connection has ended; an end in order may complete a response. */
+static void on_end(void *arg, enum skt_end why)
+{
+	struct hxc *x = arg;
+
+	if (!x->ops) {
+		drop(x);
+		return;
+	}
+	if (why == SKT_EOF && x->reported_head &&
+	    hps_end(x->parser) == HPS_DONE) {
+		x->close_after = true;
+		complete(x);
+		return;
+	}
+	if (x->reported_head)
+		fail(x, HXC_CUT);
+	else if (why == SKT_REFUSED)
+		fail(x, HXC_REFUSED);
+	else
+		fail(x, hxc_has_sent(x) ? HXC_NO_RESPONSE : HXC_NOT_SENT);
+}
+
+/* The request may have waited for the connection. */
+static void on_drained(void *arg)
+{
+	(void)arg;
+}
+
+static const struct skt_ops socket_ops = { on_input, on_drained, on_end };
+
+/* Closes connections that were idle for too long. */
+static void sweep(void *arg, uint64_t now_us)
+{
+	struct hcl *p = arg;
+	struct hxc *x, *next;
+
+	DL_FOREACH_SAFE(p->all, x, next) {
+		if (!x->ops && now_us - x->idle_since_us > x->idle_limit_us)
+			drop(x);
+	}
+}
+
+/* Makes an empty pool. */
+struct hcl *hcl_create(struct evl *l, const struct sockaddr_in *address,
+		       uint64_t idle_us)
+{
+	struct hcl *p = calloc(1, sizeof(*p));
+
+	if (!p)
+		return NULL;
+	p->loop = l;
+	p->address = *address;
+	p->idle_us = idle_us;
+	p->sweep = tmr_every(evl_timers(l), evl_now_us(l) + SWEEP_US, SWEEP_US,
+			     sweep, p);
+	return p;
+}
+
+/* Closes everything. */
+void hcl_destroy(struct hcl *p)
+{
+	if (!p)
+		return;
+	tmr_cancel(evl_timers(p->loop), p->sweep);
+	while (p->all)
+		drop(p->all);
+	free(p);
+}
+
+/* Opens a connection for an exchange. */
+static struct hxc *open_connection(struct hcl *p)
+{
+	struct hxc *x = calloc(1, sizeof(*x));
+
+	if (!x)
+		return NULL;
+	x->parser = hps_create(false, &parser_ops, x);
+	x->socket = x->parser ? skt_connect(p->loop, &p->address, &socket_ops,
+					    x) :
+				NULL;
+	if (!x->socket) {
+		hps_destroy(x->parser);
+		free(x);
+		return NULL;
+	}
+	x->pool = p;
+	x->idle_limit_us = p->idle_us;
+	DL_APPEND(p->all, x);
+	p->opened++;
+	p->open++;
+	return x;
+}
+
+/* Finds the connection that became idle last; it is the least likely stale. */
+static struct hxc *find_idle(struct hcl *p, uint64_t reuse_us)
+{
+	uint64_t now = evl_now_us(p->loop);
+	struct hxc *best = NULL;
+	struct hxc *x;
+
+	DL_FOREACH(p->all, x) {
+		uint64_t limit = x->idle_limit_us < reuse_us ?
+					 x->idle_limit_us :
+					 reuse_us;
+
+		if (!x->ops && x->used && now - x->idle_since_us < limit &&
+		    (!best || x->idle_since_us > best->idle_since_us))
+			best = x;
+	}
+	return best;
+}
+
+/* Sends a request on an idle connection or on a new one. */
+struct hxc *hxc_start(struct hcl *p, const struct hxc_request *r,
+		      const struct hxc_ops *ops, void *arg)
+{
+	struct hxc *x = r->reuse_us ? find_idle(p, r->reuse_us) : NULL;
+	struct buf *out;
+
+	if (!x)
+		x = open_connection(p);
+	if (!x)
+		return NULL;
+	x->ops = ops;
+	x->arg = arg;
+	x->reported_head = false;
+	x->skipping = false;
+	x->close_after = false;
+	x->invalid = false;
+	x->no_body = r->expect_no_body;
+	hps_expect_no_body(x->parser, x->no_body);
+	out = skt_output(x->socket);
+	buf_add(out, buf_data(r->head), buf_len(r->head));
+	if (r->body_len > 0)
+		buf_add(out, r->body, r->body_len);
+	skt_flush(x->socket);
+	return x;
+}
+
+/*
+ * Ends an exchange without a report. Its connection is closed, so that the
+ * server stops working on the request; inside a callback of the parser that
+ * happens when the callback returns.
+ */
+void hxc_cancel(struct hxc *x)
+{
+	x->ops = NULL;
+	x->used = false;
+	if (!x->parsing)
+		drop(x);
+}
+
+/* Stops or resumes reading. */
+void hxc_hold(struct hxc *x, bool held)
+{
+	skt_hold_input(x->socket, held);
+}
+
+/* True if bytes of this request may have left. */
+bool hxc_has_sent(const struct hxc *x)
+{
+	return x->used || skt_has_sent(x->socket);
+}
+
+/* Returns the number of connections opened so far. */
+uint64_t hcl_opened(const struct hcl *p)
+{
+	return p->opened;
+}
+
+/* Returns the number of connections that are open. */
+uint32_t hcl_open(const struct hcl *p)
+{
+	return p->open;
+}
--- /dev/null
+++ b/packages/io/src/hmg.c
@@ -0,0 +1,133 @@
+#include "hmg.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+#define DECIMAL 10
+
+/* Returns the target of a request as it came. */
+struct span hmg_target(const struct hmg *m)
+{
+	return (struct span){ buf_data(&m->text), m->target_len };
+}
+
+/* Returns the name of a field. */
+struct span hmg_name(const struct hmg *m, uint32_t i)
+{
+	return (struct span){ buf_data(&m->text) + m->fields[i].name,
+			      m->fields[i].name_len };
+}
+
+/* Returns the value of a field. */
+struct span hmg_value(const struct hmg *m, uint32_t i)
+{
+	return (struct span){ buf_data(&m->text) + m->fields[i].value,
+			      m->fields[i].value_len };
+}
+
+/* True if the span is this text. */
+bool span_is(struct span s, const char *text)
+{
+	return s.text && s.len == strlen(text) &&
+	       memcmp(s.text, text, s.len) == 0;
+}
+
+/* True if the span is this text in any case. */
+bool span_is_nocase(struct span s, const char *text)
+{
+	return s.text && s.len == strlen(text) &&
+	       strncasecmp(s.text, text, s.len) == 0;
+}
+
+/* Finds the first field of a name. */
+struct span hmg_find(const struct hmg *m, const char *name)
+{
+	for (uint32_t i = 0; i < m->field_count; i++) {
+		if (span_is_nocase(hmg_name(m, i), name))
+			return hmg_value(m, i);
+	}
+	return (struct span){ NULL, 0 };
+}
+
+/* Reads decimal digits only. */
+bool span_number(struct span s, uint64_t max, uint64_t *out)
+{
+	uint64_t n = 0;
+
+	if (!s.text || s.len == 0)
+		return false;
+	for (size_t i = 0; i < s.len; i++) {
+		unsigned int digit = (unsigned int)(s.text[i] - '0');
+
+		if (digit >= DECIMAL || n > (max - digit) / DECIMAL)
+			return false;
+		n = n * DECIMAL + digit;
+	}
+	*out = n;
+	return true;
+}
+
+/* Copies with a closing NUL. */
+bool span_copy(struct span s, char *out, size_t size)
+{
+	out[0] = '\0';
+	if (!s.text || s.len >= size)
+		return false;
+	memcpy(out, s.text, s.len);
+	out[s.len] = '\0';
+	return true;
+}
+
+/* True if the Connection field names this field. */
+static bool is_named_by_connection(const struct hmg *m, struct span name)
+{
+	struct span list = hmg_find(m, "connection");
+
+	for (size_t i = 0; list.text && i < list.len;) {
+		size_t begin = i;
+
+		while (i < list.len && list.text[i] != ',' &&
+		       list.text[i] != ' ')
+			i++;
+		if (i - begin == name.len && name.len > 0 &&
+		    strncasecmp(list.text + begin, name.text, name.len) == 0)
+			return true;
+		i++;
+	}
+	return false;
+}
+
+/* Fields of one connection, and those that a forward sets itself. */
+bool hmg_is_hop_field(const struct hmg *m, uint32_t i)
+{
+	static const char *const names[] = {
+		"connection", "keep-alive", "proxy-connection", "te",
+		"trailer", "transfer-encoding", "upgrade", "content-length",
+		"expect"
+	};
+	struct span name = hmg_name(m, i);
+
+	for (size_t n = 0; n < sizeof(names) / sizeof(names[0]); n++) {
+		if (span_is_nocase(name, names[n]))
+			return true;
+	}
+	return is_named_by_connection(m, name);
+}
+
+/* Writes the forwarded fields as lines. */
+void hmg_copy_fields(const struct hmg *m, struct buf *out, hmg_skip_fn skip,
+		     const void *arg)
+{
+	for (uint32_t i = 0; i < m->field_count; i++) {
+		struct span name = hmg_name(m, i);
+		struct span value = hmg_value(m, i);
+
+		if (hmg_is_hop_field(m, i) || (skip && skip(arg, name)))
+			continue;
+		buf_add(out, name.text, name.len);
+		buf_add(out, ": ", 2);
+		buf_add(out, value.text, value.len);
+		buf_add(out, "\r\n", 2);
+	}
+}
--- /dev/null
+++ b/packages/router/src/att_int.h
@@ -0,0 +1,58 @@
+#ifndef ATT_INT_H
+#define ATT_INT_H
+
+/* The fields of the attached upstream, for its lives and its grants. */
+
+#include "att.h"
+
+struct att {
+	struct att_parts parts;
+	const struct att_ops *ops;
+	void *arg;
+	/* The life. */
+	struct life life;
+	char service[RCF_NAME_MAX];
+	uint32_t slots;
+	uint64_t seq;
+	uint64_t heard_us; /* last announcement */
+	uint64_t cold_until_us;
+	bool announced; /* by an announcement, not by an earlier process */
+	bool draining;
+	bool left; /* it has said that it leaves for good */
+	uint64_t closed_us; /* requests are sent until then; 0 if it stays */
+	int64_t ended_born_ms; /* of the last life that has ended */
+	char ended_id[LIFE_ID_MAX];
+	/* Keys. */
+	struct plat_announcement last; /* what it said last */
+	struct plat_grant granted; /* what it was answered last */
+	uint64_t granted_until_us;
+	uint64_t ticket; /* the plan must have been read up to it */
+	bool granted_once;
+	bool left_out; /* the last answer took keys away */
+	/* The answer that is kept. */
+	struct hsc *waiting;
+	uint64_t waiting_since_us;
+	uint32_t answer_timer;
+	/* Whether it lives. */
+	struct skt *probe;
+	uint32_t probe_timer;
+	uint32_t refusals; /* in a row */
+};
+
+/* Answers the waiting announcement now. */
+void att_answer(struct att *a);
+
+/* True if the answer would change what the upstream holds. */
+bool att_has_news(struct att *a);
+
+/* Looks for keys that the upstream no longer holds. */
+void att_find_releases(struct att *a);
+
+/* Proves by refused connections that the upstream has ended. */
+void att_start_probe(struct att *a);
+void att_stop_probe(struct att *a);
+
+/* The life has ended; nothing is there until the next announcement. */
+void att_end_life(struct att *a, const char *reason);
+
+#endif
--- /dev/null
+++ b/packages/router/src/exq.c
@@ -0,0 +1,161 @@
+#include "exq.h"
+
+#include <stdlib.h>
+#include <utlist.h>
+
+/*
+ * Of the time to its deadline, a request that will miss its objective may
+ * spend this much until its end; later ones are refused on arrival.
+ */
+#define LATE_SHARE_PCT 60
+#define PERCENT 100
+
+/* Of this many requests, at least one is of a less urgent kind that waits. */
+#define FAIR_TURNS 4
+
+struct exq {
+	struct exq_item *items;
+	uint32_t count;
+	uint32_t turns; /* urgent requests taken since a less urgent one */
+};
+
+/* Makes an empty queue. */
+struct exq *exq_create(void)
+{
+	return calloc(1, sizeof(struct exq));
+}
+
+/* Frees the queue; its items belong to others. */
+void exq_destroy(struct exq *q)
+{
+	free(q);
+}
+
+/* True if a request would end within its objective if it began now. */
+static bool is_on_time(const struct exq_item *i, uint64_t now_us)
+{
+	return now_us + i->estimate_us <= i->objective_us;
+}
+
+/* True if a goes before b. */
+static bool goes_before(const struct exq_item *a, const struct exq_item *b,
+			uint64_t now_us)
+{
+	bool a_on_time = is_on_time(a, now_us);
+	bool b_on_time = is_on_time(b, now_us);
+
+	if (a_on_time != b_on_time)
+		return a_on_time;
+	if (a->rank != b->rank)
+		return a->rank < b->rank;
+	return a->objective_us < b->objective_us;
+}
+
+/* Counts what goes first, and one slot that has to become free. */
+uint64_t exq_wait_us(const struct exq *q, const struct exq_item *item,
+		     uint32_t running, uint32_t slots, uint64_t mean_us,
+		     uint64_t now_us)
+{
+	uint32_t ahead = 0;
+	const struct exq_item *i;
+
+	if (slots == 0)
+		return item->deadline_us;
+	DL_FOREACH(q->items, i) {
+		if (!goes_before(item, i, now_us))
+			ahead++;
+	}
+	if (running + ahead < slots)
+		return 0;
+	return (uint64_t)(running + ahead + 1 - slots) * mean_us / slots;
+}
+
+/* True if it ends on time, or late but well before its deadline. */
+bool exq_is_worth(const struct exq_item *item, uint64_t wait_us,
+		  uint64_t now_us)
+{
+	uint64_t end = now_us + wait_us + item->estimate_us;
+	uint64_t left;
+
+	if (end <= item->objective_us)
+		return true;
+	if (item->deadline_us <= now_us)
+		return false;
+	left = item->deadline_us - now_us;
+	return end <= now_us + left * LATE_SHARE_PCT / PERCENT;
+}
+
+/* Adds a request. */
+void exq_add(struct exq *q, struct exq_item *item)
+{
+	DL_APPEND(q->items, item);
+	q->count++;
+}
+
+/* Takes a request out. */
+void exq_remove(struct exq *q, struct exq_item *item)
+{
+	DL_DELETE(q->items, item);
+	q->count--;
+}
+
+/* Returns the first in order, of those with a rank of at least min_rank. */
+static struct exq_item *find_first(const struct exq *q, uint32_t min_rank,
+				   uint64_t now_us)
+{
+	struct exq_item *best = NULL;
+	struct exq_item *i;
+
+	DL_FOREACH(q->items, i) {
+		if (i->rank < min_rank)
+			continue;
+		if (!best || goes_before(i, best, now_us))
+			best = i;
+	}
+	return best;
+}
+
+/*
+ * Takes the next one. After some urgent requests the first of the less urgent
+ * ones goes, if it is on time, so that no kind is starved.
+ */
+struct exq_item *exq_pop(struct exq *q, uint64_t now_us)
+{
+	struct exq_item *first = find_first(q, 0, now_us);
+	struct exq_item *other;
+
+	if (!first)
+		return NULL;
+	other = find_first(q, first->rank + 1, now_us);
+	if (other && q->turns + 1 >= FAIR_TURNS && is_on_time(other, now_us))
+		first = other;
+	q->turns = first == other || !other ? 0 : q->turns + 1;
+	exq_remove(q, first);
+	return first;
+}
+
+/* Takes one whose deadline comes before its end. */
+struct exq_item *exq_pop_hopeless(struct exq *q, uint64_t now_us)
+{
+	struct exq_item *i;
+
+	DL_FOREACH(q->items, i) {
+		if (now_us + i->estimate_us > i->deadline_us) {
+			exq_remove(q, i);
+			return i;
+		}
+	}
+	return NULL;
+}
+
+/* Returns how many requests wait. */
+uint32_t exq_count(const struct exq *q)
+{
+	return q->count;
+}
+
+/* Returns the first request. */
+const struct exq_item *exq_first(const struct exq *q)
+{
+	return q->items;
+}
--- /dev/null
+++ b/packages/router/src/exr_run.c
@@ -0,0 +1,196 @@
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <utlist.h>
+
+#include "exr_int.h"
+#include "log.h"
+
+/* Weight of the newest measurement in a mean. */
+#define MEAN_WEIGHT 0.1
+/* Longest idle time of a connection that a request is sent on again. */
+#define REUSE_IDEMPOTENT_US (8 * US_PER_S)
+/* Shorter for others: a connection that was dropped unseen may lose one. */
+#define REUSE_ONCE_US (3 * US_PER_S)
+/* When a caller may come back that the upstream refused. */
+#define SHED_RETURN_US (200 * US_PER_MS)
+#define STATUS_FAILURE_MIN 500
+#define LEFT_MIN_MS 1
+
+/* Fields between daemons begin with this. */
+#define OWN_PREFIX "geranium-"
+
+/* True for a field that is not copied to the upstream. */
+static bool skip_field(const void *arg, struct span name)
+{
+	const struct plat_ops *ops = arg;
+	size_t len = strlen(OWN_PREFIX);
+
+	if (name.len >= len && strncasecmp(name.text, OWN_PREFIX, len) == 0)
+		return true;
+	return ops->is_forward_field(name);
+}
+
+/* Writes the head of the request for the upstream. */
+static void write_head(const struct exr_job *j, uint64_t now_us,
+		       struct buf *out)
+{
+	const struct plat_ops *ops = j->owner->platform->ops;
+	const struct hmg *m = j->request.message;
+	struct span target = hmg_target(m);
+	struct plat_forward f = {
+		.upstream_id = j->request.upstream_id,
+		.caller_service = j->request.caller_service,
+		.left_ms = LEFT_MIN_MS,
+	};
+
+	if (j->request.deadline_us > now_us + US_PER_MS)
+		f.left_ms = (j->request.deadline_us - now_us) / US_PER_MS;
+	buf_add_text(out, m->method);
+	buf_add(out, " ", 1);
+	buf_add(out, target.text, target.len);
+	buf_add_text(out, " HTTP/1.1\r\n");
+	hmg_copy_fields(m, out, skip_field, ops);
+	ops->write_forward(out, &f);
+	if (buf_len(j->request.body) > 0 || m->length != 0 ||
+	    !span_is_nocase((struct span){ m->method, strlen(m->method) },
+			    "GET"))
+		buf_printf(out, "Content-Length: %zu\r\n",
+			   buf_len(j->request.body));
+	buf_add_text(out, "\r\n");
+}
+
+/* Tells whether a response belongs to the request. */
+static enum hxc_match match(void *arg, const struct hmg *m)
+{
+	struct exr_job *j = arg;
+	struct plat_response r;
+
+	j->owner->platform->ops->read_response(m, j->request.request.id, &r);
+	if (r.has_id && !r.id_matches)
+		return HXC_FOREIGN;
+	if (r.not_run || r.other_upstream)
+		return HXC_OURS;
+	if (!r.has_id || !r.is_signed)
+		return HXC_INVALID;
+	return HXC_OURS;
+}
+
+/* Gives the head on, unless the upstream did not run the request. */
+static void on_head(void *arg, const struct hmg *m)
+{
+	struct exr_job *j = arg;
+	struct plat_response r;
+
+	j->owner->platform->ops->read_response(m, j->request.request.id, &r);
+	j->refused = r.not_run || r.other_upstream;
+	j->not_owner = r.other_upstream;
+	j->failed_status = m->status >= STATUS_FAILURE_MIN;
+	if (!j->refused)
+		j->ops->on_head(j->arg, m);
+}
+
+/* Gives bytes of the body on. */
+static void on_body(void *arg, const char *bytes, size_t len)
+{
+	struct exr_job *j = arg;
+
+	if (!j->refused)
+		j->ops->on_body(j->arg, bytes, len);
+}
+
+/* Learns how long the upstream works on this kind of request. */
+static void learn(struct exr_job *j)
+{
+	struct exr *x = j->owner;
+	double took = (double)(evl_now_us(x->loop) - j->started_us);
+	double *kind = &x->kind_us[j->request.kind % EXR_KINDS];
+
+	x->mean_us += (took - x->mean_us) * MEAN_WEIGHT;
+	if (*kind == 0)
+		*kind = took;
+	*kind += (took - *kind) * MEAN_WEIGHT;
+	x->finished++;
+	if (j->failed_status)
+		x->failed++;
+}
+
+/* The whole response has come. */
+static void on_done(void *arg)
+{
+	struct exr_job *j = arg;
+	struct exr *x = j->owner;
+	const struct exr_ops *ops = j->ops;
+	void *user = j->arg;
+
+	j->exchange = NULL;
+	exr_unlink(j);
+	if (j->refused) {
+		log_emit(LOG_UPSTREAM_SHED, "request=%s not_owner=%d running=%u",
+			 j->request.request.id, j->not_owner,
+			 x->running_count);
+		exr_refuse(j, j->not_owner ? EXR_NOT_OWNER : EXR_SHED,
+			   SHED_RETURN_US);
+	} else {
+		learn(j);
+		free(j);
+		ops->on_done(user);
+	}
+	exr_dispatch(x);
+}
+
+/* The exchange has failed; what was never sent has not run. */
+static void on_failed(void *arg, enum hxc_failure failure)
+{
+	struct exr_job *j = arg;
+	struct exr *x = j->owner;
+	const struct exr_ops *ops = j->ops;
+	void *user = j->arg;
+
+	j->exchange = NULL;
+	exr_unlink(j);
+	att_suspect(x->upstream);
+	log_emit(LOG_UPSTREAM_FAILED, "request=%s failure=%d ran_us=%llu",
+		 j->request.request.id, failure,
+		 (unsigned long long)(evl_now_us(x->loop) - j->started_us));
+	if (failure == HXC_REFUSED || failure == HXC_NOT_SENT) {
+		exr_refuse(j, EXR_NO_UPSTREAM, SHED_RETURN_US);
+	} else {
+		x->finished++;
+		x->failed++;
+		free(j);
+		ops->on_failed(user, failure == HXC_CUT ? EXR_CUT :
+							  EXR_NO_RESPONSE);
+	}
+	exr_dispatch(x);
+}
+
+static const struct hxc_ops exchange_ops = { match, on_head, on_body, on_done,
+					     on_failed };
+
+/* Starts the request at the upstream; it is on no list yet. */
+void exr_run(struct exr_job *j)
+{
+	struct exr *x = j->owner;
+	struct buf head = { 0 };
+	struct hxc_request r = { .head = &head };
+
+	j->started_us = evl_now_us(x->loop);
+	j->state = EXR_RUNS;
+	DL_APPEND(x->running, j);
+	x->running_count++;
+	write_head(j, j->started_us, &head);
+	if (buf_len(j->request.body) > 0)
+		r.body = buf_data(j->request.body);
+	r.body_len = buf_len(j->request.body);
+	r.expect_no_body = strcmp(j->request.message->method, "HEAD") == 0;
+	r.reuse_us = j->request.idempotent ? REUSE_IDEMPOTENT_US :
+					     REUSE_ONCE_US;
+	j->exchange = hxc_start(x->pool, &r, &exchange_ops, j);
+	buf_free(&head);
+	if (!j->exchange) {
+		log_emit(LOG_NO_DESCRIPTOR, "to=upstream");
+		exr_unlink(j);
+		exr_refuse(j, EXR_NO_UPSTREAM, SHED_RETURN_US);
+	}
+}
--- /dev/null
+++ b/packages/router/src/fwl.c
@@ -0,0 +1,90 @@
+#include "fwl.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LINE_MAX_BYTES 512
+/* Longest time that a daemon may name, so that sums do not overflow. */
+#define TIME_MAX_US (3600 * US_PER_S)
+
+/* An empty text would be taken for a missing word. */
+static const char *word(const char *text)
+{
+	return text[0] ? text : "-";
+}
+
+/* Writes the line of a request. */
+void fwl_write_request(struct buf *out, const struct fwl_request *r)
+{
+	buf_printf(out, "%s: %s %s %llu %llu %u %u %d %d\r\n",
+		   FWL_REQUEST_FIELD, word(r->upstream_id),
+		   word(r->caller_service), (unsigned long long)r->left_us,
+		   (unsigned long long)r->objective_left_us, r->rank, r->kind,
+		   r->idempotent, r->keyed);
+}
+
+/* Reads the line of a request. */
+bool fwl_read_request(const struct hmg *m, struct fwl_request *r)
+{
+	char line[LINE_MAX_BYTES];
+	unsigned long long left, objective;
+	int idempotent, keyed;
+
+	memset(r, 0, sizeof(*r));
+	if (!span_copy(hmg_find(m, FWL_REQUEST_FIELD), line, sizeof(line)) ||
+	    sscanf(line, "%63s %63s %llu %llu %u %u %d %d", r->upstream_id,
+		   r->caller_service, &left, &objective, &r->rank, &r->kind,
+		   &idempotent, &keyed) != 8 ||
+	    left > TIME_MAX_US || objective > TIME_MAX_US)
+		return false;
+	if (strcmp(r->caller_service, "-") == 0)
+		r->caller_service[0] = '\0';
+	r->left_us = left;
+	r->objective_left_us = objective;
+	r->idempotent = idempotent != 0;
+	r->keyed = keyed != 0;
+	return true;
+}
+
+/* Writes why a request was not run. */
+void fwl_write_refusal(struct buf *out, enum exr_refusal why, uint64_t wait_us)
+{
+	buf_printf(out, "%s: %d %llu\r\n", FWL_REFUSED_FIELD, (int)why,
+		   (unsigned long long)wait_us);
+}
+
+/* Reads why a request was not run. */
+bool fwl_read_refusal(const struct hmg *m, enum exr_refusal *why,
+		      uint64_t *wait_us)
+{
+	char line[LINE_MAX_BYTES];
+	unsigned long long wait;
+	int value;
+
+	if (!span_copy(hmg_find(m, FWL_REFUSED_FIELD), line, sizeof(line)) ||
+	    sscanf(line, "%d %llu", &value, &wait) != 2 || value < EXR_BUSY ||
+	    value > EXR_SHED || wait > TIME_MAX_US)
+		return false;
+	*why = (enum exr_refusal)value;
+	*wait_us = wait;
+	return true;
+}
+
+/* Writes the load of the upstream. */
+void fwl_write_load(struct buf *out, const struct exr_load *load)
+{
+	buf_printf(out, "%s: %u\r\n", FWL_LOAD_FIELD,
+		   load->running + load->waiting);
+}
+
+/* Reads the load of the upstream. */
+bool fwl_read_load(const struct hmg *m, uint32_t *busy)
+{
+	uint64_t n;
+
+	if (!span_number(hmg_find(m, FWL_LOAD_FIELD), UINT32_MAX, &n))
+		return false;
+	*busy = (uint32_t)n;
+	return true;
+}
--- /dev/null
+++ b/packages/router/src/ldr.c
@@ -0,0 +1,348 @@
+#include "ldr.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ldr_int.h"
+#include "log.h"
+
+/* The rows of all daemons are read this often, and sooner after news. */
+#define TICK_US (500 * US_PER_MS)
+#define WAKE_US (10 * US_PER_MS)
+/* Pause after a failed call. */
+#define PAUSE_US (100 * US_PER_MS)
+/* Entries of one write, of which some are taken leases. */
+#define CHANGES_MAX 90
+#define EXPIRIES_MAX 20
+#define REPORTS_MAX 2048
+
+struct ldr {
+	struct ldr_parts parts;
+	struct ldr_node *nodes;
+	size_t node_count;
+	struct ldr_known *reports;
+	size_t report_count;
+	char *texts[CHANGES_MAX]; /* values of the write under way */
+	char keys[CHANGES_MAX][VEW_KEY_MAX];
+	struct tbl_change changes[CHANGES_MAX];
+	size_t change_count;
+	uint32_t timer;
+	uint64_t due_us;
+	bool calling;
+	bool claiming;
+	bool woken; /* during a call */
+	bool dead;
+};
+
+static void tick(void *arg, uint64_t now_us);
+
+/* Plans the next look at the rows, unless one is planned sooner. */
+static void tick_in(struct ldr *l, uint64_t wait_us)
+{
+	uint64_t due = evl_now_us(l->parts.loop) + wait_us;
+
+	if (l->timer && l->due_us <= due)
+		return;
+	tmr_cancel(evl_timers(l->parts.loop), l->timer);
+	l->due_us = due;
+	l->timer = tmr_at(evl_timers(l->parts.loop), due, tick, l);
+}
+
+/* Frees the values of a write. */
+static void drop_changes(struct ldr *l)
+{
+	for (size_t i = 0; i < l->change_count; i++)
+		free(l->texts[i]);
+	l->change_count = 0;
+}
+
+/* Frees a destroyed leader once its call has ended. */
+static bool free_if_dead(struct ldr *l)
+{
+	if (!l->dead || l->calling)
+		return l->dead;
+	drop_changes(l);
+	free(l->nodes);
+	free(l->reports);
+	free(l);
+	return true;
+}
+
+/* True while the known leader is this daemon. */
+bool ldr_leads(const struct ldr *l)
+{
+	return strcmp(vew_leader(l->parts.view)->node,
+		      l->parts.settings->instance) == 0;
+}
+
+/* Adds a change to the write; takes over the text. */
+static void add_change(struct ldr *l, const char *table, const char *key,
+		       uint64_t expected, char *text)
+{
+	struct tbl_change *c = &l->changes[l->change_count];
+
+	if (l->change_count == CHANGES_MAX) {
+		free(text);
+		return;
+	}
+	snprintf(l->keys[l->change_count], VEW_KEY_MAX, "%s", key);
+	l->texts[l->change_count] = text;
+	c->table = table;
+	c->key = l->keys[l->change_count];
+	c->expected = expected;
+	c->value = text;
+	c->remove = false;
+	l->change_count++;
+}
+
+/* The plan has been written, or the rows have changed meanwhile. */
+static void on_written(void *arg, const struct tbl_result *r)
+{
+	struct ldr *l = arg;
+
+	l->calling = false;
+	if (free_if_dead(l))
+		return;
+	for (size_t i = 0; r->status == TBL_OK && i < l->change_count; i++) {
+		if (strcmp(l->changes[i].table, VEW_TABLE) == 0 && l->texts[i])
+			vew_take(l->parts.view, l->keys[i], l->texts[i],
+				 strlen(l->texts[i]), r->version);
+	}
+	drop_changes(l);
+	if (r->status != TBL_OK) {
+		log_emit(LOG_PLAN_NOT_WRITTEN, "status=%d reason=\"%s\"",
+			 r->status, r->reason ? r->reason : "");
+		vew_read_again(l->parts.view);
+		tick_in(l, PAUSE_US);
+		return;
+	}
+	tick_in(l, l->woken ? WAKE_US : TICK_US);
+	l->parts.on_plan(l->parts.arg);
+}
+
+/* Adds the members if they have changed. */
+static void plan_members(struct ldr *l, const struct ldr_input *in)
+{
+	const char *known = vew_members_text(l->parts.view);
+	char *text = ldr_write_members(in);
+
+	if (known && strcmp(text, known) == 0) {
+		free(text);
+		return;
+	}
+	add_change(l, VEW_TABLE, VEW_MEMBERS,
+		   vew_members_version(l->parts.view), text);
+}
+
+/* Adds the map of a service if it has changed. */
+static void plan_service(struct ldr *l, const struct ldr_input *in,
+			 const char *service)
+{
+	uint64_t version;
+	const struct krm *known =
+		vew_map(l->parts.view, service, &version);
+	struct krm *map = known ? krm_copy(known) : krm_create();
+	char *before = known ? krm_write(known) : NULL;
+	struct krp_result result;
+	char key[VEW_KEY_MAX];
+	char *text;
+
+	if (!map)
+		return;
+	result = ldr_plan_keys(in, service, map);
+	text = krm_write(map);
+	if (!before || strcmp(before, text) != 0) {
+		log_emit(LOG_KEYS_PLANNED,
+			 "service=%s based_on=%llu assigned=%u moved=%u "
+			 "ranges=%zu reports=%zu",
+			 service, (unsigned long long)version,
+			 result.keys_assigned, result.keys_moved,
+			 krm_count(map), in->report_count);
+		vew_map_key(service, key);
+		add_change(l, VEW_TABLE, key, version, text);
+		text = NULL;
+	}
+	free(text);
+	free(before);
+	krm_destroy(map);
+}
+
+/*
+ * Takes away the leases that have run out, so that they cannot be renewed. The
+ * ones that do not fit into this write count as alive until the next.
+ */
+static void plan_expiries(struct ldr *l)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < l->node_count; i++) {
+		struct ldr_node *n = &l->nodes[i];
+
+		if (!n->expires)
+			continue;
+		if (count++ >= EXPIRIES_MAX) {
+			n->alive = true;
+			continue;
+		}
+		log_emit(LOG_LEASE_EXPIRED, "node=%s until_ms=%llu",
+			 n->row.node,
+			 (unsigned long long)n->row.lease_until_ms);
+		n->row.expired = true;
+		add_change(l, NRW_TABLE, n->row.node, n->version,
+			   nrw_write(&n->row));
+	}
+}
+
+/* Decides from the rows of all daemons and writes the plan. */
+static void plan(struct ldr *l)
+{
+	struct ldr_input in = { l->nodes, l->node_count, l->reports,
+				l->report_count,
+				evl_now_us(l->parts.loop) };
+	const struct rcf *config = l->parts.config;
+
+	add_change(l, VEW_TABLE, VEW_LEADER,
+		   vew_leader(l->parts.view)->version, NULL);
+	plan_expiries(l);
+	plan_members(l, &in);
+	for (size_t i = 0; i < config->service_count; i++) {
+		if (config->services[i].keyed)
+			plan_service(l, &in, config->services[i].name);
+	}
+	if (l->change_count == 1) {
+		drop_changes(l);
+		tick_in(l, TICK_US);
+		return;
+	}
+	l->calling = true;
+	l->parts.tbl.ops->write(l->parts.tbl.self, l->changes,
+				l->change_count, on_written, l);
+}
+
+/* The rows of all daemons have been read. */
+static void on_nodes(void *arg, const struct tbl_result *r)
+{
+	struct ldr *l = arg;
+
+	l->calling = false;
+	if (free_if_dead(l))
+		return;
+	if (r->status != TBL_OK) {
+		tick_in(l, PAUSE_US);
+		return;
+	}
+	l->node_count = ldr_read_nodes(r, l->nodes, LDR_NODES_MAX);
+	plan(l);
+}
+
+/* Reads the rows of all daemons, while this daemon leads. */
+static void tick(void *arg, uint64_t now_us)
+{
+	struct ldr *l = arg;
+
+	(void)now_us;
+	l->timer = 0;
+	if (l->calling)
+		return;
+	if (!ldr_leads(l) || !vew_is_ready(l->parts.view)) {
+		tick_in(l, TICK_US);
+		return;
+	}
+	l->woken = false;
+	l->calling = true;
+	l->parts.tbl.ops->read(l->parts.tbl.self, NRW_TABLE, on_nodes, l);
+}
+
+/* Makes the part; it does nothing before this daemon leads. */
+struct ldr *ldr_create(const struct ldr_parts *parts)
+{
+	struct ldr *l = calloc(1, sizeof(*l));
+
+	if (!l)
+		return NULL;
+	l->parts = *parts;
+	l->nodes = calloc(LDR_NODES_MAX, sizeof(*l->nodes));
+	l->reports = calloc(REPORTS_MAX, sizeof(*l->reports));
+	if (!l->nodes || !l->reports) {
+		free_if_dead(l);
+		return NULL;
+	}
+	tick_in(l, TICK_US);
+	return l;
+}
+
+/* Ends; another daemon will claim the lead. */
+void ldr_destroy(struct ldr *l)
+{
+	if (!l)
+		return;
+	tmr_cancel(evl_timers(l->parts.loop), l->timer);
+	l->dead = true;
+	free_if_dead(l);
+}
+
+/* The claim has been written, or another one was faster. */
+static void on_claimed(void *arg, const struct tbl_result *r)
+{
+	struct ldr *l = arg;
+
+	l->calling = false;
+	l->claiming = false;
+	if (free_if_dead(l))
+		return;
+	if (r->status == TBL_OK)
+		vew_take(l->parts.view, VEW_LEADER, l->texts[0],
+			 strlen(l->texts[0]), r->version);
+	else
+		vew_read_again(l->parts.view);
+	drop_changes(l);
+	tick_in(l, WAKE_US);
+}
+
+/* Writes the leader's row under the condition that it is the known one. */
+void ldr_claim(struct ldr *l, const char *reason)
+{
+	const struct rse *s = l->parts.settings;
+	json_t *row;
+
+	if (l->calling || !vew_is_ready(l->parts.view))
+		return;
+	log_emit(LOG_LEAD_CLAIMED, "reason=\"%s\" before=%s", reason,
+		 vew_leader(l->parts.view)->node);
+	row = json_pack("{s:s,s:s}", "node", s->instance, "peer",
+			s->peer_address);
+	add_change(l, VEW_TABLE, VEW_LEADER,
+		   vew_leader(l->parts.view)->version,
+		   json_dumps(row, JSON_COMPACT));
+	json_decref(row);
+	l->calling = true;
+	l->claiming = true;
+	l->parts.tbl.ops->write(l->parts.tbl.self, l->changes,
+				l->change_count, on_claimed, l);
+}
+
+/* Keeps the newest report of each daemon. */
+void ldr_report(struct ldr *l, const struct rpt *r)
+{
+	struct ldr_known *k = NULL;
+
+	for (size_t i = 0; i < l->report_count && !k; i++) {
+		if (strcmp(l->reports[i].report.life.node, r->life.node) == 0)
+			k = &l->reports[i];
+	}
+	if (!k && l->report_count < REPORTS_MAX)
+		k = &l->reports[l->report_count++];
+	if (!k)
+		return;
+	k->report = *r;
+	k->at_us = evl_now_us(l->parts.loop);
+}
+
+/* Reads the rows soon. */
+void ldr_wake(struct ldr *l)
+{
+	l->woken = true;
+	if (!l->calling)
+		tick_in(l, WAKE_US);
+}
--- /dev/null
+++ b/packages/router/src/ldr.h
@@ -0,0 +1,45 @@
+#ifndef LDR_H
+#define LDR_H
+
+/*
+ * Leader: one daemon at a time reads the rows of all daemons and writes the
+ * plan. Safety does not rest on there being one leader: every write is
+ * conditional on the rows that it was decided from and on the leader's row.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "rcf.h"
+#include "rpt.h"
+#include "rse.h"
+#include "vew.h"
+
+struct ldr;
+
+struct ldr_parts {
+	struct evl *loop;
+	struct tbl tbl;
+	struct vew *view;
+	const struct rse *settings;
+	const struct rcf *config; /* in force, changes in place */
+	vew_changed_fn on_plan; /* a plan has been written */
+	void *arg;
+};
+
+struct ldr *ldr_create(const struct ldr_parts *parts);
+void ldr_destroy(struct ldr *l);
+
+/* Tries to become the leader in place of the known one. */
+void ldr_claim(struct ldr *l, const char *reason);
+
+/* True while this daemon is the leader, as far as it knows. */
+bool ldr_leads(const struct ldr *l);
+
+/* Takes the report of a daemon. */
+void ldr_report(struct ldr *l, const struct rpt *r);
+
+/* Something has changed: the rows are read soon. */
+void ldr_wake(struct ldr *l);
+
+#endif
--- /dev/null
+++ b/packages/router/src/ldr_plan.c
@@ -0,0 +1,215 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "ldr_int.h"
+#include "log.h"
+
+/* A lease is over this long after its end, for calls under way. */
+#define EXPIRY_SLACK_MS 50
+/* Reports that are older are not used. */
+#define REPORT_FRESH_US (3 * US_PER_S)
+/* Measured speed is believed within these bounds. */
+#define SPEED_MIN 0.3
+#define SPEED_MAX 3.0
+/* An upstream that has just started counts as this fast. */
+#define COLD_SPEED 0.6
+#define LOADS_MAX 8192
+
+/* Fills the nodes; a row that cannot be read is left out. */
+size_t ldr_read_nodes(const struct tbl_result *r, struct ldr_node *out,
+		      size_t max)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < r->count && n < max; i++) {
+		const struct tbl_row *t = &r->rows[i];
+		struct ldr_node *x = &out[n];
+
+		if (t->removed || !nrw_parse(t->value, t->len, &x->row)) {
+			log_emit(LOG_ROW_INVALID, "key=%s version=%llu", t->key,
+				 (unsigned long long)t->version);
+			continue;
+		}
+		x->version = t->version;
+		x->alive = !x->row.expired &&
+			   r->now_ms <=
+				   x->row.lease_until_ms + EXPIRY_SLACK_MS;
+		x->expires = !x->alive && !x->row.expired;
+		n++;
+	}
+	return n;
+}
+
+/* Returns the members that are alive. */
+char *ldr_write_members(const struct ldr_input *in)
+{
+	json_t *list = json_array();
+	char *text;
+
+	for (size_t i = 0; i < in->node_count; i++) {
+		const struct nrw *r = &in->nodes[i].row;
+
+		if (!in->nodes[i].alive)
+			continue;
+		json_array_append_new(
+			list,
+			json_pack("[s,s,s,s,I,s,I,b]", r->node,
+				  r->data_centre, r->peer_address, r->life.id,
+				  (json_int_t)r->life.born_ms, r->service,
+				  (json_int_t)r->slots, r->takes_work));
+	}
+	text = json_dumps(list, JSON_COMPACT);
+	json_decref(list);
+	return text;
+}
+
+/* Returns the node of a life if the life may still hold keys. */
+static const struct ldr_node *find_living(const struct ldr_input *in,
+					  const struct life *l)
+{
+	for (size_t i = 0; i < in->node_count; i++) {
+		const struct ldr_node *n = &in->nodes[i];
+
+		if (n->alive && life_is_same(&n->row.life, l))
+			return n;
+	}
+	return NULL;
+}
+
+/* Returns the fresh report of a life, NULL if there is none. */
+static const struct rpt *find_report(const struct ldr_input *in,
+				     const struct life *l)
+{
+	for (size_t i = 0; i < in->report_count; i++) {
+		const struct ldr_known *k = &in->reports[i];
+
+		if (life_is_same(&k->report.life, l) &&
+		    in->now_us - k->at_us < REPORT_FRESH_US)
+			return &k->report;
+	}
+	return NULL;
+}
+
+/* Takes lives that hold nothing any more out of the map. */
+static void end_lives(const struct ldr_input *in, struct krm *map)
+{
+	for (uint16_t i = 0; i < krm_life_count(map); i++) {
+		const struct life *l = krm_life(map, i);
+
+		if (find_living(in, l))
+			continue;
+		if (krm_end_life(map, l))
+			log_emit(LOG_LIFE_TAKEN_OUT, "id=%s node=%s", l->id,
+				 l->node);
+	}
+}
+
+/* Mean work on a request over all upstreams of a service that report it. */
+static double mean_work(const struct ldr_input *in, const char *service)
+{
+	double sum = 0;
+	size_t n = 0;
+
+	for (size_t i = 0; i < in->report_count; i++) {
+		const struct ldr_known *k = &in->reports[i];
+
+		if (strcmp(k->report.service, service) != 0 ||
+		    in->now_us - k->at_us >= REPORT_FRESH_US ||
+		    k->report.mean_us == 0)
+			continue;
+		sum += (double)k->report.mean_us;
+		n++;
+	}
+	return n > 0 ? sum / (double)n : 0;
+}
+
+/* Speed of an upstream as a multiple of the usual one of its service. */
+static double speed_of(const struct rpt *r, double mean)
+{
+	double speed;
+
+	if (!r || r->mean_us == 0 || mean <= 0)
+		return 1;
+	speed = mean / (double)r->mean_us;
+	if (r->cold_left_ms > 0 && speed > COLD_SPEED)
+		speed = COLD_SPEED;
+	if (speed < SPEED_MIN)
+		return SPEED_MIN;
+	return speed > SPEED_MAX ? SPEED_MAX : speed;
+}
+
+/* Lists the upstreams that may own keys of the service. */
+static size_t list_targets(const struct ldr_input *in, const char *service,
+			   struct krp_target *out)
+{
+	double mean = mean_work(in, service);
+	size_t n = 0;
+
+	for (size_t i = 0; i < in->node_count; i++) {
+		const struct ldr_node *x = &in->nodes[i];
+		const struct rpt *r = find_report(in, &x->row.life);
+
+		if (!x->alive || !x->row.takes_work ||
+		    x->row.life.id[0] == '\0' || x->row.slots == 0 ||
+		    strcmp(x->row.service, service) != 0)
+			continue;
+		out[n].life = x->row.life;
+		out[n].capacity = (double)x->row.slots * speed_of(r, mean);
+		n++;
+	}
+	return n;
+}
+
+/* Orders loads by their first key. */
+static int compare_loads(const void *a, const void *b)
+{
+	const struct krp_load *x = a;
+	const struct krp_load *y = b;
+
+	return (x->first > y->first) - (x->first < y->first);
+}
+
+/* Lists the measured work of all upstreams as standard work. */
+static size_t list_loads(const struct ldr_input *in, const char *service,
+			 struct krp_load *out)
+{
+	double mean = mean_work(in, service);
+	size_t n = 0;
+
+	for (size_t i = 0; i < in->report_count; i++) {
+		const struct rpt *r = &in->reports[i].report;
+		double speed = speed_of(r, mean);
+
+		if (strcmp(r->service, service) != 0 ||
+		    in->now_us - in->reports[i].at_us >= REPORT_FRESH_US)
+			continue;
+		for (size_t p = 0; p < r->piece_count && n < LOADS_MAX; p++) {
+			out[n] = r->pieces[p];
+			out[n++].work *= speed;
+		}
+	}
+	qsort(out, n, sizeof(out[0]), compare_loads);
+	return n;
+}
+
+/* Plans the owners of the keys of one service. */
+struct krp_result ldr_plan_keys(const struct ldr_input *in,
+				const char *service, struct krm *map)
+{
+	struct krp_target *targets = calloc(in->node_count + 1,
+					    sizeof(*targets));
+	struct krp_load *loads = calloc(LOADS_MAX, sizeof(*loads));
+	struct krp_result result = { 0, 0 };
+
+	if (targets && loads) {
+		end_lives(in, map);
+		result = krp_plan(map, targets,
+				  list_targets(in, service, targets), loads,
+				  list_loads(in, service, loads));
+	}
+	free(targets);
+	free(loads);
+	return result;
+}
--- /dev/null
+++ b/packages/router/src/mbr.c
@@ -0,0 +1,252 @@
+#include "mbr.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define MEMBERS_MAX 8192
+/* A member that cannot be reached is left out, longer after each failure. */
+#define AVOID_MIN_US (250 * US_PER_MS)
+#define AVOID_MAX_US (2 * US_PER_S)
+/* What a member told of its load is worth less after this time. */
+#define TOLD_FRESH_US (300 * US_PER_MS)
+/* An upstream of another data centre counts as used this much more. */
+#define FAR_PENALTY 0.8
+/* Idle connections between daemons are closed after this. */
+#define PEER_IDLE_US (8 * US_PER_S)
+
+struct mbs {
+	struct evl *loop;
+	struct mbr **list;
+	size_t count;
+};
+
+/* Makes an empty list. */
+struct mbs *mbs_create(struct evl *l)
+{
+	struct mbs *m = calloc(1, sizeof(*m));
+
+	if (!m)
+		return NULL;
+	m->loop = l;
+	m->list = calloc(MEMBERS_MAX, sizeof(*m->list));
+	if (!m->list) {
+		free(m);
+		return NULL;
+	}
+	return m;
+}
+
+/* Frees a member with its connections. */
+static void destroy_member(struct mbr *r)
+{
+	hcl_destroy(r->pool);
+	free(r);
+}
+
+/* Frees all members. */
+void mbs_destroy(struct mbs *m)
+{
+	if (!m)
+		return;
+	for (size_t i = 0; i < m->count; i++)
+		destroy_member(m->list[i]);
+	free(m->list);
+	free(m);
+}
+
+/* Returns the number of members. */
+size_t mbs_count(const struct mbs *m)
+{
+	return m->count;
+}
+
+/* Returns a member by its position, which updates change. */
+struct mbr *mbs_at(const struct mbs *m, size_t i)
+{
+	return m->list[i];
+}
+
+/* Finds a member by the name of its instance. */
+struct mbr *mbs_find(const struct mbs *m, const char *node)
+{
+	for (size_t i = 0; i < m->count; i++) {
+		if (strcmp(m->list[i]->life.node, node) == 0)
+			return m->list[i];
+	}
+	return NULL;
+}
+
+/* Finds the member beside a life. */
+struct mbr *mbs_find_life(const struct mbs *m, const struct life *l)
+{
+	struct mbr *r = l ? mbs_find(m, l->node) : NULL;
+
+	return r && r->listed && life_is_same(&r->life, l) ? r : NULL;
+}
+
+/* Sets the address; another one means other connections. */
+static void set_address(struct mbs *m, struct mbr *r, const char *address)
+{
+	struct sockaddr_in a;
+
+	if (strcmp(r->peer_address, address) == 0 && r->pool)
+		return;
+	if (r->outstanding > 0 || !skt_parse(address, &a))
+		return;
+	hcl_destroy(r->pool);
+	r->pool = hcl_create(m->loop, &a, PEER_IDLE_US);
+	strncpy(r->peer_address, address, sizeof(r->peer_address) - 1);
+}
+
+/* Copies a text that may be too long for its field. */
+static bool copy(char *out, size_t size, const char *text)
+{
+	if (strlen(text) >= size)
+		return false;
+	strcpy(out, text);
+	return true;
+}
+
+/* Takes one member of a plan. */
+static bool take_member(struct mbs *m, const json_t *item)
+{
+	const char *node, *dc, *address, *id, *service;
+	json_int_t born, slots;
+	int takes_work;
+	struct mbr *r;
+
+	if (json_unpack((json_t *)item, "[s,s,s,s,I,s,I,b!]", &node, &dc,
+			&address, &id, &born, &service, &slots,
+			&takes_work) < 0 ||
+	    slots < 0)
+		return false;
+	r = mbs_find(m, node);
+	if (!r) {
+		if (m->count == MEMBERS_MAX)
+			return false;
+		r = calloc(1, sizeof(*r));
+		if (!r || !copy(r->life.node, sizeof(r->life.node), node)) {
+			free(r);
+			return false;
+		}
+		m->list[m->count++] = r;
+	}
+	r->listed = copy(r->life.id, sizeof(r->life.id), id) &&
+		    copy(r->data_centre, sizeof(r->data_centre), dc) &&
+		    copy(r->service, sizeof(r->service), service);
+	r->life.born_ms = born;
+	r->slots = (uint32_t)slots;
+	r->takes_work = takes_work != 0;
+	set_address(m, r, address);
+	return r->listed;
+}
+
+/* Removes what a plan no longer names, unless requests are there. */
+static void sweep(struct mbs *m)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < m->count; i++) {
+		struct mbr *r = m->list[i];
+
+		if (r->listed || r->outstanding > 0)
+			m->list[kept++] = r;
+		else
+			destroy_member(r);
+	}
+	m->count = kept;
+}
+
+/* Takes a list of members. */
+bool mbs_update(struct mbs *m, const char *json, size_t len)
+{
+	json_t *root = json_loadb(json, len, 0, NULL);
+	bool ok = json_is_array(root);
+	json_t *item;
+	size_t i;
+
+	for (i = 0; ok && i < m->count; i++)
+		m->list[i]->listed = false;
+	if (ok) {
+		json_array_foreach(root, i, item) {
+			if (!take_member(m, item))
+				ok = false;
+		}
+		sweep(m);
+	}
+	json_decref(root);
+	return ok;
+}
+
+/* Counts own requests in full and older news of others less and less. */
+double mbr_use(const struct mbr *m, uint64_t now_us)
+{
+	uint64_t age = now_us - m->told_us;
+	double told = 0;
+
+	if (m->slots == 0)
+		return 1;
+	if (age < TOLD_FRESH_US)
+		told = m->waiting *
+		       (1.0 - (double)age / (double)TOLD_FRESH_US);
+	if (told < (double)m->outstanding)
+		told = (double)m->outstanding;
+	return told / (double)m->slots;
+}
+
+/* True if a request was sent there before. */
+static bool was_tried(const struct mbr *r, const char *const *tried,
+		      size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (strcmp(r->life.node, tried[i]) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Chooses the least used one; distance and failures count against it. */
+struct mbr *mbs_choose(const struct mbs *m, const char *service,
+		       const char *data_centre, const char *const *tried,
+		       size_t tried_count, uint64_t now_us)
+{
+	struct mbr *best = NULL;
+	double best_cost = 0;
+
+	for (size_t i = 0; i < m->count; i++) {
+		struct mbr *r = m->list[i];
+		double cost;
+
+		if (!r->listed || !r->takes_work || r->life.id[0] == '\0' ||
+		    strcmp(r->service, service) != 0 ||
+		    was_tried(r, tried, tried_count))
+			continue;
+		cost = mbr_use(r, now_us);
+		if (strcmp(r->data_centre, data_centre) != 0)
+			cost += FAR_PENALTY;
+		if (now_us < r->avoid_until_us)
+			cost += MEMBERS_MAX;
+		if (!best || cost < best_cost) {
+			best = r;
+			best_cost = cost;
+		}
+	}
+	return best;
+}
+
+/* Leaves a member out for a time that grows with its failures. */
+void mbr_failed(struct mbr *m, uint64_t now_us)
+{
+	uint64_t wait = AVOID_MIN_US << (m->failures < 3 ? m->failures : 3);
+
+	m->failures++;
+	m->avoid_until_us =
+		now_us + (wait < AVOID_MAX_US ? wait : AVOID_MAX_US);
+}
+
+/* A member that answers is used again. */
+void mbr_answered(struct mbr *m)
+{
+	m->failures = 0;
+	m->avoid_until_us = 0;
+}
--- /dev/null
+++ b/packages/router/src/nrw.c
@@ -0,0 +1,66 @@
+#include "nrw.h"
+
+#include <string.h>
+
+#include <jansson.h>
+
+/* Returns the JSON form. */
+char *nrw_write(const struct nrw *n)
+{
+	json_t *root = json_pack(
+		"{s:s,s:s,s:s,s:I,s:I,s:b,s:s,s:I,s:s,s:I,s:b}", "node",
+		n->node, "dc", n->data_centre, "peer", n->peer_address,
+		"process", (json_int_t)n->process, "until",
+		(json_int_t)n->lease_until_ms, "expired", n->expired, "id",
+		n->life.id, "born", (json_int_t)n->life.born_ms, "service",
+		n->service, "slots", (json_int_t)n->slots, "takes_work",
+		n->takes_work);
+	char *text = json_dumps(root, JSON_COMPACT);
+
+	json_decref(root);
+	return text;
+}
+
+/* Copies a text that may be too long for its field. */
+static bool copy(char *out, size_t size, const char *text)
+{
+	if (strlen(text) >= size)
+		return false;
+	strcpy(out, text);
+	return true;
+}
+
+/* Reads the JSON form. */
+bool nrw_parse(const char *json, size_t len, struct nrw *n)
+{
+	json_t *root = json_loadb(json, len, 0, NULL);
+	const char *node, *dc, *peer, *id, *service;
+	json_int_t process, until, born, slots;
+	int expired, takes_work;
+	bool ok;
+
+	memset(n, 0, sizeof(*n));
+	ok = root &&
+	     json_unpack(root, "{s:s,s:s,s:s,s:I,s:I,s:b,s:s,s:I,s:s,s:I,s:b}",
+			 "node", &node, "dc", &dc, "peer", &peer, "process",
+			 &process, "until", &until, "expired", &expired, "id",
+			 &id, "born", &born, "service", &service, "slots",
+			 &slots, "takes_work", &takes_work) == 0 &&
+	     until >= 0 && slots >= 0 &&
+	     copy(n->node, sizeof(n->node), node) &&
+	     copy(n->life.node, sizeof(n->life.node), node) &&
+	     copy(n->data_centre, sizeof(n->data_centre), dc) &&
+	     copy(n->peer_address, sizeof(n->peer_address), peer) &&
+	     copy(n->life.id, sizeof(n->life.id), id) &&
+	     copy(n->service, sizeof(n->service), service);
+	if (ok) {
+		n->process = (uint64_t)process;
+		n->lease_until_ms = (uint64_t)until;
+		n->expired = expired != 0;
+		n->life.born_ms = born;
+		n->slots = (uint32_t)slots;
+		n->takes_work = takes_work != 0;
+	}
+	json_decref(root);
+	return ok;
+}
--- /dev/null
+++ b/packages/router/src/plat.h
@@ -0,0 +1,117 @@
+#ifndef PLAT_H
+#define PLAT_H
+
+/*
+ * What the router needs of the platform that it runs on. The adapter decodes
+ * each message once into the types below; nothing else knows its names.
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "buf.h"
+#include "err.h"
+#include "hmg.h"
+#include "life.h"
+#include "rcf.h"
+#include "tbl.h"
+
+#define PLAT_ID_MAX 128
+#define PLAT_HOLDS_MAX 512
+#define PLAT_HANDOVER_MAX 48
+#define PLAT_NO_KEY UINT32_MAX
+
+/* A request of a caller. */
+struct plat_request {
+	char id[PLAT_ID_MAX]; /* of this attempt of the caller; may be "" */
+	uint32_t key; /* 0 to 65535, PLAT_NO_KEY if it carries none */
+	uint64_t left_ms; /* time that the caller still waits */
+	bool has_deadline;
+};
+
+/* What a request carries on its way to an upstream. */
+struct plat_forward {
+	uint64_t left_ms; /* the upstream stops work after it */
+	const char *upstream_id; /* any other upstream refuses the request */
+	const char *caller_service; /* that runs where the request began */
+};
+
+/* A response of an upstream. */
+struct plat_response {
+	bool has_id;
+	bool id_matches; /* it answers the request it is compared with */
+	bool is_signed; /* made by an upstream */
+	bool not_run; /* the upstream states that it did not run the request */
+	bool other_upstream; /* another one than expected, or without the key */
+	bool has_load;
+	uint32_t running, waiting, slots; /* if has_load */
+};
+
+struct plat_hold {
+	uint32_t first, last; /* keys */
+	uint64_t fence;
+	char handover[PLAT_HANDOVER_MAX]; /* of a grant or a release, or "" */
+};
+
+enum plat_state {
+	PLAT_READY,
+	PLAT_DRAINING /* it leaves and takes no new work */
+};
+
+/* What an upstream says of itself to the daemon beside it. */
+struct plat_announcement {
+	char id[LIFE_ID_MAX];
+	bool leaves; /* it says only that it leaves; the rest is not told */
+	int64_t born_ms;
+	uint64_t seq; /* rises with each announcement of a life */
+	char service[RCF_NAME_MAX];
+	char address[RCF_NAME_MAX];
+	char data_centre[RCF_NAME_MAX];
+	uint32_t slots;
+	enum plat_state state;
+	uint32_t cold_left_ms;
+	struct plat_hold holds[PLAT_HOLDS_MAX]; /* held or worked on */
+	size_t hold_count;
+	struct plat_hold freed[PLAT_HOLDS_MAX]; /* since the last answer */
+	size_t freed_count;
+};
+
+/* The answer to an announcement. */
+struct plat_grant {
+	bool renews; /* false: nothing is said about keys */
+	uint32_t hold_ms;
+	struct plat_hold holds[PLAT_HOLDS_MAX];
+	size_t count;
+};
+
+struct plat_ops {
+	struct tbl (*table)(void *self);
+	/* Row in which the operator keeps the configuration. */
+	const char *config_table;
+	const char *config_key;
+	/* Errors: layer settings; the configuration stays empty. */
+	bool (*read_config)(const char *value, size_t len, struct rcf *c,
+			    struct err *err);
+	void (*read_request)(const struct hmg *m, struct plat_request *r);
+	/* True for a field that write_forward() sets. */
+	bool (*is_forward_field)(struct span name);
+	void (*write_forward)(struct buf *out, const struct plat_forward *f);
+	void (*read_response)(const struct hmg *m, const char *request_id,
+			      struct plat_response *r);
+	void (*write_retry_after)(struct buf *out, uint64_t wait_ms);
+	/* False, with a reason, for what is no announcement. */
+	bool (*read_announcement)(const struct hmg *m, const struct buf *body,
+				  struct plat_announcement *a,
+				  const char **reason);
+	/* Writes the body of the answer to an announcement. */
+	void (*write_grant)(struct buf *out, const struct plat_grant *g);
+	void (*destroy)(void *self);
+};
+
+struct plat {
+	const struct plat_ops *ops;
+	void *self;
+};
+
+#endif
--- /dev/null
+++ b/packages/router/src/rls.c
@@ -0,0 +1,189 @@
+#include "rls.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+
+#define PENDING_MAX 256
+/* Pause before a write is repeated; drawn at random around it. */
+#define PAUSE_US (40 * US_PER_MS)
+
+struct release {
+	char service[RCF_NAME_MAX];
+	struct life life;
+	uint32_t first, last;
+	char handover[KRM_HANDOVER_MAX];
+};
+
+struct rls {
+	struct evl *loop;
+	struct tbl tbl;
+	struct vew *view;
+	vew_changed_fn on_plan;
+	void *arg;
+	struct release pending[PENDING_MAX];
+	size_t count;
+	char service[RCF_NAME_MAX]; /* of the write under way */
+	char *text;
+	uint32_t timer;
+	bool writing;
+	bool dead;
+};
+
+static void write_next(void *arg, uint64_t now_us);
+
+/* Plans the next write. */
+static void write_soon(struct rls *r, uint64_t wait_us)
+{
+	tmr_cancel(evl_timers(r->loop), r->timer);
+	r->timer = tmr_at(evl_timers(r->loop), evl_now_us(r->loop) + wait_us,
+			  write_next, r);
+}
+
+/* Removes an entry; the order does not matter. */
+static void drop(struct rls *r, size_t i)
+{
+	r->pending[i] = r->pending[--r->count];
+}
+
+/* Applies the releases of a service; drops those that change nothing. */
+static bool apply(struct rls *r, const char *service, struct krm *map)
+{
+	bool changed = false;
+
+	for (size_t i = 0; i < r->count;) {
+		const struct release *x = &r->pending[i];
+
+		if (strcmp(x->service, service) != 0) {
+			i++;
+		} else if (krm_release(map, &x->life, x->first, x->last,
+				       x->handover)) {
+			changed = true;
+			i++;
+		} else {
+			drop(r, i);
+		}
+	}
+	return changed;
+}
+
+/* The map has been written, or somebody else has changed it. */
+static void on_written(void *arg, const struct tbl_result *result)
+{
+	struct rls *r = arg;
+	char key[VEW_KEY_MAX];
+
+	r->writing = false;
+	if (r->dead) {
+		free(r->text);
+		free(r);
+		return;
+	}
+	if (result->status == TBL_OK) {
+		vew_map_key(r->service, key);
+		vew_take(r->view, key, r->text, strlen(r->text),
+			 result->version);
+		log_emit(LOG_RANGE_RELEASED, "service=%s version=%llu",
+			 r->service, (unsigned long long)result->version);
+	} else {
+		vew_read_again(r->view);
+	}
+	free(r->text);
+	r->text = NULL;
+	if (r->count > 0)
+		write_soon(r, result->status == TBL_OK ?
+				      0 :
+				      PAUSE_US / 2 +
+					      clk_random_below(
+						      evl_clock(r->loop),
+						      PAUSE_US));
+	if (result->status == TBL_OK)
+		r->on_plan(r->arg);
+}
+
+/* Writes the releases of one service. */
+static void write_next(void *arg, uint64_t now_us)
+{
+	struct rls *r = arg;
+	char key[VEW_KEY_MAX];
+	struct tbl_change change = { .table = VEW_TABLE, .key = key };
+	const struct krm *known;
+	struct krm *map;
+
+	(void)now_us;
+	r->timer = 0;
+	if (r->writing || r->count == 0)
+		return;
+	strcpy(r->service, r->pending[0].service);
+	known = vew_map(r->view, r->service, &change.expected);
+	map = known ? krm_copy(known) : NULL;
+	if (!map) {
+		drop(r, 0);
+		write_soon(r, 0);
+		return;
+	}
+	if (apply(r, r->service, map)) {
+		r->text = krm_write(map);
+		change.value = r->text;
+		vew_map_key(r->service, key);
+		r->writing = true;
+		r->tbl.ops->write(r->tbl.self, &change, 1, on_written, r);
+	} else {
+		write_soon(r, 0);
+	}
+	krm_destroy(map);
+}
+
+/* Makes the writer; on_plan is called after each change of a map by it. */
+struct rls *rls_create(struct evl *l, struct tbl tbl, struct vew *v,
+		       vew_changed_fn on_plan, void *arg)
+{
+	struct rls *r = calloc(1, sizeof(*r));
+
+	if (!r)
+		return NULL;
+	r->loop = l;
+	r->tbl = tbl;
+	r->view = v;
+	r->on_plan = on_plan;
+	r->arg = arg;
+	return r;
+}
+
+/* Ends; what is not written is found by the next process. */
+void rls_destroy(struct rls *r)
+{
+	if (!r)
+		return;
+	tmr_cancel(evl_timers(r->loop), r->timer);
+	r->dead = true;
+	if (!r->writing)
+		free(r);
+}
+
+/* Adds a release, unless it is there already. */
+void rls_add(struct rls *r, const char *service, const struct life *life,
+	     uint32_t first, uint32_t last, const char *handover)
+{
+	struct release *x;
+
+	for (size_t i = 0; i < r->count; i++) {
+		x = &r->pending[i];
+		if (x->first == first && x->last == last &&
+		    life_is_same(&x->life, life))
+			return;
+	}
+	if (r->count == PENDING_MAX)
+		return;
+	x = &r->pending[r->count++];
+	strcpy(x->service, service);
+	x->life = *life;
+	x->first = first;
+	x->last = last;
+	x->handover[0] = '\0';
+	if (strlen(handover) < sizeof(x->handover))
+		strcpy(x->handover, handover);
+	if (!r->writing)
+		write_soon(r, 0);
+}
--- /dev/null
+++ b/packages/router/src/rls.h
@@ -0,0 +1,25 @@
+#ifndef RLS_H
+#define RLS_H
+
+/*
+ * Writes into the key range maps what the upstream beside this daemon has
+ * released, so that the next owner may be granted it. A release is written
+ * until the map shows it or shows that it is no longer needed.
+ */
+
+#include <stdint.h>
+
+#include "krm.h"
+#include "vew.h"
+
+struct rls;
+
+struct rls *rls_create(struct evl *l, struct tbl tbl, struct vew *v,
+		       vew_changed_fn on_plan, void *arg);
+void rls_destroy(struct rls *r);
+
+/* The life has released all keys from first to last; handover may be "". */
+void rls_add(struct rls *r, const char *service, const struct life *life,
+	     uint32_t first, uint32_t last, const char *handover);
+
+#endif
--- /dev/null
+++ b/packages/router/src/rpt.c
@@ -0,0 +1,88 @@
+#include "rpt.h"
+
+#include <string.h>
+
+#include <jansson.h>
+
+/* Work is written in whole microseconds a second. */
+#define WORK_UNIT 1000000.0
+
+/* Returns the JSON form. */
+char *rpt_write(const struct rpt *r)
+{
+	json_t *pieces = json_array();
+	json_t *root;
+	char *text;
+
+	for (size_t i = 0; i < r->piece_count; i++) {
+		const struct krp_load *p = &r->pieces[i];
+
+		json_array_append_new(
+			pieces, json_pack("[I,I,I]", (json_int_t)p->first,
+					  (json_int_t)p->last,
+					  (json_int_t)(p->work * WORK_UNIT)));
+	}
+	root = json_pack("[s,s,I,s,i,i,i,I,i,o]", r->life.node, r->life.id,
+			 (json_int_t)r->life.born_ms, r->service,
+			 (int)r->slots, (int)r->running, (int)r->waiting,
+			 (json_int_t)r->mean_us, (int)r->cold_left_ms, pieces);
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	return text;
+}
+
+/* Reads the pieces. */
+static bool read_pieces(const json_t *list, struct rpt *r)
+{
+	json_t *item;
+	size_t i;
+
+	json_array_foreach(list, i, item) {
+		struct krp_load *p = &r->pieces[r->piece_count];
+		json_int_t first, last, work;
+
+		if (r->piece_count == RPT_PIECES_MAX ||
+		    json_unpack(item, "[I,I,I!]", &first, &last, &work) < 0 ||
+		    first < 0 || last < first || last >= KRM_KEYS)
+			return false;
+		p->first = (uint32_t)first;
+		p->last = (uint32_t)last;
+		p->work = (double)work / WORK_UNIT;
+		r->piece_count++;
+	}
+	return true;
+}
+
+/* Reads the JSON form. */
+bool rpt_parse(const char *json, size_t len, struct rpt *r)
+{
+	json_t *root = json_loadb(json, len, 0, NULL);
+	const char *node, *id, *service;
+	json_int_t born, mean;
+	int slots, running, waiting, cold;
+	json_t *pieces;
+	bool ok;
+
+	memset(r, 0, sizeof(*r));
+	ok = root &&
+	     json_unpack(root, "[s,s,I,s,i,i,i,I,i,o!]", &node, &id, &born,
+			 &service, &slots, &running, &waiting, &mean, &cold,
+			 &pieces) == 0 &&
+	     strlen(node) < sizeof(r->life.node) &&
+	     strlen(id) < sizeof(r->life.id) &&
+	     strlen(service) < sizeof(r->service) && slots >= 0 && mean >= 0 &&
+	     read_pieces(pieces, r);
+	if (ok) {
+		strcpy(r->life.node, node);
+		strcpy(r->life.id, id);
+		strcpy(r->service, service);
+		r->life.born_ms = born;
+		r->slots = (uint32_t)slots;
+		r->running = (uint32_t)running;
+		r->waiting = (uint32_t)waiting;
+		r->mean_us = (uint64_t)mean;
+		r->cold_left_ms = (uint32_t)cold;
+	}
+	json_decref(root);
+	return ok;
+}
--- /dev/null
+++ b/packages/router/src/rpt.h
@@ -0,0 +1,30 @@
+#ifndef RPT_H
+#define RPT_H
+
+/* What a daemon reports to the leader about the upstream beside it. */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "krp.h"
+#include "rcf.h"
+
+#define RPT_PIECES_MAX 16
+
+struct rpt {
+	struct life life; /* id "" if there is none */
+	char service[RCF_NAME_MAX];
+	uint32_t slots;
+	uint32_t running, waiting;
+	uint64_t mean_us; /* of the upstream's work on a request */
+	uint32_t cold_left_ms;
+	struct krp_load pieces[RPT_PIECES_MAX]; /* work in its own time */
+	size_t piece_count;
+};
+
+/* Returns the JSON form, which the caller frees. */
+char *rpt_write(const struct rpt *r);
+bool rpt_parse(const char *json, size_t len, struct rpt *r);
+
+#endif
--- /dev/null
+++ b/packages/router/src/rse.c
@@ -0,0 +1,168 @@
+#include "rse.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "clk.h"
+#include "set.h"
+#include "skt.h"
+#include "yml.h"
+
+#define BYTES_MAX 65536
+#define ADDRESS_ALLOWED "an IPv4 address with a port, as 10.0.0.1:80"
+#define MS_MAX 3600000
+#define SECONDS_MAX 3600
+#define MEMORY_MAX_MB 1048576
+#define DEFAULT_ANNOUNCE_MS 1000
+#define DEFAULT_HOLD_MAX_MS 10000
+#define DEFAULT_DRAIN_MS 2000
+#define DEFAULT_GRACE_MS 6000
+
+static const struct yml_layer layer = {
+	.layer = ERR_SETTINGS,
+	.codes = { [YML_UNREADABLE] = SET_UNREADABLE,
+		   [YML_TOO_LARGE] = SET_UNREADABLE,
+		   [YML_SYNTAX] = SET_SYNTAX,
+		   [YML_UNKNOWN] = SET_UNKNOWN_FIELD,
+		   [YML_MISSING] = SET_MISSING_FIELD,
+		   [YML_BAD] = SET_BAD_VALUE,
+		   [YML_DUPLICATE] = SET_BAD_VALUE,
+		   [YML_NO_GROUP] = SET_BAD_VALUE },
+	.bytes_max = BYTES_MAX,
+};
+
+static const char *const levels[] = { "debug", "info", "warn", "error", NULL };
+
+/* True for an address that can be bound or connected to. */
+static bool is_endpoint(const char *text)
+{
+	struct sockaddr_in a;
+
+	return skt_parse(text, &a);
+}
+
+static bool is_endpoint_or_empty(const char *text)
+{
+	return text[0] == '\0' || is_endpoint(text);
+}
+
+static bool is_name_or_empty(const char *text)
+{
+	return strlen(text) < RSE_NAME_MAX;
+}
+
+static bool is_instance(const char *text)
+{
+	return text[0] != '\0' && strlen(text) < RSE_NAME_MAX;
+}
+
+#define ENDPOINT(field)                                                        \
+	{                                                                      \
+		.name = #field, .type = YML_TEXT, .required = true,            \
+		.offset = offsetof(struct rse, field),                         \
+		.size = RSE_ADDRESS_MAX, .valid = is_endpoint,                 \
+		.allowed = ADDRESS_ALLOWED                                     \
+	}
+#define OPTIONAL_ENDPOINT(field)                                     \
+	{                                                            \
+		.name = #field, .type = YML_TEXT,                    \
+		.offset = offsetof(struct rse, field),               \
+		.size = RSE_ADDRESS_MAX, .valid = is_endpoint_or_empty, \
+		.allowed = ADDRESS_ALLOWED                           \
+	}
+/* True for a number of seconds. */
+static bool is_seconds(const char *text)
+{
+	char *end;
+	double s = strtod(text, &end);
+
+	return end != text && *end == '\0' && s >= 0 && s <= SECONDS_MAX;
+}
+
+#define NUMBER(field, low, high)                                     \
+	{                                                            \
+		.name = #field, .type = YML_U32,                     \
+		.offset = offsetof(struct rse, field), .min = (low), \
+		.max = (high)                                        \
+	}
+
+static const struct yml_field fields[] = {
+	{ .name = "instance",
+	  .type = YML_TEXT,
+	  .required = true,
+	  .offset = offsetof(struct rse, instance),
+	  .size = RSE_NAME_MAX,
+	  .valid = is_instance,
+	  .allowed = "1 to 63 bytes" },
+	{ .name = "data_centre",
+	  .type = YML_TEXT,
+	  .required = true,
+	  .offset = offsetof(struct rse, data_centre),
+	  .size = RSE_NAME_MAX,
+	  .valid = is_instance,
+	  .allowed = "1 to 63 bytes" },
+	{ .name = "service",
+	  .type = YML_TEXT,
+	  .offset = offsetof(struct rse, service),
+	  .size = RSE_NAME_MAX,
+	  .valid = is_name_or_empty,
+	  .allowed = "at most 63 bytes" },
+	ENDPOINT(caller_address),
+	ENDPOINT(peer_address),
+	ENDPOINT(ready_address),
+	ENDPOINT(announce_address),
+	OPTIONAL_ENDPOINT(metrics_address),
+	ENDPOINT(upstream_address),
+	ENDPOINT(platform_address),
+	NUMBER(announce_ms, 10, MS_MAX),
+	NUMBER(hold_max_ms, 100, MS_MAX),
+	NUMBER(drain_ms, 0, MS_MAX),
+	{ .name = "grace_s",
+	  .type = YML_TEXT,
+	  .offset = offsetof(struct rse, grace_s),
+	  .size = RSE_NUMBER_MAX,
+	  .valid = is_seconds,
+	  .allowed = "0 to 3600 seconds, with a fraction" },
+	NUMBER(memory_mb, 0, MEMORY_MAX_MB),
+	{ .name = "log_level",
+	  .type = YML_CHOICE,
+	  .offset = offsetof(struct rse, log_level),
+	  .choices = levels },
+	{ 0 },
+};
+
+/* Reads the settings from a text. */
+bool rse_parse(const char *name, const char *text, size_t len, struct rse *s,
+	       struct err *err)
+{
+	struct yml y = { .name = name, .layer = &layer, .err = err };
+	bool ok;
+
+	memset(s, 0, sizeof(*s));
+	s->announce_ms = DEFAULT_ANNOUNCE_MS;
+	s->hold_max_ms = DEFAULT_HOLD_MAX_MS;
+	s->drain_ms = DEFAULT_DRAIN_MS;
+	s->grace_ms = DEFAULT_GRACE_MS;
+	s->log_level = LOG_LEVEL_INFO;
+	if (!yml_open(&y, text, len))
+		return false;
+	ok = yml_read_map(&y, yaml_document_get_root_node(&y.doc), fields, s);
+	yml_close(&y);
+	if (ok && s->grace_s[0])
+		s->grace_ms = (uint32_t)(strtod(s->grace_s, NULL) * MS_PER_S);
+	return ok;
+}
+
+/* Reads the settings from a file. */
+bool rse_load(const char *path, struct rse *s, struct err *err)
+{
+	size_t len;
+	char *text = yml_read_file(path, &layer, &len, err);
+	bool ok;
+
+	if (!text)
+		return false;
+	ok = rse_parse(path, text, len, s, err);
+	free(text);
+	return ok;
+}
--- /dev/null
+++ b/packages/router/src/rtr.c
@@ -0,0 +1,292 @@
+#include "rtr.h"
+
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+#include "rtr_int.h"
+
+/* A stopping daemon serves callers until they have noticed. */
+#define STOP_SERVE_US (2300 * US_PER_MS)
+/* It ends this much before it is killed, with whatever is still in flight. */
+#define STOP_MARGIN_US (600 * US_PER_MS)
+#define STOP_LOOK_US (50 * US_PER_MS)
+
+/* Owners, members or the leader have changed. */
+static void on_plan(void *arg)
+{
+	struct rtr *r = arg;
+
+	att_plan_changed(r->upstream);
+	fwr_plan_changed(r->forwards);
+}
+
+/* Puts a newer configuration in force. */
+static void on_config_row(void *arg, const struct tbl_row *row)
+{
+	struct rtr *r = arg;
+	struct rcf config = { 0 };
+	struct err err = { 0 };
+
+	if (row->removed || strcmp(row->key, r->platform.ops->config_key) != 0)
+		return;
+	if (!r->platform.ops->read_config(row->value, row->len, &config,
+					  &err)) {
+		log_emit(LOG_CONFIG_REFUSED, "in_force=%llu reason=\"%s\"",
+			 (unsigned long long)r->config.version, err.text);
+		return;
+	}
+	if (config.version <= r->config.version) {
+		rcf_free(&config);
+		return;
+	}
+	rcf_free(&r->config);
+	r->config = config;
+	log_emit(LOG_CONFIG_IN_FORCE, "version=%llu routes=%zu services=%zu",
+		 (unsigned long long)config.version, config.route_count,
+		 config.service_count);
+	rtr_set_limits(r);
+	ldr_wake(r->leader);
+}
+
+/* Nothing follows once all rows are given. */
+static void on_config_synced(void *arg, bool whole)
+{
+	(void)arg;
+	(void)whole;
+}
+
+/* The configuration in force stays. */
+static void on_config_lost(void *arg, const char *reason)
+{
+	struct rtr *r = arg;
+
+	log_emit(LOG_TABLE_LOST, "table=%s reason=\"%s\" config=%llu",
+		 r->platform.ops->config_table, reason,
+		 (unsigned long long)r->config.version);
+}
+
+static const struct fed_ops config_ops = { on_config_row, on_config_synced,
+					   on_config_lost };
+
+/* An earlier process of this instance has left a row. */
+static void on_found(void *arg, const struct nrw *row)
+{
+	struct rtr *r = arg;
+
+	if (row)
+		att_found(r->upstream, row);
+}
+
+/* Grants may go on; after a lapse only by a plan that is read now. */
+static void on_renewed(void *arg)
+{
+	struct rtr *r = arg;
+
+	if (!r->has_lease) {
+		r->has_lease = true;
+		log_emit(LOG_LEASE_HELD, "until_us=%llu",
+			 (unsigned long long)rnw_lease_end_us(r->lease));
+		att_wait_for_plan(r->upstream, vew_read_again(r->view));
+	}
+	if (r->wake_leader && rnw_is_written(r->lease)) {
+		r->wake_leader = false;
+		rtr_wake_leader(r);
+	}
+}
+
+/* The lease was taken away. */
+static void on_lapsed(void *arg, const char *reason)
+{
+	struct rtr *r = arg;
+
+	log_emit(LOG_LEASE_LOST, "reason=\"%s\"", reason);
+	r->has_lease = false;
+}
+
+static const struct rnw_ops lease_ops = { on_found, on_renewed, on_lapsed };
+
+/* Writes what the upstream has become, and tells the leader. */
+static void on_upstream(void *arg)
+{
+	struct rtr *r = arg;
+	bool takes_work = att_takes_work(r->upstream) && !r->stop_began_us;
+
+	r->wake_leader = true;
+	rnw_set_upstream(r->lease, att_life(r->upstream),
+			 att_service(r->upstream), att_slots(r->upstream),
+			 takes_work);
+}
+
+/* Requests that wait for a grant may go on. */
+static void on_keys(void *arg)
+{
+	struct rtr *r = arg;
+
+	if (r->runner)
+		exr_keys_changed(r->runner);
+}
+
+static const struct att_ops upstream_ops = { on_upstream, on_keys };
+
+/* Reads the settings again; addresses stay as they are. */
+static void reload(struct rtr *r)
+{
+	struct rse s;
+	struct err err = { 0 };
+
+	if (!rse_load(r->settings_path, &s, &err)) {
+		log_emit(LOG_SETTINGS_REFUSED, "reason=\"%s\"", err.text);
+		return;
+	}
+	r->settings.announce_ms = s.announce_ms;
+	r->settings.hold_max_ms = s.hold_max_ms;
+	r->settings.drain_ms = s.drain_ms;
+	r->settings.grace_ms = s.grace_ms;
+	r->settings.memory_mb = s.memory_mb;
+	log_set_level(s.log_level);
+	rtr_set_limits(r);
+	log_emit(LOG_SETTINGS_RELOADED, "path=%s", r->settings_path);
+}
+
+/* Ends when nothing is in flight, or when time is up. */
+static void look_for_end(void *arg, uint64_t now_us)
+{
+	struct rtr *r = arg;
+	uint64_t passed = now_us - r->stop_began_us;
+	uint64_t grace = (uint64_t)r->settings.grace_ms * US_PER_MS;
+	uint32_t busy = hsv_busy(r->callers) + hsv_busy(r->peers);
+
+	if (busy == 0 && passed >= STOP_SERVE_US) {
+		evl_stop(r->loop);
+	} else if (passed + STOP_MARGIN_US >= grace) {
+		log_emit(LOG_DRAIN_TIMEOUT, "busy=%u", busy);
+		evl_stop(r->loop);
+	}
+}
+
+/* Gives keys away and lets what runs end. */
+void rtr_begin_stop(struct rtr *r)
+{
+	uint64_t now = evl_now_us(r->loop);
+
+	if (r->stop_began_us)
+		return;
+	r->stop_began_us = now;
+	log_emit(LOG_DRAIN_BEGUN, "busy=%u",
+		 hsv_busy(r->callers) + hsv_busy(r->peers));
+	hsv_drain(r->callers);
+	on_upstream(r);
+	r->stop_timer = tmr_every(evl_timers(r->loop), now + STOP_LOOK_US,
+				  STOP_LOOK_US, look_for_end, r);
+}
+
+/* Stops or reloads. */
+static void on_signal(void *arg, int signo)
+{
+	if (signo == SIGHUP)
+		reload(arg);
+	else
+		rtr_begin_stop(arg);
+}
+
+/* Makes the parts that decide; the order is that of their use. */
+static bool create_parts(struct rtr *r, struct err *err)
+{
+	struct tbl tbl = r->platform.ops->table(r->platform.self);
+	struct nrw row = { .process = clk_random(evl_clock(r->loop)) >> 1 };
+
+	strcpy(row.node, r->settings.instance);
+	strcpy(row.life.node, r->settings.instance);
+	strcpy(row.data_centre, r->settings.data_centre);
+	strcpy(row.peer_address, r->settings.peer_address);
+	r->view = vew_create(r->loop, tbl, on_plan, r);
+	r->lease = rnw_create(r->loop, tbl, &row, &lease_ops, r);
+	r->releases = rls_create(r->loop, tbl, r->view, on_plan, r);
+	struct att_parts att = { r->loop,  &r->platform, &r->settings,
+				 r->lease, r->view,	 r->releases };
+	r->upstream = att_create(&att, &upstream_ops, r);
+	r->runner = exr_create(r->loop, &r->platform, r->upstream,
+			       r->settings.upstream_address);
+	struct fwr_parts fwr = { r->loop,      &r->platform, &r->settings,
+				 &r->config,   r->view,	     r->runner,
+				 r->upstream };
+	r->forwards = fwr_create(&fwr);
+	r->forwarded = srv_create(r->loop, &r->platform, r->runner);
+	struct ldr_parts ldr = { r->loop,    tbl,     r->view, &r->settings,
+				 &r->config, on_plan, r };
+	r->leader = ldr_create(&ldr);
+	r->config_feed = fed_create(r->loop, tbl,
+				    r->platform.ops->config_table, &config_ops,
+				    r);
+	if (!r->view || !r->lease || !r->releases || !r->upstream ||
+	    !r->runner || !r->forwards || !r->forwarded || !r->leader ||
+	    !r->config_feed)
+		return err_set(err, ERR_DAEMON, IO_NO_MEMORY, "out of memory");
+	return true;
+}
+
+/* Makes the daemon. */
+struct rtr *rtr_create(const struct rse *s, const char *path,
+		       rtr_platform_fn make_platform, const struct clk *clk,
+		       struct err *err)
+{
+	struct rtr *r = calloc(1, sizeof(*r));
+
+	if (!r) {
+		err_set(err, ERR_DAEMON, IO_NO_MEMORY, "out of memory");
+		return NULL;
+	}
+	r->settings = *s;
+	r->settings_path = path;
+	r->loop = evl_create(clk, err);
+	if (r->loop)
+		r->platform = make_platform(r->loop, &r->settings, err);
+	if (!r->platform.ops || !create_parts(r, err) ||
+	    !rtr_open_servers(r, err)) {
+		rtr_destroy(r);
+		return NULL;
+	}
+	evl_on_signal(r->loop, on_signal, r);
+	rtr_start_reports(r);
+	log_emit(LOG_DAEMON_STARTED, "instance=%s data_centre=%s service=%s",
+		 s->instance, s->data_centre, s->service);
+	return r;
+}
+
+/* Runs until it has stopped. */
+void rtr_run(struct rtr *r)
+{
+	evl_run(r->loop);
+	log_emit(LOG_DAEMON_STOPPED, "instance=%s busy=%u",
+		 r->settings.instance,
+		 hsv_busy(r->callers) + hsv_busy(r->peers));
+}
+
+/*
+ * Frees the daemon. What is in flight is left to the end of the process: its
+ * connections would only be cut a moment sooner.
+ */
+void rtr_destroy(struct rtr *r)
+{
+	if (!r)
+		return;
+	if (r->loop && r->leader)
+		rtr_stop_reports(r);
+	rtr_close_servers(r);
+	fed_destroy(r->config_feed);
+	ldr_destroy(r->leader);
+	srv_destroy(r->forwarded);
+	fwr_destroy(r->forwards);
+	exr_destroy(r->runner);
+	att_destroy(r->upstream);
+	rls_destroy(r->releases);
+	rnw_destroy(r->lease);
+	vew_destroy(r->view);
+	if (r->platform.ops)
+		r->platform.ops->destroy(r->platform.self);
+	rcf_free(&r->config);
+	evl_destroy(r->loop);
+	free(r);
+}
--- /dev/null
+++ b/packages/router/src/rtr_int.h
@@ -0,0 +1,75 @@
+#ifndef RTR_INT_H
+#define RTR_INT_H
+
+/* The parts of a daemon. */
+
+#include "att.h"
+#include "exr.h"
+#include "fed.h"
+#include "fwd.h"
+#include "ldr.h"
+#include "rls.h"
+#include "rnw.h"
+#include "rtr.h"
+#include "srv.h"
+#include "vew.h"
+
+struct rtr {
+	struct rse settings;
+	const char *settings_path;
+	struct evl *loop;
+	struct plat platform;
+	struct rcf config;
+	struct fed *config_feed;
+	struct vew *view;
+	struct rnw *lease;
+	struct rls *releases;
+	struct att *upstream;
+	struct exr *runner;
+	struct fwr *forwards;
+	struct srv *forwarded;
+	struct ldr *leader;
+	struct hsv *callers;
+	struct hsv *peers;
+	struct hsv *ready;
+	struct hsv *announcements;
+	struct hsv *metrics;
+	struct plat_announcement announcement; /* the one being read */
+	bool has_lease;
+	bool wake_leader; /* once the own row is written */
+	bool was_ready;
+	/* Contact to the leader. */
+	struct hcl *leader_pool;
+	uint64_t leader_version; /* of the row that leader_pool is for */
+	uint64_t leader_heard_us;
+	uint32_t leader_timer;
+	uint32_t claim_timer;
+	/* Stop. */
+	uint64_t stop_began_us; /* 0 while not stopping */
+	uint32_t stop_timer;
+};
+
+/* Starts the reports to the leader. */
+void rtr_start_reports(struct rtr *r);
+void rtr_stop_reports(struct rtr *r);
+
+/* Lets the leader look at the rows of the daemons now. */
+void rtr_wake_leader(struct rtr *r);
+
+/* Takes a message of another daemon that is no forwarded request. */
+void rtr_peer_message(struct rtr *r, struct hsc *c, const struct hmg *m,
+		      const struct buf *body);
+
+/* Opens the listening addresses. */
+bool rtr_open_servers(struct rtr *r, struct err *err);
+void rtr_close_servers(struct rtr *r);
+
+/* Sets what the configuration allows callers. */
+void rtr_set_limits(struct rtr *r);
+
+/* Stops when nothing is in flight. */
+void rtr_begin_stop(struct rtr *r);
+
+bool rtr_is_ready(const struct rtr *r);
+
+#endif
--- /dev/null
+++ b/packages/router/src/rtr_lead.c
@@ -0,0 +1,204 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+#include "rtr_int.h"
+
+/* A report is sent this often; the leader plans from the newest ones. */
+#define REPORT_US (500 * US_PER_MS)
+/* A leader that was not heard for so long is replaced. */
+#define SILENCE_US (1600 * US_PER_MS)
+/* Claims are spread over this time, so that one is enough. */
+#define CLAIM_SPREAD_US (300 * US_PER_MS)
+#define POOL_IDLE_US (5 * US_PER_S)
+
+#define REPORT_TARGET "/-/report"
+#define WAKE_TARGET "/-/wake"
+#define STATUS_OK 200
+#define STATUS_NOT_FOUND 404
+#define STATUS_NOT_LEADER 409
+
+/* Fills a report about the upstream beside this daemon. */
+static void fill_report(struct rtr *r, struct rpt *report)
+{
+	struct exr_load load;
+
+	memset(report, 0, sizeof(*report));
+	exr_load(r->runner, &load);
+	report->life = *att_life(r->upstream);
+	strcpy(report->service, att_service(r->upstream));
+	report->slots = load.slots;
+	report->running = load.running;
+	report->waiting = load.waiting;
+	if (load.finished > 0)
+		report->mean_us = load.mean_us;
+	report->cold_left_ms = att_cold_left_ms(r->upstream,
+						evl_now_us(r->loop));
+	report->piece_count =
+		exr_pieces(r->runner, report->pieces, RPT_PIECES_MAX);
+}
+
+/* Connects to the leader that the plan names. */
+static struct hcl *pool_of_leader(struct rtr *r)
+{
+	const struct vew_leader *l = vew_leader(r->view);
+	struct sockaddr_in a;
+
+	if (r->leader_pool && r->leader_version == l->version)
+		return r->leader_pool;
+	hcl_destroy(r->leader_pool);
+	r->leader_pool = NULL;
+	r->leader_version = l->version;
+	r->leader_heard_us = evl_now_us(r->loop);
+	if (skt_parse(l->peer_address, &a))
+		r->leader_pool = hcl_create(r->loop, &a, POOL_IDLE_US);
+	return r->leader_pool;
+}
+
+/* Notes whether the leader says that it leads. */
+static void on_head(void *arg, const struct hmg *m)
+{
+	struct rtr *r = arg;
+
+	if (m->status == STATUS_OK)
+		r->leader_heard_us = evl_now_us(r->loop);
+}
+
+static void on_body(void *arg, const char *bytes, size_t len)
+{
+	(void)arg;
+	(void)bytes;
+	(void)len;
+}
+
+static void on_done(void *arg)
+{
+	(void)arg;
+}
+
+/* The leader's silence is noticed by the time since it was heard. */
+static void on_failed(void *arg, enum hxc_failure failure)
+{
+	struct rtr *r = arg;
+
+	log_emit(LOG_LEADER_UNREACHED, "leader=%s failure=%d",
+		 vew_leader(r->view)->node, failure);
+}
+
+static const struct hxc_ops leader_ops = { NULL, on_head, on_body, on_done,
+					   on_failed };
+
+/* Sends a message to the leader. */
+static void tell_leader(struct rtr *r, const char *target, const char *body)
+{
+	struct hcl *pool = pool_of_leader(r);
+	struct buf head = { 0 };
+	struct hxc_request q = { .head = &head,
+				 .body = body,
+				 .body_len = strlen(body),
+				 .reuse_us = POOL_IDLE_US };
+
+	if (!pool)
+		return;
+	buf_printf(&head, "POST %s HTTP/1.1\r\nContent-Length: %zu\r\n\r\n",
+		   target, q.body_len);
+	if (!hxc_start(pool, &q, &leader_ops, r))
+		log_emit(LOG_NO_DESCRIPTOR, "to=leader");
+	buf_free(&head);
+}
+
+/* Claims the lead if nobody has done so meanwhile. */
+static void claim(void *arg, uint64_t now_us)
+{
+	struct rtr *r = arg;
+
+	r->claim_timer = 0;
+	if (r->stop_began_us || !rnw_lease_end_us(r->lease) ||
+	    ldr_leads(r->leader))
+		return;
+	if (vew_leader(r->view)->version == 0)
+		ldr_claim(r->leader, "there is no leader");
+	else if (now_us - r->leader_heard_us >= SILENCE_US)
+		ldr_claim(r->leader, "the leader is silent");
+}
+
+/* Reports, and looks whether there is a leader that answers. */
+static void report(void *arg, uint64_t now_us)
+{
+	struct rtr *r = arg;
+	struct rpt x;
+	char *text;
+
+	if (!vew_is_ready(r->view))
+		return;
+	fill_report(r, &x);
+	if (ldr_leads(r->leader)) {
+		r->leader_heard_us = now_us;
+		ldr_report(r->leader, &x);
+		return;
+	}
+	if (vew_leader(r->view)->version > 0) {
+		text = rpt_write(&x);
+		tell_leader(r, REPORT_TARGET, text);
+		free(text);
+		if (now_us - r->leader_heard_us < SILENCE_US)
+			return;
+	}
+	if (r->claim_timer)
+		return;
+	r->claim_timer =
+		tmr_at(evl_timers(r->loop),
+		       now_us + clk_random_below(evl_clock(r->loop),
+						 CLAIM_SPREAD_US),
+		       claim, r);
+}
+
+/* Lets the leader look at the rows of the daemons. */
+void rtr_wake_leader(struct rtr *r)
+{
+	if (ldr_leads(r->leader))
+		ldr_wake(r->leader);
+	else if (vew_leader(r->view)->version > 0)
+		tell_leader(r, WAKE_TARGET, "");
+}
+
+/* Takes a report or a wake-up. */
+void rtr_peer_message(struct rtr *r, struct hsc *c, const struct hmg *m,
+		      const struct buf *body)
+{
+	struct rpt x;
+	uint16_t status = STATUS_NOT_FOUND;
+
+	if (!ldr_leads(r->leader)) {
+		status = STATUS_NOT_LEADER;
+	} else if (span_is(hmg_target(m), REPORT_TARGET)) {
+		if (rpt_parse(buf_data(body), buf_len(body), &x)) {
+			ldr_report(r->leader, &x);
+			status = STATUS_OK;
+		}
+	} else if (span_is(hmg_target(m), WAKE_TARGET)) {
+		ldr_wake(r->leader);
+		status = STATUS_OK;
+	}
+	hsc_reply(c, status, "", "", 0);
+}
+
+/* Starts the reports at a moment of its own. */
+void rtr_start_reports(struct rtr *r)
+{
+	uint64_t now = evl_now_us(r->loop);
+
+	r->leader_heard_us = now;
+	r->leader_timer = tmr_every(
+		evl_timers(r->loop),
+		now + clk_random_below(evl_clock(r->loop), REPORT_US),
+		REPORT_US, report, r);
+}
+
+/* Ends the reports. */
+void rtr_stop_reports(struct rtr *r)
+{
+	tmr_cancel(evl_timers(r->loop), r->leader_timer);
+	tmr_cancel(evl_timers(r->loop), r->claim_timer);
+	hcl_destroy(r->leader_pool);
+}
--- /dev/null
+++ b/packages/router/src/rtr_serve.c
@@ -0,0 +1,216 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ctr.h"
+#include "fwl.h"
+#include "log.h"
+#include "rtr_int.h"
+
+#define METRICS_BYTES 65536
+#define STATUS_OK 200
+#define STATUS_BAD_REQUEST 400
+#define STATUS_UNAVAILABLE 503
+
+/* Bodies that wait in memory take at most this share of its limit. */
+#define BODY_MEMORY_SHARE 4
+#define MIB 1048576U
+#define DEFAULT_MEMORY_MB 256
+
+/* True if callers may be sent here. */
+bool rtr_is_ready(const struct rtr *r)
+{
+	return r->config.version > 0 && vew_is_ready(r->view) &&
+	       r->stop_began_us == 0;
+}
+
+/* Takes a request of a caller. */
+static void *on_caller(void *arg, struct hsc *c, const struct hmg *m,
+		       const struct buf *body)
+{
+	struct rtr *r = arg;
+
+	return fwr_request(r->forwards, c, m, body);
+}
+
+static const struct hsv_ops caller_ops = { on_caller, fwr_gone, fwr_drained };
+
+/* Takes a request of another daemon. */
+static void *on_peer(void *arg, struct hsc *c, const struct hmg *m,
+		     const struct buf *body)
+{
+	struct rtr *r = arg;
+
+	if (hmg_find(m, FWL_REQUEST_FIELD).text)
+		return srv_request(r->forwarded, c, m, body);
+	rtr_peer_message(r, c, m, body);
+	return NULL;
+}
+
+static const struct hsv_ops peer_ops = { on_peer, srv_gone, srv_drained };
+
+/* Tells whether this daemon takes callers. */
+static void *on_ready(void *arg, struct hsc *c, const struct hmg *m,
+		      const struct buf *body)
+{
+	struct rtr *r = arg;
+	bool ready = rtr_is_ready(r);
+
+	(void)m;
+	(void)body;
+	if (ready != r->was_ready)
+		log_emit(LOG_READY_CHANGED,
+			 "ready=%d config=%llu plan=%d stopping=%d", ready,
+			 (unsigned long long)r->config.version,
+			 vew_is_ready(r->view), r->stop_began_us > 0);
+	r->was_ready = ready;
+	hsc_reply(c, ready ? STATUS_OK : STATUS_UNAVAILABLE, "", "", 0);
+	return NULL;
+}
+
+/* No request of these addresses goes on after its answer. */
+static void on_nothing(void *request)
+{
+	(void)request;
+}
+
+static const struct hsv_ops ready_ops = { on_ready, on_nothing, NULL };
+
+/* Takes an announcement of the upstream beside this daemon. */
+static void *on_announcement(void *arg, struct hsc *c, const struct hmg *m,
+			     const struct buf *body)
+{
+	struct rtr *r = arg;
+	struct plat_announcement *a = &r->announcement;
+	const char *reason = NULL;
+
+	if (!r->platform.ops->read_announcement(m, body, a, &reason)) {
+		log_emit(LOG_ANNOUNCEMENT_INVALID, "reason=\"%s\"", reason);
+		hsc_reply(c, STATUS_BAD_REQUEST, "", "", 0);
+		return NULL;
+	}
+	if (!a->leaves &&
+	    strcmp(a->address, r->settings.upstream_address) != 0) {
+		log_emit(LOG_ANNOUNCEMENT_INVALID,
+			 "reason=\"of another address\" address=%s id=%s",
+			 a->address, a->id);
+		hsc_reply(c, STATUS_BAD_REQUEST, "", "", 0);
+		return NULL;
+	}
+	return att_announce(r->upstream, c, a);
+}
+
+/* The upstream has closed the connection of its announcement. */
+static void on_announcement_gone(void *request)
+{
+	att_answer_gone(request);
+}
+
+static const struct hsv_ops announcement_ops = { on_announcement,
+						 on_announcement_gone, NULL };
+
+/* Adds the quantiles of one histogram. */
+static size_t write_quantiles(const char *name, const struct hst *h, char *out,
+			      size_t size)
+{
+	static const double quantiles[] = { 0.5, 0.9, 0.99, 0.999 };
+	size_t n = 0;
+
+	for (size_t i = 0; i < sizeof(quantiles) / sizeof(quantiles[0]); i++)
+		n += (size_t)snprintf(
+			out + n, size - n, "%s{quantile=\"%g\"} %llu\n", name,
+			quantiles[i],
+			(unsigned long long)hst_quantile(h, quantiles[i]));
+	n += (size_t)snprintf(out + n, size - n, "%s_count %llu\n", name,
+			      (unsigned long long)h->count);
+	return n;
+}
+
+/* Serves counters and histograms. */
+static void *on_metrics(void *arg, struct hsc *c, const struct hmg *m,
+			const struct buf *body)
+{
+	struct rtr *r = arg;
+	char *text = calloc(1, METRICS_BYTES);
+	struct exr_load load;
+	size_t n;
+
+	(void)m;
+	(void)body;
+	if (!text) {
+		hsc_reply(c, STATUS_UNAVAILABLE, "", "", 0);
+		return NULL;
+	}
+	exr_load(r->runner, &load);
+	ctr_set(CTR_UPSTREAM_RUNNING, load.running);
+	ctr_set(CTR_UPSTREAM_WAITING, load.waiting);
+	ctr_set(CTR_CONFIG_VERSION, r->config.version);
+	ctr_set(CTR_PLAN_EPOCH, vew_epoch(r->view));
+	n = ctr_write(text, METRICS_BYTES / 2);
+	n = n < METRICS_BYTES / 2 ? n : strlen(text);
+	n += write_quantiles("geraniumspoke_response_us",
+			     fwr_response_times(r->forwards), text + n,
+			     METRICS_BYTES - n);
+	n += write_quantiles("geraniumspoke_refusal_us",
+			     fwr_refusal_times(r->forwards), text + n,
+			     METRICS_BYTES - n);
+	hsc_reply(c, STATUS_OK, "Content-Type: text/plain\r\n", text, n);
+	free(text);
+	return NULL;
+}
+
+static const struct hsv_ops metrics_ops = { on_metrics, on_nothing, NULL };
+
+/* Opens the listening addresses. */
+bool rtr_open_servers(struct rtr *r, struct err *err)
+{
+	const struct rse *s = &r->settings;
+
+	r->ready = hsv_create(r->loop, s->ready_address, &ready_ops, r, err);
+	r->announcements =
+		r->ready ? hsv_create(r->loop, s->announce_address,
+				      &announcement_ops, r, err) :
+			   NULL;
+	r->peers = r->announcements ? hsv_create(r->loop, s->peer_address,
+						 &peer_ops, r, err) :
+				      NULL;
+	r->callers = r->peers ? hsv_create(r->loop, s->caller_address,
+					   &caller_ops, r, err) :
+				NULL;
+	if (r->callers && s->metrics_address[0])
+		r->metrics = hsv_create(r->loop, s->metrics_address,
+					&metrics_ops, r, err);
+	if (r->callers)
+		rtr_set_limits(r);
+	return r->callers && (r->metrics || !s->metrics_address[0]);
+}
+
+/* Closes all connections. */
+void rtr_close_servers(struct rtr *r)
+{
+	hsv_destroy(r->callers);
+	hsv_destroy(r->peers);
+	hsv_destroy(r->ready);
+	hsv_destroy(r->announcements);
+	hsv_destroy(r->metrics);
+}
+
+/* Sets the limits of callers from the configuration and the memory. */
+void rtr_set_limits(struct rtr *r)
+{
+	const struct rcf *c = &r->config;
+	uint32_t memory = r->settings.memory_mb ? r->settings.memory_mb :
+						  DEFAULT_MEMORY_MB;
+	struct hsv_limits limits = {
+		.body_bytes = c->body_bytes_max,
+		.buffered_bytes = memory / BODY_MEMORY_SHARE * MIB,
+		.header_us = c->header_timeout_ms * (uint32_t)US_PER_MS,
+		.idle_us = c->idle_timeout_ms * (uint32_t)US_PER_MS,
+	};
+
+	if (c->version == 0)
+		return;
+	hsv_set_limits(r->callers, &limits);
+	limits.idle_us = UINT32_MAX;
+	hsv_set_limits(r->peers, &limits);
+}
--- /dev/null
+++ b/packages/router/src/smp.c
@@ -0,0 +1,107 @@
+#include "smp.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "clk.h"
+
+#define SAMPLES_MAX 2048
+/* Samples that are older do not count: hot keys change within seconds. */
+#define WINDOW_US (1500 * US_PER_MS)
+
+struct sample {
+	uint64_t at_us;
+	uint32_t key;
+	uint32_t work_us;
+};
+
+struct smp {
+	struct sample samples[SAMPLES_MAX];
+	size_t next;
+};
+
+/* Makes an empty collection. */
+struct smp *smp_create(void)
+{
+	return calloc(1, sizeof(struct smp));
+}
+
+/* Frees it. */
+void smp_destroy(struct smp *s)
+{
+	free(s);
+}
+
+/* Replaces the oldest sample. */
+void smp_add(struct smp *s, uint32_t key, uint64_t work_us, uint64_t now_us)
+{
+	struct sample *x = &s->samples[s->next++ % SAMPLES_MAX];
+
+	x->at_us = now_us;
+	x->key = key;
+	x->work_us = (uint32_t)work_us;
+}
+
+/* Orders samples by key. */
+static int compare(const void *a, const void *b)
+{
+	const struct sample *x = a;
+	const struct sample *y = b;
+
+	return (x->key > y->key) - (x->key < y->key);
+}
+
+/* Copies the samples of the window in the order of keys. */
+static size_t collect(const struct smp *s, struct sample *out, double *total,
+		      uint64_t now_us)
+{
+	size_t n = 0;
+
+	*total = 0;
+	for (size_t i = 0; i < SAMPLES_MAX; i++) {
+		const struct sample *x = &s->samples[i];
+
+		if (x->at_us == 0 || now_us - x->at_us > WINDOW_US)
+			continue;
+		out[n++] = *x;
+		*total += (double)x->work_us;
+	}
+	qsort(out, n, sizeof(out[0]), compare);
+	return n;
+}
+
+/* Cuts the samples into pieces; all samples of one key are in one piece. */
+size_t smp_pieces(struct smp *s, struct krp_load *out, size_t max,
+		  uint64_t now_us)
+{
+	struct sample *list = malloc(sizeof(*list) * SAMPLES_MAX);
+	double total, quota;
+	size_t pieces = 0;
+	size_t n;
+
+	if (!list)
+		return 0;
+	n = collect(s, list, &total, now_us);
+	quota = total / (double)max;
+	for (size_t i = 0; i < n; i++) {
+		struct krp_load *p = &out[pieces];
+		double work = (double)list[i].work_us / (double)WINDOW_US;
+
+		if (i > 0 && list[i].key == out[pieces - 1].last) {
+			out[pieces - 1].work += work;
+			continue;
+		}
+		if (pieces > 0 && (out[pieces - 1].work * (double)WINDOW_US <
+					   quota ||
+				   pieces == max)) {
+			out[pieces - 1].last = list[i].key;
+			out[pieces - 1].work += work;
+			continue;
+		}
+		p->first = p->last = list[i].key;
+		p->work = work;
+		pieces++;
+	}
+	free(list);
+	return pieces;
+}
--- /dev/null
+++ b/packages/router/src/vew.c
@@ -0,0 +1,244 @@
+#include "vew.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+
+struct service_map {
+	char service[RCF_NAME_MAX];
+	struct krm *map;
+	uint64_t version;
+};
+
+struct vew {
+	struct fed *feed;
+	struct mbs *members;
+	uint64_t members_version;
+	char *members_text;
+	struct vew_leader leader;
+	struct service_map maps[VEW_SERVICES_MAX];
+	size_t map_count;
+	vew_changed_fn fn;
+	void *arg;
+	uint64_t epoch;
+	bool ready;
+	bool changed;
+};
+
+/* Writes the key of a service's map. */
+void vew_map_key(const char *service, char *out)
+{
+	snprintf(out, VEW_KEY_MAX, "%s%s", VEW_KEYS_PREFIX, service);
+}
+
+/* Returns the entry of a service's map, a new one if need be. */
+static struct service_map *find_map(struct vew *v, const char *service)
+{
+	for (size_t i = 0; i < v->map_count; i++) {
+		if (strcmp(v->maps[i].service, service) == 0)
+			return &v->maps[i];
+	}
+	if (v->map_count == VEW_SERVICES_MAX ||
+	    strlen(service) >= RCF_NAME_MAX)
+		return NULL;
+	strcpy(v->maps[v->map_count].service, service);
+	return &v->maps[v->map_count++];
+}
+
+/* Takes a map. A row that cannot be read changes nothing. */
+static void take_map(struct vew *v, const char *key, const char *value,
+		     size_t len, uint64_t version)
+{
+	struct service_map *m =
+		find_map(v, key + strlen(VEW_KEYS_PREFIX));
+	struct err err = { 0 };
+	struct krm *map;
+
+	if (!m || version <= m->version)
+		return;
+	map = krm_parse(value, len, &err);
+	if (!map) {
+		log_emit(LOG_ROW_INVALID, "key=%s version=%llu reason=\"%s\"",
+			 key, (unsigned long long)version, err.text);
+		return;
+	}
+	krm_destroy(m->map);
+	m->map = map;
+	m->version = version;
+	v->changed = true;
+}
+
+/* Takes the leader's row. */
+static void take_leader(struct vew *v, const char *value, size_t len,
+			uint64_t version)
+{
+	json_t *root = json_loadb(value, len, 0, NULL);
+	const char *node, *peer;
+
+	if (version > v->leader.version &&
+	    json_unpack(root, "{s:s,s:s}", "node", &node, "peer", &peer) == 0 &&
+	    strlen(node) < LIFE_NODE_MAX && strlen(peer) < RSE_ADDRESS_MAX) {
+		log_emit(LOG_LEADER_CHANGED, "from=%s to=%s version=%llu",
+			 v->leader.node[0] ? v->leader.node : "-", node,
+			 (unsigned long long)version);
+		strcpy(v->leader.node, node);
+		strcpy(v->leader.peer_address, peer);
+		v->leader.version = version;
+		v->changed = true;
+	}
+	json_decref(root);
+}
+
+/* Takes one row of the plan. */
+void vew_take(struct vew *v, const char *key, const char *value, size_t len,
+	      uint64_t version)
+{
+	if (strcmp(key, VEW_LEADER) == 0) {
+		take_leader(v, value, len, version);
+	} else if (strcmp(key, VEW_MEMBERS) == 0) {
+		if (version <= v->members_version)
+			return;
+		if (!mbs_update(v->members, value, len))
+			log_emit(LOG_ROW_INVALID, "key=%s version=%llu", key,
+				 (unsigned long long)version);
+		v->members_version = version;
+		free(v->members_text);
+		v->members_text = strndup(value, len);
+		v->changed = true;
+	} else if (strncmp(key, VEW_KEYS_PREFIX, strlen(VEW_KEYS_PREFIX)) ==
+		   0) {
+		take_map(v, key, value, len, version);
+	}
+	if (v->changed)
+		v->epoch++;
+}
+
+/* Takes a row of the feed; rows of the plan are never removed. */
+static void on_row(void *arg, const struct tbl_row *r)
+{
+	struct vew *v = arg;
+
+	if (!r->removed)
+		vew_take(v, r->key, r->value, r->len, r->version);
+}
+
+/* Tells the user of the changes together. */
+static void on_synced(void *arg, bool whole)
+{
+	struct vew *v = arg;
+
+	if (whole)
+		v->ready = true;
+	if (!v->changed && !whole)
+		return;
+	v->changed = false;
+	v->fn(v->arg);
+}
+
+/* The plan stays in use as it is. */
+static void on_lost(void *arg, const char *reason)
+{
+	struct vew *v = arg;
+
+	log_emit(LOG_TABLE_LOST, "table=%s reason=\"%s\" epoch=%llu", VEW_TABLE,
+		 reason, (unsigned long long)v->epoch);
+}
+
+static const struct fed_ops feed_ops = { on_row, on_synced, on_lost };
+
+/* Begins to follow the plan. */
+struct vew *vew_create(struct evl *l, struct tbl tbl, vew_changed_fn fn,
+		       void *arg)
+{
+	struct vew *v = calloc(1, sizeof(*v));
+
+	if (!v)
+		return NULL;
+	v->fn = fn;
+	v->arg = arg;
+	v->members = mbs_create(l);
+	v->feed = v->members ? fed_create(l, tbl, VEW_TABLE, &feed_ops, v) :
+			       NULL;
+	if (!v->feed) {
+		vew_destroy(v);
+		return NULL;
+	}
+	return v;
+}
+
+/* Frees the plan. */
+void vew_destroy(struct vew *v)
+{
+	if (!v)
+		return;
+	fed_destroy(v->feed);
+	mbs_destroy(v->members);
+	free(v->members_text);
+	for (size_t i = 0; i < v->map_count; i++)
+		krm_destroy(v->maps[i].map);
+	free(v);
+}
+
+/* True once the plan has been read whole. */
+bool vew_is_ready(const struct vew *v)
+{
+	return v->ready;
+}
+
+/* Reads the plan again. */
+uint64_t vew_read_again(struct vew *v)
+{
+	return fed_read_again(v->feed);
+}
+
+/* Returns the ticket of the last read that has been made. */
+uint64_t vew_ticket(const struct vew *v)
+{
+	return fed_ticket(v->feed);
+}
+
+/* Returns the leader; its version is 0 if there has never been one. */
+const struct vew_leader *vew_leader(const struct vew *v)
+{
+	return &v->leader;
+}
+
+/* Returns the members. */
+struct mbs *vew_members(struct vew *v)
+{
+	return v->members;
+}
+
+/* Returns the version of the members' row, 0 if there is none. */
+uint64_t vew_members_version(const struct vew *v)
+{
+	return v->members_version;
+}
+
+/* Returns the members' row. */
+const char *vew_members_text(const struct vew *v)
+{
+	return v->members_text;
+}
+
+/* Returns the map of a service. */
+const struct krm *vew_map(const struct vew *v, const char *service,
+			  uint64_t *version)
+{
+	for (size_t i = 0; i < v->map_count; i++) {
+		if (strcmp(v->maps[i].service, service) == 0) {
+			*version = v->maps[i].version;
+			return v->maps[i].map;
+		}
+	}
+	*version = 0;
+	return NULL;
+}
+
+/* Returns the number of changes of the plan. */
+uint64_t vew_epoch(const struct vew *v)
+{
+	return v->epoch;
+}
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -6,7 +6,9 @@
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
 for package in "$@"; do
-	for file in packages/"$package"/src/*.c; do
+	folder=packages/$package/src
+	[ "$package" = platform ] && folder=platform
+	for file in "$folder"/*.c; do
 		[ -f "$file" ] && printf '%s %s\n' "$package" "$file"
 	done
 done | xargs -P "$(nproc)" -L 1 sh -c '
