--- a/packages/router/src/att.c
+++ b/packages/router/src/att.c
@@ -105,14 +105,17 @@
  */
 static bool is_stale(const struct att *a, const struct plat_announcement *n)
 {
+	/* A leave may come without the start of its life. */
+	if (n->leaves && n->born_ms == 0)
+		return strcmp(n->id, a->life.id) != 0;
 	if (strcmp(n->id, a->ended_id) == 0 && n->born_ms == a->ended_born_ms)
 		return true;
 	if (n->born_ms < a->ended_born_ms)
 		return true;
 	if (a->life.id[0] == '\0')
-		return false;
+		return n->leaves;
 	if (strcmp(n->id, a->life.id) != 0 || n->born_ms != a->life.born_ms)
-		return n->born_ms < a->life.born_ms;
+		return n->leaves || n->born_ms < a->life.born_ms;
 	return !n->leaves && a->announced && n->seq <= a->seq;
 }
 
@@ -195,7 +198,7 @@
 	uint64_t now = evl_now_us(a->parts.loop);
 	uint64_t wait = ANSWER_WAIT_US;
 
-	if (is_stale(a, n) || (n->leaves && strcmp(n->id, a->life.id) != 0)) {
+	if (is_stale(a, n)) {
 		log_emit(LOG_ANNOUNCEMENT_STALE, "id=%s born=%lld seq=%llu",
 			 n->id, (long long)n->born_ms,
 			 (unsigned long long)n->seq);
--- a/packages/router/src/rtr.c
+++ b/packages/router/src/rtr.c
@@ -12,6 +12,9 @@
 /* It ends this much before it is killed, with whatever is still in flight. */
 #define STOP_MARGIN_US (600 * US_PER_MS)
 #define STOP_LOOK_US (50 * US_PER_MS)
+/* From this part of its time on it refuses new requests, so that it can end. */
+#define STOP_REFUSE_PCT 50
+#define PERCENT 100
 
 /* Owners, members or the leader have changed. */
 static void on_plan(void *arg)
@@ -150,6 +153,16 @@
 	log_emit(LOG_SETTINGS_RELOADED, "path=%s", r->settings_path);
 }
 
+/* True once a stopping daemon has to let what runs end. */
+bool rtr_refuses(const struct rtr *r)
+{
+	uint64_t grace = (uint64_t)r->settings.grace_ms * US_PER_MS;
+
+	return r->stop_began_us > 0 &&
+	       evl_now_us(r->loop) - r->stop_began_us >=
+		       grace * STOP_REFUSE_PCT / PERCENT;
+}
+
 /* Ends when nothing is in flight, or when time is up. */
 static void look_for_end(void *arg, uint64_t now_us)
 {
--- a/packages/router/src/rtr_int.h
+++ b/packages/router/src/rtr_int.h
@@ -72,4 +72,7 @@
 
 bool rtr_is_ready(const struct rtr *r);
 
+/* True once a stopping daemon has to let what runs end. */
+bool rtr_refuses(const struct rtr *r);
+
 #endif
--- a/packages/router/src/rtr_serve.c
+++ b/packages/router/src/rtr_serve.c
@@ -8,6 +8,8 @@
 #include "rtr_int.h"
 
 #define METRICS_BYTES 65536
+/* When a caller may come back that a stopping daemon refuses. */
+#define STOP_RETURN_MS 200
 #define STATUS_OK 200
 #define STATUS_BAD_REQUEST 400
 #define STATUS_UNAVAILABLE 503
@@ -29,8 +31,15 @@
 		       const struct buf *body)
 {
 	struct rtr *r = arg;
-
-	return fwr_request(r->forwards, c, m, body);
+	struct buf fields = { 0 };
+
+	if (!rtr_refuses(r))
+		return fwr_request(r->forwards, c, m, body);
+	r->platform.ops->write_retry_after(&fields, STOP_RETURN_MS);
+	buf_add(&fields, "", 1);
+	hsc_reply(c, STATUS_UNAVAILABLE, buf_data(&fields), "", 0);
+	buf_free(&fields);
+	return NULL;
 }
 
 static const struct hsv_ops caller_ops = { on_caller, fwr_gone, fwr_drained };
@@ -41,6 +50,10 @@
 {
 	struct rtr *r = arg;
 
+	if (hmg_find(m, FWL_REQUEST_FIELD).text && rtr_refuses(r)) {
+		srv_refuse(r->forwarded, c);
+		return NULL;
+	}
 	if (hmg_find(m, FWL_REQUEST_FIELD).text)
 		return srv_request(r->forwarded, c, m, body);
 	rtr_peer_message(r, c, m, body);
--- a/packages/router/src/srv.c
+++ b/packages/router/src/srv.c
@@ -182,6 +182,16 @@
 	return f;
 }
 
+/* Refuses a request before it has a job. */
+void srv_refuse(struct srv *s, struct hsc *c)
+{
+	struct forwarded f = { .server = s, .connection = c };
+	struct buf fields = { 0 };
+
+	fwl_write_refusal(&fields, EXR_NO_UPSTREAM, 0);
+	reply(&f, STATUS_UNAVAILABLE, &fields);
+}
+
 /* The sending daemon has given up. */
 void srv_gone(void *request)
 {
--- a/packages/router/src/srv.h
+++ b/packages/router/src/srv.h
@@ -15,6 +15,9 @@
 /* Runs a forwarded request; returns what the two below get, or NULL. */
 void *srv_request(struct srv *s, struct hsc *c, const struct hmg *m,
 		  const struct buf *body);
+
+/* Says that the upstream beside this daemon takes no more requests. */
+void srv_refuse(struct srv *s, struct hsc *c);
 void srv_gone(void *request);
 void srv_drained(void *request);
 
