Upstreams that fall silent lose work at once and keys after 4 s

Cause: an upstream that hangs without a reset kept its place for as long as the lease of its daemon (10 s and renewed), so requests were sent to it and its keys stayed. Requests wait for keys that move, not for an upstream that is missing.

--- a/packages/router/src/att.c
+++ b/packages/router/src/att.c
@@ -9,21 +9,52 @@
 /* An answer that changes nothing is kept this long. */
 #define ANSWER_WAIT_US (450 * US_PER_MS)
 /* A hold that ends sooner is renewed at once. */
-#define RENEW_BELOW_US (3 * US_PER_S)
+#define RENEW_BELOW_US (2500 * US_PER_MS)
 /* Requests stop this much before the time that the operator allows. */
 #define DRAIN_MARGIN_US (300 * US_PER_MS)
 /* Announcements that may be missed until the upstream is looked at. */
 #define MISSED_MAX 2
+/* Announcements that may be missed until the upstream gets no more work. */
+#define SILENT_MISSED_MAX 3
 #define LOOK_US (250 * US_PER_MS)
+/* A hold may last longer on the upstream's clock by its drift. */
+#define HOLD_DRIFT_US (300 * US_PER_MS)
 
-/* Looks at an upstream that has not announced itself for a while. */
+/* Sends no more requests to an upstream that does not answer, or again. */
+void att_set_silent(struct att *a, bool silent, const char *reason)
+{
+	if (silent == a->silent)
+		return;
+	a->silent = silent;
+	log_emit(LOG_UPSTREAM_SILENT, "id=%s silent=%d reason=\"%s\"",
+		 a->life.id, silent, reason);
+	a->ops->on_upstream(a->arg);
+	a->ops->on_keys(a->arg);
+}
+
+/*
+ * Looks at an upstream that has not announced itself for a while. Once its last
+ * hold is over it holds nothing, whether it lives or not.
+ */
 static void look(void *arg, uint64_t now_us)
 {
 	struct att *a = arg;
-	uint64_t limit = (uint64_t)a->parts.settings->announce_ms * US_PER_MS *
-			 MISSED_MAX;
+	uint64_t missed_us = (uint64_t)a->parts.settings->announce_ms *
+			     US_PER_MS;
+	uint64_t hold_end_us = a->heard_us +
+			       ATT_HOLD_MAX_MS * US_PER_MS + HOLD_DRIFT_US;
 
-	if (a->life.id[0] != '\0' && now_us - a->heard_us > limit)
+	if (a->life.id[0] == '\0')
+		return;
+	if (now_us > hold_end_us && now_us > a->granted_until_us) {
+		att_end_life(a, false, "it is silent and its hold is over");
+		a->ops->on_upstream(a->arg);
+		a->ops->on_keys(a->arg);
+		return;
+	}
+	if (now_us - a->heard_us > missed_us * SILENT_MISSED_MAX)
+		att_set_silent(a, true, "it does not announce itself");
+	if (now_us - a->heard_us > missed_us * MISSED_MAX)
 		att_start_probe(a);
 }
 
@@ -77,15 +108,17 @@
 	a->ticket = ticket;
 }
 
-/* The life has ended. */
-void att_end_life(struct att *a, const char *reason)
+/* The life has ended, or it holds nothing and may come back. */
+void att_end_life(struct att *a, bool proved, const char *reason)
 {
 	if (a->life.id[0] == '\0')
 		return;
 	log_emit(LOG_UPSTREAM_ENDED, "id=%s born=%lld reason=\"%s\"",
 		 a->life.id, (long long)a->life.born_ms, reason);
-	a->ended_born_ms = a->life.born_ms;
-	strcpy(a->ended_id, a->life.id);
+	if (proved) {
+		a->ended_born_ms = a->life.born_ms;
+		strcpy(a->ended_id, a->life.id);
+	}
 	a->life.id[0] = '\0';
 	a->life.born_ms = 0;
 	a->announced = false;
@@ -97,6 +130,7 @@
 	a->left = false;
 	a->closed_us = 0;
 	a->refusals = 0;
+	a->silent = false;
 }
 
 /*
@@ -122,7 +156,7 @@
 /* Begins with a new life. */
 static void begin_life(struct att *a, const struct plat_announcement *n)
 {
-	att_end_life(a, "another life announces itself");
+	att_end_life(a, true, "another life announces itself");
 	strcpy(a->life.id, n->id);
 	a->life.born_ms = n->born_ms;
 	strcpy(a->service, n->service);
@@ -175,6 +209,7 @@
 	}
 	a->heard_us = now_us;
 	a->refusals = 0;
+	att_set_silent(a, false, "it announces itself");
 	changed = changed || draining != a->draining;
 	set_draining(a, draining, now_us);
 	if (changed)
@@ -278,13 +313,13 @@
 /* True if the upstream is there and stays. */
 bool att_takes_work(const struct att *a)
 {
-	return a->life.id[0] != '\0' && !a->draining;
+	return a->life.id[0] != '\0' && !a->draining && !a->silent;
 }
 
 /* True while requests may be sent to the upstream. */
 bool att_is_open(const struct att *a, uint64_t now_us)
 {
-	return a->life.id[0] != '\0' &&
+	return a->life.id[0] != '\0' && !a->silent &&
 	       (a->closed_us == 0 || now_us < a->closed_us);
 }
 
--- a/packages/router/src/att_int.h
+++ b/packages/router/src/att_int.h
@@ -5,6 +5,13 @@
 
 #include "att.h"
 
+/*
+ * Longest hold that is granted. It outlasts some missed announcements and a
+ * restart of this daemon; the keys of an upstream that falls silent are free
+ * after it.
+ */
+#define ATT_HOLD_MAX_MS 4000
+
 struct att {
 	struct att_parts parts;
 	const struct att_ops *ops;
@@ -18,6 +25,7 @@
 	uint64_t cold_until_us;
 	bool announced; /* by an announcement, not by an earlier process */
 	bool draining;
+	bool silent; /* it does not answer */
 	bool left; /* it has said that it leaves for good */
 	uint64_t closed_us; /* requests are sent until then; 0 if it stays */
 	int64_t ended_born_ms; /* of the last life that has ended */
@@ -35,10 +43,14 @@
 	uint32_t answer_timer;
 	/* Whether it lives. */
 	struct skt *probe;
+	uint32_t probe_limit; /* timer of the connection */
 	uint32_t probe_timer;
 	uint32_t refusals; /* in a row */
 };
 
+/* Sends no more requests to an upstream that does not answer, or again. */
+void att_set_silent(struct att *a, bool silent, const char *reason);
+
 /* Answers the waiting announcement now. */
 void att_answer(struct att *a);
 
@@ -52,7 +64,10 @@
 void att_start_probe(struct att *a);
 void att_stop_probe(struct att *a);
 
-/* The life has ended; nothing is there until the next announcement. */
-void att_end_life(struct att *a, const char *reason);
+/*
+ * Nothing is there until the next announcement. A life whose end is proved does
+ * not come back; another one holds nothing, but may announce itself again.
+ */
+void att_end_life(struct att *a, bool proved, const char *reason);
 
 #endif
--- a/packages/router/src/att_keys.c
+++ b/packages/router/src/att_keys.c
@@ -65,13 +65,16 @@
 /* Fills the answer to the waiting announcement. */
 static void fill_grant(const struct att *a, struct plat_grant *g)
 {
+	uint32_t hold_max = a->parts.settings->hold_max_ms;
+
+	if (hold_max > ATT_HOLD_MAX_MS)
+		hold_max = ATT_HOLD_MAX_MS;
 	g->renews = false;
 	g->count = 0;
 	if (!may_grant(a) || !map_of(a))
 		return;
 	g->hold_ms = lea_hold_ms(rnw_lease_end_us(a->parts.lease),
-				 a->waiting_since_us,
-				 a->parts.settings->hold_max_ms);
+				 a->waiting_since_us, hold_max);
 	if (g->hold_ms == 0)
 		return;
 	g->renews = true;
--- a/packages/router/src/exr.c
+++ b/packages/router/src/exr.c
@@ -21,6 +21,9 @@
  */
 #define STUCK_FACTOR 5
 #define STUCK_MIN_US (700 * US_PER_MS)
+/* A request without a response makes the upstream suspect after this. */
+#define SILENT_FACTOR 3
+#define SILENT_MIN_US (150 * US_PER_MS)
 /* When a caller may come back that was refused without an estimate. */
 #define RETURN_US (150 * US_PER_MS)
 
@@ -157,6 +160,20 @@
 	}
 }
 
+/*
+ * Has the upstream looked at if a request runs much longer than usual and no
+ * other response has come meanwhile.
+ */
+static void look_for_silence(struct exr *x, uint64_t now_us)
+{
+	const struct exr_job *j = x->running; /* the oldest one */
+
+	if (j && x->answered_us < j->started_us &&
+	    now_us - j->started_us >
+		    j->item.estimate_us * SILENT_FACTOR + SILENT_MIN_US)
+		att_suspect(x->upstream);
+}
+
 /* Looks through what waits. */
 static void tick(void *arg, uint64_t now_us)
 {
@@ -168,7 +185,8 @@
 		exr_refuse((struct exr_job *)item, EXR_BUSY, RETURN_US);
 	sort_held(x, now_us);
 	exr_dispatch(x);
-	if ((x->held || exq_count(x->queue) > 0) && !x->timer)
+	look_for_silence(x, now_us);
+	if ((x->held || x->running || exq_count(x->queue) > 0) && !x->timer)
 		x->timer = tmr_at(evl_timers(x->loop), now_us + TICK_US, tick,
 				  x);
 }
--- a/packages/router/src/exr_int.h
+++ b/packages/router/src/exr_int.h
@@ -41,6 +41,7 @@
 	struct exr_job *held;
 	uint32_t running_count;
 	uint32_t timer;
+	uint64_t answered_us; /* last response of the upstream */
 	double mean_us;
 	double kind_us[EXR_KINDS];
 	uint64_t finished;
--- a/packages/router/src/exr_run.c
+++ b/packages/router/src/exr_run.c
@@ -83,6 +83,7 @@
 	struct plat_response r;
 
 	j->owner->platform->ops->read_response(m, j->request.request.id, &r);
+	j->owner->answered_us = evl_now_us(j->owner->loop);
 	j->refused = r.not_run || r.other_upstream;
 	j->not_owner = r.other_upstream;
 	j->failed_status = m->status >= STATUS_FAILURE_MIN;
--- a/packages/router/src/fwd_int.h
+++ b/packages/router/src/fwd_int.h
@@ -41,6 +41,7 @@
 	uint32_t deadline_timer;
 	uint32_t retry_timer;
 	bool waits; /* for the plan */
+	bool moving; /* its key is on the way to another owner */
 	bool may_have_run;
 	enum exr_refusal refusal; /* of the last attempt */
 	uint64_t return_us; /* when the caller may come back */
--- a/packages/router/src/fwd_try.c
+++ b/packages/router/src/fwd_try.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
+#include <xxhash.h>
 
 #include "fwd_int.h"
 #include "log.h"
@@ -8,7 +9,10 @@
 /* Share of the time to the deadline that a request waits for the plan. */
 #define PLAN_WAIT_PCT 45
 #define PERCENT 100
-#define PLAN_WAIT_MAX_US (1200 * US_PER_MS)
+/* Keys that move are served again within this time. */
+#define MOVE_WAIT_US (600 * US_PER_MS)
+/* An upstream that is missing is not back sooner than a plan takes. */
+#define MISSING_WAIT_US (150 * US_PER_MS)
 /* Pause before an owner that has not learned of its keys is asked again. */
 #define ASK_AGAIN_US (25 * US_PER_MS)
 /* A daemon that takes no connection within this time is not waited for. */
@@ -82,16 +86,22 @@
 	fwd_try(f);
 }
 
-/* Waits for the plan to change, within limits. */
-static void wait_for_plan(struct fwd *f, uint64_t now_us)
+/* Tells how long a request may wait for what it misses. */
+static uint64_t plan_wait_us(const struct fwd *f)
 {
 	uint64_t limit = (f->deadline_us - f->began_us) * PLAN_WAIT_PCT /
 			 PERCENT;
+	uint64_t most = f->moving ? MOVE_WAIT_US : MISSING_WAIT_US;
+
+	return limit < most ? limit : most;
+}
+
+/* Waits for the plan to change, if that may be soon. */
+static void wait_for_plan(struct fwd *f, uint64_t now_us)
+{
 	struct tmr *timers = evl_timers(f->owner->parts.loop);
 
-	if (limit > PLAN_WAIT_MAX_US)
-		limit = PLAN_WAIT_MAX_US;
-	if (now_us >= f->began_us + limit) {
+	if (now_us >= f->began_us + plan_wait_us(f)) {
 		if (f->return_us == 0)
 			f->return_us = NO_TARGET_RETURN_US;
 		fwd_refuse(f, f->keyed ? "no upstream owns the key" :
@@ -159,6 +169,9 @@
 			fwd_refuse(f, "the upstream has refused it");
 		return;
 	case EXR_NOT_OWNER:
+		f->moving = true;
+		wait_for_plan(f, now);
+		return;
 	case EXR_NO_UPSTREAM:
 	default:
 		wait_for_plan(f, now);
@@ -253,6 +266,12 @@
 static const struct exr_ops job_ops = { on_head, on_body, on_done, on_refused,
 					on_failed };
 
+/* Requests of one route of a service are of one kind. */
+static uint32_t kind_of(const struct fwd *f)
+{
+	return (uint32_t)XXH3_64bits(f->route.name, strlen(f->route.name));
+}
+
 /* Starts the request at the upstream beside this daemon. */
 static void send_here(struct fwd *f, struct mbr *m)
 {
@@ -262,7 +281,7 @@
 		.request = f->request,
 		.upstream_id = m->life.id,
 		.caller_service = f->owner->parts.settings->service,
-		.kind = f->route.rank + (uint32_t)strlen(f->route.prefix),
+		.kind = kind_of(f),
 		.rank = f->route.rank,
 		.idempotent = f->route.idempotent,
 		.deadline_us = f->deadline_us,
@@ -340,7 +359,7 @@
 	struct fwl_request line = {
 		.left_us = LEFT_MIN_US,
 		.rank = f->route.rank,
-		.kind = f->route.rank + (uint32_t)strlen(f->route.prefix),
+		.kind = kind_of(f),
 		.idempotent = f->route.idempotent,
 		.keyed = f->keyed,
 	};
