Queue by rank, long enough waits, and keys for upstreams that join

Now the rank goes before being on time, requests leave the queue at 75 % of their time, and an upstream that owns next to nothing gets a fair share.

--- a/packages/keys/src/krp.c
+++ b/packages/keys/src/krp.c
@@ -14,8 +14,10 @@
 #define BUSY_USE 0.55
 /* Difference of use between busiest and idlest that is left as it is. */
 #define USE_TOLERANCE 0.20
+/* A target used less than this part of the mean has just joined. */
+#define NEWCOMER_SHARE 0.4
 /* Ranges moved for balance in one plan. */
-#define MOVES_MAX 6
+#define MOVES_MAX 8
 /* Ranges above which neighbours of one owner get a common fence. */
 #define RANGES_MANY 24
 
@@ -183,37 +185,58 @@
 static bool find_piece(const struct plan *p, const struct krp_target *from,
 		       double work_max, struct piece *best)
 {
+	uint32_t key = 0;
+
 	best->work = 0;
-	for (size_t i = 0; i < p->load_count; i++) {
-		const struct krp_load *s = &p->loads[i];
-		const struct krm_range *r = krm_find(p->map, s->first);
-		uint32_t last = s->last < r->last ? s->last : r->last;
-		double work = work_between(p, s->first, last);
+	while (key < KRM_KEYS) {
+		const struct krm_range *r = krm_find(p->map, key);
+		uint32_t end = end_of_piece(p, key, r->last);
+		double work;
 
-		if (r->former != KRM_NONE || work > work_max ||
-		    work <= best->work ||
-		    find_target(p, krm_life(p->map, r->owner)) != from)
+		if (r->former != KRM_NONE ||
+		    find_target(p, krm_life(p->map, r->owner)) != from) {
+			key = r->last + 1;
 			continue;
-		best->first = s->first;
-		best->last = last;
-		best->work = work;
+		}
+		work = work_between(p, key, end);
+		if (work <= work_max && work > best->work) {
+			best->first = key;
+			best->last = end;
+			best->work = work;
+		}
+		key = end + 1;
 	}
 	return best->work > 0;
 }
 
+/*
+ * True if work should move: the busiest target is short of room, or the other
+ * has just joined and owns next to nothing.
+ */
+static bool is_uneven(const struct krp_target *from,
+		      const struct krp_target *to, double mean_use)
+{
+	if (from == to)
+		return false;
+	if (use_of(to) < mean_use * NEWCOMER_SHARE &&
+	    use_of(from) > mean_use * NEWCOMER_SHARE)
+		return true;
+	return use_of(from) >= BUSY_USE &&
+	       use_of(from) - use_of(to) >= USE_TOLERANCE;
+}
+
 /* Moves pieces from the busiest to the idlest while that evens them out. */
-static uint32_t balance(struct plan *p)
+static uint32_t balance(struct plan *p, double mean_use)
 {
 	uint32_t moved = 0;
 
 	for (size_t i = 0; i < MOVES_MAX; i++) {
 		struct krp_target *from = find_busiest(p);
 		struct krp_target *to = find_idlest(p, 0);
-		struct piece piece;
+		struct piece piece = { 0, 0, 0 };
 		double even;
 
-		if (from == to || use_of(from) < BUSY_USE ||
-		    use_of(from) - use_of(to) < USE_TOLERANCE)
+		if (!is_uneven(from, to, mean_use))
 			break;
 		/* Work after whose move both are used alike. */
 		even = (use_of(from) - use_of(to)) /
@@ -244,7 +267,7 @@
 	p.cold_per_key = COLD_SHARE * capacity / KRM_KEYS;
 	total = sum_loads(&p);
 	result.keys_assigned = assign_orphans(&p, total / capacity);
-	result.keys_moved = balance(&p);
+	result.keys_moved = balance(&p, total / capacity);
 	krm_merge(k, RANGES_MANY);
 	return result;
 }
--- a/packages/router/src/exq.c
+++ b/packages/router/src/exq.c
@@ -7,7 +7,7 @@
  * Of the time to its deadline, a request that will miss its objective may
  * spend this much until its end; later ones are refused on arrival.
  */
-#define LATE_SHARE_PCT 60
+#define LATE_SHARE_PCT 75
 #define PERCENT 100
 
 /* Of this many requests, at least one is of a less urgent kind that waits. */
@@ -44,10 +44,10 @@
 	bool a_on_time = is_on_time(a, now_us);
 	bool b_on_time = is_on_time(b, now_us);
 
-	if (a_on_time != b_on_time)
-		return a_on_time;
 	if (a->rank != b->rank)
 		return a->rank < b->rank;
+	if (a_on_time != b_on_time)
+		return a_on_time;
 	return a->objective_us < b->objective_us;
 }
 
@@ -70,19 +70,23 @@
 	return (uint64_t)(running + ahead + 1 - slots) * mean_us / slots;
 }
 
+/* Returns when a request must end to be worth its place. */
+static uint64_t latest_end_us(const struct exq_item *i)
+{
+	uint64_t late = i->came_us +
+			(i->deadline_us - i->came_us) * LATE_SHARE_PCT /
+				PERCENT;
+
+	return late > i->objective_us ? late : i->objective_us;
+}
+
 /* True if it ends on time, or late but well before its deadline. */
 bool exq_is_worth(const struct exq_item *item, uint64_t wait_us,
 		  uint64_t now_us)
 {
-	uint64_t end = now_us + wait_us + item->estimate_us;
-	uint64_t left;
-
-	if (end <= item->objective_us)
-		return true;
 	if (item->deadline_us <= now_us)
 		return false;
-	left = item->deadline_us - now_us;
-	return end <= now_us + left * LATE_SHARE_PCT / PERCENT;
+	return now_us + wait_us + item->estimate_us <= latest_end_us(item);
 }
 
 /* Adds a request. */
@@ -134,13 +138,13 @@
 	return first;
 }
 
-/* Takes one whose deadline comes before its end. */
+/* Takes one that would end too late to be worth its place. */
 struct exq_item *exq_pop_hopeless(struct exq *q, uint64_t now_us)
 {
 	struct exq_item *i;
 
 	DL_FOREACH(q->items, i) {
-		if (now_us + i->estimate_us > i->deadline_us) {
+		if (now_us + i->estimate_us > latest_end_us(i)) {
 			exq_remove(q, i);
 			return i;
 		}
--- a/packages/router/src/exq.h
+++ b/packages/router/src/exq.h
@@ -3,9 +3,9 @@
 
 /*
  * Queue of requests before one upstream. It answers more load than the upstream
- * can carry: what cannot be answered in time is refused on arrival, what can
- * still be answered within its objective goes first, the more urgent kinds
- * before the others, of which each keeps a share. No I/O.
+ * can carry: what cannot be answered in time is refused on arrival, the more
+ * urgent kinds go before the others, of which each keeps a share, and of one
+ * kind goes first what can still be answered within its objective. No I/O.
  */
 
 #include <stdbool.h>
@@ -13,6 +13,7 @@
 
 struct exq_item {
 	struct exq_item *prev, *next;
+	uint64_t came_us;
 	uint64_t objective_us; /* a response until then has its full worth */
 	uint64_t deadline_us; /* nobody waits any longer */
 	uint32_t rank; /* 0 is the most urgent */
@@ -42,7 +43,7 @@
 /* Takes the request that goes next, NULL if none waits. */
 struct exq_item *exq_pop(struct exq *q, uint64_t now_us);
 
-/* Takes a request that can no longer end before its deadline, NULL if none. */
+/* Takes a request that is no longer worth its place, NULL if none. */
 struct exq_item *exq_pop_hopeless(struct exq *q, uint64_t now_us);
 
 uint32_t exq_count(const struct exq *q);
--- a/packages/router/src/exr.c
+++ b/packages/router/src/exr.c
@@ -264,6 +264,7 @@
 	j->ops = ops;
 	j->arg = arg;
 	j->came_us = evl_now_us(x->loop);
+	j->item.came_us = j->came_us;
 	j->item.objective_us = r->objective_us;
 	j->item.deadline_us = r->deadline_us;
 	j->item.rank = r->rank;
