Daemons tell each other of plan changes; fewer calls to the store

A leader now sends the rows it has written to all daemons, a daemon that has written a release to the new owners, and the feed pauses for 2 s, so that it only brings what was missed. Rows carry their version, so that an older one changes nothing.

--- a/packages/router/src/fed.c
+++ b/packages/router/src/fed.c
@@ -7,8 +7,6 @@
 /* Pause after a failure: doubles up to the maximum, and is drawn at random. */
 #define PAUSE_MIN_US (50 * US_PER_MS)
 #define PAUSE_MAX_US (400 * US_PER_MS)
-/* Pause between two answers, so that changes in a row share a call. */
-#define GATHER_US (15 * US_PER_MS)
 
 struct fed {
 	struct evl *loop;
@@ -19,6 +17,7 @@
 	uint64_t version;
 	uint64_t heard_us;
 	uint64_t pause_us;
+	uint64_t gather_us;
 	uint32_t timer;
 	bool read_next; /* the next call reads the whole table */
 	bool reading;
@@ -84,8 +83,8 @@
 		f->read_next = false;
 		take_rows(f, r, whole);
 		f->timer = tmr_at(evl_timers(f->loop),
-				  evl_now_us(f->loop) + GATHER_US, call_next,
-				  f);
+				  evl_now_us(f->loop) + f->gather_us,
+				  call_next, f);
 		return;
 	}
 	if (r->status == TBL_COMPACTED) {
@@ -114,7 +113,7 @@
 
 /* Starts with a read of the whole table. */
 struct fed *fed_create(struct evl *l, struct tbl tbl, const char *table,
-		       const struct fed_ops *ops, void *arg)
+		       uint64_t gather_us, const struct fed_ops *ops, void *arg)
 {
 	struct fed *f = calloc(1, sizeof(*f));
 
@@ -123,6 +122,7 @@
 	f->loop = l;
 	f->tbl = tbl;
 	f->table = table;
+	f->gather_us = gather_us;
 	f->ops = ops;
 	f->arg = arg;
 	f->read_next = true;
--- a/packages/router/src/fed.h
+++ b/packages/router/src/fed.h
@@ -23,8 +23,10 @@
 	void (*on_lost)(void *arg, const char *reason);
 };
 
+/* gather_us: pause between two answers, so that changes share a call. */
 struct fed *fed_create(struct evl *l, struct tbl tbl, const char *table,
-		       const struct fed_ops *ops, void *arg);
+		       uint64_t gather_us, const struct fed_ops *ops,
+		       void *arg);
 void fed_destroy(struct fed *f);
 
 /*
--- a/packages/router/src/ldr.c
+++ b/packages/router/src/ldr.c
@@ -7,8 +7,10 @@
 #include "ldr_int.h"
 #include "log.h"
 
-/* The rows of all daemons are read this often, and sooner after news. */
+/* Load is evened out this often. */
 #define TICK_US (500 * US_PER_MS)
+/* The rows of all daemons are read this often, and sooner after news. */
+#define READ_US (1000 * US_PER_MS)
 #define WAKE_US (10 * US_PER_MS)
 /* Pause after a failed call. */
 #define PAUSE_US (100 * US_PER_MS)
@@ -31,7 +33,8 @@
 	uint64_t due_us;
 	bool calling;
 	bool claiming;
-	bool woken; /* during a call */
+	bool woken; /* the rows of the daemons have changed */
+	uint64_t read_us; /* when they were read last */
 	bool dead;
 };
 
@@ -104,21 +107,19 @@
 	l->calling = false;
 	if (free_if_dead(l))
 		return;
-	for (size_t i = 0; r->status == TBL_OK && i < l->change_count; i++) {
-		if (strcmp(l->changes[i].table, VEW_TABLE) == 0 && l->texts[i])
-			vew_take(l->parts.view, l->keys[i], l->texts[i],
-				 strlen(l->texts[i]), r->version);
-	}
+	if (r->status == TBL_OK)
+		l->parts.on_rows(l->parts.arg, l->changes, l->change_count,
+				 r->version);
 	drop_changes(l);
 	if (r->status != TBL_OK) {
 		log_emit(LOG_PLAN_NOT_WRITTEN, "status=%d reason=\"%s\"",
 			 r->status, r->reason ? r->reason : "");
 		vew_read_again(l->parts.view);
+		l->woken = true;
 		tick_in(l, PAUSE_US);
 		return;
 	}
 	tick_in(l, l->woken ? WAKE_US : TICK_US);
-	l->parts.on_plan(l->parts.arg);
 }
 
 /* Adds the members if they have changed. */
@@ -232,6 +233,7 @@
 		tick_in(l, PAUSE_US);
 		return;
 	}
+	l->read_us = evl_now_us(l->parts.loop);
 	l->node_count = ldr_read_nodes(r, l->nodes, LDR_NODES_MAX);
 	plan(l);
 }
@@ -241,7 +243,6 @@
 {
 	struct ldr *l = arg;
 
-	(void)now_us;
 	l->timer = 0;
 	if (l->calling)
 		return;
@@ -249,6 +250,10 @@
 		tick_in(l, TICK_US);
 		return;
 	}
+	if (!l->woken && now_us - l->read_us < READ_US) {
+		plan(l);
+		return;
+	}
 	l->woken = false;
 	l->calling = true;
 	l->parts.tbl.ops->read(l->parts.tbl.self, NRW_TABLE, on_nodes, l);
@@ -292,8 +297,8 @@
 	if (free_if_dead(l))
 		return;
 	if (r->status == TBL_OK)
-		vew_take(l->parts.view, VEW_LEADER, l->texts[0],
-			 strlen(l->texts[0]), r->version);
+		l->parts.on_rows(l->parts.arg, l->changes, l->change_count,
+				 r->version);
 	else
 		vew_read_again(l->parts.view);
 	drop_changes(l);
--- a/packages/router/src/ldr.h
+++ b/packages/router/src/ldr.h
@@ -23,7 +23,7 @@
 	struct vew *view;
 	const struct rse *settings;
 	const struct rcf *config; /* in force, changes in place */
-	vew_changed_fn on_plan; /* a plan has been written */
+	vew_rows_fn on_rows; /* rows of the plan have been written */
 	void *arg;
 };
 
--- a/packages/router/src/rls.c
+++ b/packages/router/src/rls.c
@@ -20,7 +20,7 @@
 	struct evl *loop;
 	struct tbl tbl;
 	struct vew *view;
-	vew_changed_fn on_plan;
+	vew_rows_fn on_rows;
 	void *arg;
 	struct release pending[PENDING_MAX];
 	size_t count;
@@ -73,6 +73,7 @@
 {
 	struct rls *r = arg;
 	char key[VEW_KEY_MAX];
+	struct tbl_change row = { .table = VEW_TABLE, .key = key };
 
 	r->writing = false;
 	if (r->dead) {
@@ -82,8 +83,8 @@
 	}
 	if (result->status == TBL_OK) {
 		vew_map_key(r->service, key);
-		vew_take(r->view, key, r->text, strlen(r->text),
-			 result->version);
+		row.value = r->text;
+		r->on_rows(r->arg, &row, 1, result->version);
 		log_emit(LOG_RANGE_RELEASED, "service=%s version=%llu",
 			 r->service, (unsigned long long)result->version);
 	} else {
@@ -98,8 +99,6 @@
 					      clk_random_below(
 						      evl_clock(r->loop),
 						      PAUSE_US));
-	if (result->status == TBL_OK)
-		r->on_plan(r->arg);
 }
 
 /* Writes the releases of one service. */
@@ -135,9 +134,9 @@
 	krm_destroy(map);
 }
 
-/* Makes the writer; on_plan is called after each change of a map by it. */
+/* Makes the writer. */
 struct rls *rls_create(struct evl *l, struct tbl tbl, struct vew *v,
-		       vew_changed_fn on_plan, void *arg)
+		       vew_rows_fn on_rows, void *arg)
 {
 	struct rls *r = calloc(1, sizeof(*r));
 
@@ -146,7 +145,7 @@
 	r->loop = l;
 	r->tbl = tbl;
 	r->view = v;
-	r->on_plan = on_plan;
+	r->on_rows = on_rows;
 	r->arg = arg;
 	return r;
 }
--- a/packages/router/src/rls.h
+++ b/packages/router/src/rls.h
@@ -14,8 +14,9 @@
 
 struct rls;
 
+/* on_rows is called with each map that has been written. */
 struct rls *rls_create(struct evl *l, struct tbl tbl, struct vew *v,
-		       vew_changed_fn on_plan, void *arg);
+		       vew_rows_fn on_rows, void *arg);
 void rls_destroy(struct rls *r);
 
 /* The life has released all keys from first to last; handover may be "". */
--- a/packages/router/src/rtr.c
+++ b/packages/router/src/rtr.c
@@ -11,13 +11,15 @@
 #define STOP_SERVE_US (2300 * US_PER_MS)
 /* It ends this much before it is killed, with whatever is still in flight. */
 #define STOP_MARGIN_US (600 * US_PER_MS)
+/* A configuration has to be in force soon, so that changes hardly wait. */
+#define CONFIG_GATHER_US (20 * US_PER_MS)
 #define STOP_LOOK_US (50 * US_PER_MS)
 /* From this part of its time on it refuses new requests, so that it can end. */
 #define STOP_REFUSE_PCT 50
 #define PERCENT 100
 
-/* Owners, members or the leader have changed. */
-static void on_plan(void *arg)
+/* Grants, waiting requests and forwards follow the plan. */
+void rtr_plan_changed(void *arg)
 {
 	struct rtr *r = arg;
 
@@ -214,9 +216,9 @@
 	strcpy(row.life.node, r->settings.instance);
 	strcpy(row.data_centre, r->settings.data_centre);
 	strcpy(row.peer_address, r->settings.peer_address);
-	r->view = vew_create(r->loop, tbl, on_plan, r);
+	r->view = vew_create(r->loop, tbl, rtr_plan_changed, r);
 	r->lease = rnw_create(r->loop, tbl, &row, &lease_ops, r);
-	r->releases = rls_create(r->loop, tbl, r->view, on_plan, r);
+	r->releases = rls_create(r->loop, tbl, r->view, rtr_rows_written, r);
 	struct att_parts att = { r->loop,  &r->platform, &r->settings,
 				 r->lease, r->view,	 r->releases };
 	r->upstream = att_create(&att, &upstream_ops, r);
@@ -227,12 +229,14 @@
 				 r->upstream };
 	r->forwards = fwr_create(&fwr);
 	r->forwarded = srv_create(r->loop, &r->platform, r->runner);
-	struct ldr_parts ldr = { r->loop,    tbl,     r->view, &r->settings,
-				 &r->config, on_plan, r };
+	struct ldr_parts ldr = { r->loop,    tbl,
+				 r->view,    &r->settings,
+				 &r->config, rtr_rows_written,
+				 r };
 	r->leader = ldr_create(&ldr);
 	r->config_feed = fed_create(r->loop, tbl,
-				    r->platform.ops->config_table, &config_ops,
-				    r);
+				    r->platform.ops->config_table,
+				    CONFIG_GATHER_US, &config_ops, r);
 	if (!r->view || !r->lease || !r->releases || !r->upstream ||
 	    !r->runner || !r->forwards || !r->forwarded || !r->leader ||
 	    !r->config_feed)
--- a/packages/router/src/rtr_int.h
+++ b/packages/router/src/rtr_int.h
@@ -53,6 +53,20 @@
 void rtr_start_reports(struct rtr *r);
 void rtr_stop_reports(struct rtr *r);
 
+/*
+ * Puts rows of the plan that were written here in force. A leader sends them to
+ * all daemons, another daemon to the new owners of what it has released.
+ */
+void rtr_rows_written(void *arg, const struct tbl_change *rows, size_t count,
+		      uint64_t version);
+
+/* Takes rows of the plan that another daemon has written. */
+bool rtr_take_rows(struct rtr *r, const struct buf *body);
+#define RTR_PLAN_TARGET "/-/plan"
+
+/* Owners, members or the leader have changed. */
+void rtr_plan_changed(void *arg);
+
 /* Lets the leader look at the rows of the daemons now. */
 void rtr_wake_leader(struct rtr *r);
 
--- a/packages/router/src/rtr_lead.c
+++ b/packages/router/src/rtr_lead.c
@@ -162,14 +162,17 @@
 		tell_leader(r, WAKE_TARGET, "");
 }
 
-/* Takes a report or a wake-up. */
+/* Takes rows of the plan, a report or a wake-up. */
 void rtr_peer_message(struct rtr *r, struct hsc *c, const struct hmg *m,
 		      const struct buf *body)
 {
 	struct rpt x;
 	uint16_t status = STATUS_NOT_FOUND;
 
-	if (!ldr_leads(r->leader)) {
+	if (span_is(hmg_target(m), RTR_PLAN_TARGET)) {
+		if (rtr_take_rows(r, body))
+			status = STATUS_OK;
+	} else if (!ldr_leads(r->leader)) {
 		status = STATUS_NOT_LEADER;
 	} else if (span_is(hmg_target(m), REPORT_TARGET)) {
 		if (rpt_parse(buf_data(body), buf_len(body), &x)) {
--- /dev/null
+++ b/packages/router/src/rtr_push.c
@@ -0,0 +1,186 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "log.h"
+#include "rtr_int.h"
+
+/* An idle connection is used again for a message within this time. */
+#define REUSE_US (5 * US_PER_S)
+/* Daemons that are told of one release. */
+#define OWNERS_MAX 64
+
+/* The answer is not needed: whoever misses a message has the feed. */
+static void on_head(void *arg, const struct hmg *m)
+{
+	(void)arg;
+	(void)m;
+}
+
+static void on_body(void *arg, const char *bytes, size_t len)
+{
+	(void)arg;
+	(void)bytes;
+	(void)len;
+}
+
+static void on_done(void *arg)
+{
+	(void)arg;
+}
+
+static void on_failed(void *arg, enum hxc_failure failure)
+{
+	(void)arg;
+	log_emit(LOG_PLAN_NOT_SENT, "failure=%d", failure);
+}
+
+static const struct hxc_ops message_ops = { NULL, on_head, on_body, on_done,
+					    on_failed };
+
+/* Sends a message to a member. */
+static void send_to(struct mbr *m, const char *body)
+{
+	struct buf head = { 0 };
+	struct hxc_request q = { .head = &head,
+				 .body = body,
+				 .body_len = strlen(body),
+				 .reuse_us = REUSE_US };
+
+	if (!m->pool)
+		return;
+	buf_printf(&head, "POST %s HTTP/1.1\r\nContent-Length: %zu\r\n\r\n",
+		   RTR_PLAN_TARGET, q.body_len);
+	if (!hxc_start(m->pool, &q, &message_ops, NULL))
+		log_emit(LOG_NO_DESCRIPTOR, "to=%s", m->peer_address);
+	buf_free(&head);
+}
+
+/* Returns the rows as a message, which the caller frees. */
+static char *write_rows(const struct tbl_change *rows, size_t count,
+			uint64_t version)
+{
+	json_t *list = json_array();
+	char *text;
+
+	for (size_t i = 0; i < count; i++) {
+		if (rows[i].value && strcmp(rows[i].table, VEW_TABLE) == 0)
+			json_array_append_new(
+				list, json_pack("[s,I,s]", rows[i].key,
+						(json_int_t)version,
+						rows[i].value));
+	}
+	text = json_dumps(list, JSON_COMPACT);
+	json_decref(list);
+	return text;
+}
+
+/* Sends to all other daemons. */
+static void send_to_all(struct rtr *r, const char *text)
+{
+	struct mbs *members = vew_members(r->view);
+
+	for (size_t i = 0; i < mbs_count(members); i++) {
+		struct mbr *m = mbs_at(members, i);
+
+		if (strcmp(m->life.node, r->settings.instance) != 0)
+			send_to(m, text);
+	}
+}
+
+/*
+ * Sends to the daemons whose keys the map says to be free of the former holder
+ * and were not before. The maps have the same ranges: a release joins none.
+ */
+static void send_to_owners(struct rtr *r, const struct krm *before,
+			   const struct krm *after, const char *text)
+{
+	struct mbr *sent[OWNERS_MAX];
+	size_t count = 0;
+
+	for (size_t i = 0; i < krm_count(after) && count < OWNERS_MAX; i++) {
+		const struct krm_range *x = krm_at(after, i);
+		const struct krm_range *old = krm_find(before, x->first);
+		struct mbr *m = mbs_find_life(vew_members(r->view),
+					      krm_life(after, x->owner));
+		size_t seen = 0;
+
+		if (old->former == KRM_NONE || x->former != KRM_NONE || !m ||
+		    strcmp(m->life.node, r->settings.instance) == 0)
+			continue;
+		while (seen < count && sent[seen] != m)
+			seen++;
+		if (seen < count)
+			continue;
+		sent[count++] = m;
+		send_to(m, text);
+	}
+}
+
+/* Tells of a map that was written after a release. */
+static void tell_release(struct rtr *r, const struct tbl_change *row,
+			 uint64_t version)
+{
+	const char *service = row->key + strlen(VEW_KEYS_PREFIX);
+	uint64_t known_version;
+	const struct krm *known = vew_map(r->view, service, &known_version);
+	struct krm *before = known ? krm_copy(known) : NULL;
+	char *text = write_rows(row, 1, version);
+
+	vew_take(r->view, row->key, row->value, strlen(row->value), version);
+	known = vew_map(r->view, service, &known_version);
+	if (before && known)
+		send_to_owners(r, before, known, text);
+	krm_destroy(before);
+	free(text);
+}
+
+/* Puts rows in force and tells those whom they concern. */
+void rtr_rows_written(void *arg, const struct tbl_change *rows, size_t count,
+		      uint64_t version)
+{
+	struct rtr *r = arg;
+	char *text;
+
+	if (count == 1 && strncmp(rows->key, VEW_KEYS_PREFIX,
+				  strlen(VEW_KEYS_PREFIX)) == 0) {
+		tell_release(r, rows, version);
+		rtr_plan_changed(r);
+		return;
+	}
+	for (size_t i = 0; i < count; i++) {
+		if (rows[i].value && strcmp(rows[i].table, VEW_TABLE) == 0)
+			vew_take(r->view, rows[i].key, rows[i].value,
+				 strlen(rows[i].value), version);
+	}
+	text = write_rows(rows, count, version);
+	send_to_all(r, text);
+	free(text);
+	rtr_plan_changed(r);
+}
+
+/* Takes the rows of a message; older ones than known are ignored. */
+bool rtr_take_rows(struct rtr *r, const struct buf *body)
+{
+	json_t *list = json_loadb(buf_len(body) ? buf_data(body) : "",
+				  buf_len(body), 0, NULL);
+	json_t *item;
+	size_t i;
+
+	if (!json_is_array(list)) {
+		json_decref(list);
+		return false;
+	}
+	json_array_foreach(list, i, item) {
+		const char *key, *value;
+		json_int_t version;
+
+		if (json_unpack(item, "[s,I,s!]", &key, &version, &value) == 0)
+			vew_take(r->view, key, value, strlen(value),
+				 (uint64_t)version);
+	}
+	json_decref(list);
+	rtr_plan_changed(r);
+	return true;
+}
--- a/packages/router/src/vew.c
+++ b/packages/router/src/vew.c
@@ -6,6 +6,12 @@
 
 #include "log.h"
 
+/*
+ * Daemons tell each other of changes; the feed brings what was missed, and
+ * waits so that it costs few calls.
+ */
+#define GATHER_US (2 * US_PER_S)
+
 struct service_map {
 	char service[RCF_NAME_MAX];
 	struct krm *map;
@@ -159,7 +165,8 @@
 	v->fn = fn;
 	v->arg = arg;
 	v->members = mbs_create(l);
-	v->feed = v->members ? fed_create(l, tbl, VEW_TABLE, &feed_ops, v) :
+	v->feed = v->members ? fed_create(l, tbl, VEW_TABLE, GATHER_US,
+						&feed_ops, v) :
 			       NULL;
 	if (!v->feed) {
 		vew_destroy(v);
--- a/packages/router/src/vew.h
+++ b/packages/router/src/vew.h
@@ -31,6 +31,10 @@
 
 typedef void (*vew_changed_fn)(void *arg);
 
+/* Rows of the plan that this daemon has written, with their new version. */
+typedef void (*vew_rows_fn)(void *arg, const struct tbl_change *rows,
+			    size_t count, uint64_t version);
+
 /* fn is called after each change of the plan. */
 struct vew *vew_create(struct evl *l, struct tbl tbl, vew_changed_fn fn,
 		       void *arg);
