First plan after all have announced themselves; settled ranges are joined

Cause: on the grown site the first plan named the few upstreams that had announced themselves and 8 pieces moved in each later one, so that at the start of traffic most upstreams owned little; handovers that were used long ago kept some 450 ranges apart.

--- a/packages/keys/src/krm.c
+++ b/packages/keys/src/krm.c
@@ -237,11 +237,16 @@
  * Joins neighbours. The joint range has the higher fence, which only its owner
  * has used, so that fences still rise on each move.
  */
-void krm_merge(struct krm *k, size_t above)
+void krm_merge(struct krm *k, size_t above, uint64_t settled)
 {
 	size_t kept = 0;
 	bool any_fence = k->count > above;
 
+	for (size_t i = 0; i < k->count; i++) {
+		if (k->ranges[i].fence < settled &&
+		    k->ranges[i].former == KRM_NONE)
+			k->ranges[i].handover[0] = '\0';
+	}
 	for (size_t i = 1; i < k->count; i++) {
 		struct krm_range *last = &k->ranges[kept];
 		const struct krm_range *r = &k->ranges[i];
@@ -256,3 +261,9 @@
 	}
 	k->count = kept + 1;
 }
+
+/* Returns the next fence. */
+uint64_t krm_next_fence(const struct krm *k)
+{
+	return k->next_fence;
+}
--- a/packages/keys/src/krm.h
+++ b/packages/keys/src/krm.h
@@ -88,7 +88,14 @@
 /* The life holds nothing any more: it has ended or its lease has run out. */
 bool krm_end_life(struct krm *k, const struct life *l);
 
-/* Joins neighbours with the same owner when there are over `above` ranges. */
-void krm_merge(struct krm *k, size_t above);
+/*
+ * Joins neighbours of one owner: always those with one fence and handover, and
+ * others too when there are over `above` ranges. Ranges with a fence below
+ * `settled` were taken long ago, so that their handover is not needed.
+ */
+void krm_merge(struct krm *k, size_t above, uint64_t settled);
+
+/* The fence that the next move gets; all others are below it. */
+uint64_t krm_next_fence(const struct krm *k);
 
 #endif
--- a/packages/keys/src/krp.c
+++ b/packages/keys/src/krp.c
@@ -16,10 +16,11 @@
 #define USE_TOLERANCE 0.20
 /* A target used less than this part of the mean has just joined. */
 #define NEWCOMER_SHARE 0.4
-/* Ranges moved for balance in one plan. */
-#define MOVES_MAX 8
-/* Ranges above which neighbours of one owner get a common fence. */
-#define RANGES_MANY 24
+/* Pieces moved for balance in one plan: some, more with many targets. */
+#define MOVES_MIN 8
+#define TARGETS_PER_MOVE 2
+/* Ranges a target above which neighbours of one owner get a common fence. */
+#define RANGES_PER_TARGET 3
 
 struct plan {
 	struct krm *map;
@@ -228,9 +229,12 @@
 /* Moves pieces from the busiest to the idlest while that evens them out. */
 static uint32_t balance(struct plan *p, double mean_use)
 {
+	size_t most = p->target_count / TARGETS_PER_MOVE;
 	uint32_t moved = 0;
 
-	for (size_t i = 0; i < MOVES_MAX; i++) {
+	if (most < MOVES_MIN)
+		most = MOVES_MIN;
+	for (size_t i = 0; i < most; i++) {
 		struct krp_target *from = find_busiest(p);
 		struct krp_target *to = find_idlest(p, 0);
 		struct piece piece = { 0, 0, 0 };
@@ -253,7 +257,7 @@
 /* Plans the owners of all ranges. */
 struct krp_result krp_plan(struct krm *k, struct krp_target *targets,
 			   size_t target_count, const struct krp_load *loads,
-			   size_t load_count)
+			   size_t load_count, uint64_t settled)
 {
 	struct plan p = { k, targets, target_count, loads, load_count, 0 };
 	struct krp_result result = { 0, 0 };
@@ -268,6 +272,6 @@
 	total = sum_loads(&p);
 	result.keys_assigned = assign_orphans(&p, total / capacity);
 	result.keys_moved = balance(&p, total / capacity);
-	krm_merge(k, RANGES_MANY);
+	krm_merge(k, RANGES_PER_TARGET * target_count, settled);
 	return result;
 }
--- a/packages/keys/src/krp.h
+++ b/packages/keys/src/krp.h
@@ -34,10 +34,10 @@
 /*
  * Changes the map. Lives that are not targets lose what they own; what they may
  * still hold is not granted to others before krm_release() or krm_end_life().
- * loads must be sorted and must not overlap.
+ * loads must be sorted by their first key. settled: see krm_merge().
  */
 struct krp_result krp_plan(struct krm *k, struct krp_target *targets,
 			   size_t target_count, const struct krp_load *loads,
-			   size_t load_count);
+			   size_t load_count, uint64_t settled);
 
 #endif
--- a/packages/keys/tests/test_krm.c
+++ b/packages/keys/tests/test_krm.c
@@ -100,7 +100,7 @@
 
 		krm_assign(k, 100, 199, to);
 		krm_release(k, from, 0, KRM_KEYS - 1, "");
-		krm_merge(k, 1);
+		krm_merge(k, 1, 0);
 		assert_true(krm_find(k, 150)->fence > last);
 		last = krm_find(k, 150)->fence;
 	}
@@ -116,12 +116,33 @@
 	krm_assign(k, 0, 99, &b);
 	krm_assign(k, 100, 199, &b);
 	krm_release(k, &a, 0, 99, "");
-	krm_merge(k, 1);
+	krm_merge(k, 1, 0);
 	assert_true(krm_may_grant(k, krm_find(k, 50), &b));
 	assert_false(krm_may_grant(k, krm_find(k, 150), &b));
 	krm_destroy(k);
 }
 
+/*
+ * Ranges whose keys were taken long ago are joined; their handovers kept 450
+ * ranges apart after some hundred moves.
+ */
+static void test_merge_of_settled_ranges(void **state)
+{
+	struct krm *k = make_map();
+
+	(void)state;
+	krm_assign(k, 0, 99, &b);
+	krm_release(k, &a, 0, 99, "h1");
+	krm_assign(k, 100, 199, &b);
+	krm_release(k, &a, 100, 199, "h2");
+	krm_merge(k, 1, 0);
+	assert_int_equal(krm_count(k), 3);
+	krm_merge(k, 1, krm_next_fence(k));
+	assert_int_equal(krm_count(k), 2);
+	assert_string_equal(krm_find(k, 50)->handover, "");
+	krm_destroy(k);
+}
+
 /* The row keeps all that decides about a grant. */
 static void test_json_round_trip(void **state)
 {
@@ -179,6 +200,7 @@
 		cmocka_unit_test(test_restarted_life_owns_nothing),
 		cmocka_unit_test(test_fences_rise),
 		cmocka_unit_test(test_merge_keeps_former),
+		cmocka_unit_test(test_merge_of_settled_ranges),
 		cmocka_unit_test(test_json_round_trip),
 		cmocka_unit_test(test_bad_rows_are_refused),
 	};
--- a/packages/keys/tests/test_krp.c
+++ b/packages/keys/tests/test_krp.c
@@ -52,7 +52,7 @@
 	uint32_t moved = 0;
 
 	for (int i = 0; i < 40; i++) {
-		moved += krp_plan(k, t, count, loads, load_count).keys_moved;
+		moved += krp_plan(k, t, count, loads, load_count, 0).keys_moved;
 		release_all(k);
 	}
 	return moved;
@@ -67,7 +67,7 @@
 	(void)state;
 	make_targets(t, TARGETS);
 	t[0].capacity = 2 * SLOTS;
-	assert_int_equal(krp_plan(k, t, TARGETS, NULL, 0).keys_assigned,
+	assert_int_equal(krp_plan(k, t, TARGETS, NULL, 0, 0).keys_assigned,
 			 KRM_KEYS);
 	assert_true(krm_count(k) <= 2 * TARGETS);
 	assert_in_range(keys_of(k, &t[0].life), KRM_KEYS * 15 / 100,
@@ -86,7 +86,7 @@
 
 	(void)state;
 	make_targets(t, TARGETS);
-	krp_plan(k, t, TARGETS / 2, NULL, 0);
+	krp_plan(k, t, TARGETS / 2, NULL, 0, 0);
 	release_all(k);
 	settle(k, t, TARGETS, NULL, 0);
 	for (size_t i = 0; i < TARGETS; i++)
@@ -121,7 +121,7 @@
 
 	(void)state;
 	make_targets(t, TARGETS);
-	krp_plan(k, t, TARGETS, NULL, 0);
+	krp_plan(k, t, TARGETS, NULL, 0, 0);
 	release_all(k);
 	for (uint32_t i = 0; i < 20; i++)
 		loads[i] = (struct krp_load){ 3000 + i * 10, 3009 + i * 10,
@@ -149,10 +149,10 @@
 
 	(void)state;
 	make_targets(t, TARGETS);
-	krp_plan(k, t, TARGETS, NULL, 0);
+	krp_plan(k, t, TARGETS, NULL, 0, 0);
 	release_all(k);
 	own = keys_of(k, &t[TARGETS - 1].life);
-	r = krp_plan(k, t, TARGETS - 1, NULL, 0);
+	r = krp_plan(k, t, TARGETS - 1, NULL, 0, 0);
 	assert_int_equal(r.keys_assigned, own);
 	assert_int_equal(r.keys_moved, 0);
 	krm_destroy(k);
@@ -164,7 +164,7 @@
 	struct krm *k = krm_create();
 
 	(void)state;
-	assert_int_equal(krp_plan(k, NULL, 0, NULL, 0).keys_assigned, 0);
+	assert_int_equal(krp_plan(k, NULL, 0, NULL, 0, 0).keys_assigned, 0);
 	krm_destroy(k);
 }
 
--- a/packages/router/src/ldr.c
+++ b/packages/router/src/ldr.c
@@ -12,6 +12,10 @@
 /* The rows of all daemons are read this often, and sooner after news. */
 #define READ_US (1000 * US_PER_MS)
 #define WAKE_US (10 * US_PER_MS)
+/* Upstreams that announce themselves for the first time come within this. */
+#define GATHER_US (1200 * US_PER_MS)
+/* A range has been taken by its owner this long after it was released. */
+#define SETTLED_US (3 * US_PER_S)
 /* Pause after a failed call. */
 #define PAUSE_US (100 * US_PER_MS)
 /* Entries of one write, of which some are taken leases. */
@@ -19,8 +23,20 @@
 #define EXPIRIES_MAX 20
 #define REPORTS_MAX 2048
 
+/* What a leader remembers of the map of a service. */
+struct ldr_service {
+	char name[RCF_NAME_MAX];
+	size_t targets; /* upstreams at the last look */
+	uint64_t changed_us; /* when their number changed */
+	uint64_t fence; /* next one at marked_us */
+	uint64_t marked_us;
+	uint64_t settled; /* next one SETTLED_US before or longer ago */
+};
+
 struct ldr {
 	struct ldr_parts parts;
+	struct ldr_service services[VEW_SERVICES_MAX];
+	size_t service_count;
 	struct ldr_node *nodes;
 	size_t node_count;
 	struct ldr_known *reports;
@@ -136,6 +152,48 @@
 		   vew_members_version(l->parts.view), text);
 }
 
+/* Returns what is remembered of a service; NULL if there are too many. */
+static struct ldr_service *find_service(struct ldr *l, const char *name)
+{
+	struct ldr_service *s;
+
+	for (size_t i = 0; i < l->service_count; i++) {
+		if (strcmp(l->services[i].name, name) == 0)
+			return &l->services[i];
+	}
+	if (l->service_count == VEW_SERVICES_MAX)
+		return NULL;
+	s = &l->services[l->service_count++];
+	snprintf(s->name, sizeof(s->name), "%s", name);
+	return s;
+}
+
+/*
+ * True if the keys of a new service may be dealt out: its upstreams announce
+ * themselves one by one, and keys that are dealt out too early have to move.
+ */
+static bool is_first_plan_due(struct ldr_service *s, size_t targets,
+			      uint64_t now_us)
+{
+	if (targets != s->targets) {
+		s->targets = targets;
+		s->changed_us = now_us;
+	}
+	return targets > 0 && now_us - s->changed_us >= GATHER_US;
+}
+
+/* Notes the next fence, to know later which ranges were taken long ago. */
+static uint64_t mark_settled(struct ldr_service *s, const struct krm *map,
+			     uint64_t now_us)
+{
+	if (now_us - s->marked_us >= SETTLED_US) {
+		s->settled = s->fence;
+		s->fence = krm_next_fence(map);
+		s->marked_us = now_us;
+	}
+	return s->settled;
+}
+
 /* Adds the map of a service if it has changed. */
 static void plan_service(struct ldr *l, const struct ldr_input *in,
 			 const char *service)
@@ -143,15 +201,22 @@
 	uint64_t version;
 	const struct krm *known =
 		vew_map(l->parts.view, service, &version);
-	struct krm *map = known ? krm_copy(known) : krm_create();
-	char *before = known ? krm_write(known) : NULL;
+	struct ldr_service *s = find_service(l, service);
 	struct krp_result result;
 	char key[VEW_KEY_MAX];
-	char *text;
+	char *text, *before;
+	struct krm *map;
 
+	if (!s || (!known &&
+		   !is_first_plan_due(s, ldr_count_targets(in, service),
+				      in->now_us)))
+		return;
+	map = known ? krm_copy(known) : krm_create();
 	if (!map)
 		return;
-	result = ldr_plan_keys(in, service, map);
+	before = known ? krm_write(known) : NULL;
+	result = ldr_plan_keys(in, service, map,
+			       mark_settled(s, map, in->now_us));
 	text = krm_write(map);
 	if (!before || strcmp(before, text) != 0) {
 		log_emit(LOG_KEYS_PLANNED,
--- a/packages/router/src/ldr_int.h
+++ b/packages/router/src/ldr_int.h
@@ -40,6 +40,10 @@
  * keys, keys without an able owner get one, load is evened out.
  */
 struct krp_result ldr_plan_keys(const struct ldr_input *in,
-				const char *service, struct krm *map);
+				const char *service, struct krm *map,
+				uint64_t settled);
+
+/* Counts the upstreams that may own keys of the service. */
+size_t ldr_count_targets(const struct ldr_input *in, const char *service);
 
 #endif
--- a/packages/router/src/ldr_plan.c
+++ b/packages/router/src/ldr_plan.c
@@ -140,6 +140,23 @@
 	return speed > SPEED_MAX ? SPEED_MAX : speed;
 }
 
+/* True if the upstream beside a daemon may own keys of the service. */
+static bool is_target(const struct ldr_node *n, const char *service)
+{
+	return n->alive && n->row.takes_work && n->row.life.id[0] != '\0' &&
+	       n->row.slots > 0 && strcmp(n->row.service, service) == 0;
+}
+
+/* Counts the upstreams that may own keys of the service. */
+size_t ldr_count_targets(const struct ldr_input *in, const char *service)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < in->node_count; i++)
+		n += is_target(&in->nodes[i], service);
+	return n;
+}
+
 /* Lists the upstreams that may own keys of the service. */
 static size_t list_targets(const struct ldr_input *in, const char *service,
 			   struct krp_target *out)
@@ -151,9 +168,7 @@
 		const struct ldr_node *x = &in->nodes[i];
 		const struct rpt *r = find_report(in, &x->row.life);
 
-		if (!x->alive || !x->row.takes_work ||
-		    x->row.life.id[0] == '\0' || x->row.slots == 0 ||
-		    strcmp(x->row.service, service) != 0)
+		if (!is_target(x, service))
 			continue;
 		out[n].life = x->row.life;
 		out[n].capacity = (double)x->row.slots * speed_of(r, mean);
@@ -196,7 +211,8 @@
 
 /* Plans the owners of the keys of one service. */
 struct krp_result ldr_plan_keys(const struct ldr_input *in,
-				const char *service, struct krm *map)
+				const char *service, struct krm *map,
+				uint64_t settled)
 {
 	struct krp_target *targets = calloc(in->node_count + 1,
 					    sizeof(*targets));
@@ -207,7 +223,7 @@
 		end_lives(in, map);
 		result = krp_plan(map, targets,
 				  list_targets(in, service, targets), loads,
-				  list_loads(in, service, loads));
+				  list_loads(in, service, loads), settled);
 	}
 	free(targets);
 	free(loads);
