--- a/packages/router/src/fed.c
+++ b/packages/router/src/fed.c
@@ -6,7 +6,7 @@
 #define WAIT_MS 15000
 /* Pause after a failure: doubles up to the maximum, and is drawn at random. */
 #define PAUSE_MIN_US (50 * US_PER_MS)
-#define PAUSE_MAX_US (400 * US_PER_MS)
+#define PAUSE_MAX_US (600 * US_PER_MS)
 
 struct fed {
 	struct evl *loop;
@@ -23,6 +23,7 @@
 	bool reading;
 	bool reading_again; /* a read besides the waiting feed */
 	bool read_wanted; /* another one was asked for meanwhile */
+	uint32_t read_timer;
 	uint64_t reads_begun; /* besides the feed */
 	uint64_t reads_done;
 	bool lost;
@@ -137,12 +138,23 @@
 	if (!f)
 		return;
 	tmr_cancel(evl_timers(f->loop), f->timer);
+	tmr_cancel(evl_timers(f->loop), f->read_timer);
 	f->dead = true;
 	free_if_dead(f);
 }
 
 static void begin_read(struct fed *f);
 
+/* Repeats a read that has failed. */
+static void read_after_pause(void *arg, uint64_t now_us)
+{
+	struct fed *f = arg;
+
+	(void)now_us;
+	f->read_timer = 0;
+	begin_read(f);
+}
+
 /* The answer of a read besides the feed. */
 static void on_read(void *arg, const struct tbl_result *r)
 {
@@ -151,21 +163,29 @@
 	f->calls--;
 	if (free_if_dead(f))
 		return;
+	if (r->status != TBL_OK) {
+		f->read_timer = tmr_at(
+			evl_timers(f->loop),
+			evl_now_us(f->loop) + PAUSE_MAX_US / 2 +
+				clk_random_below(evl_clock(f->loop),
+						 PAUSE_MAX_US),
+			read_after_pause, f);
+		return;
+	}
+	f->reads_done = f->reads_begun;
 	f->reading_again = false;
-	if (r->status != TBL_OK || f->read_wanted)
+	if (f->read_wanted)
 		begin_read(f);
-	if (r->status != TBL_OK)
-		return;
-	f->reads_done = f->reads_begun - (f->reading_again ? 1 : 0);
 	take_rows(f, r, true);
 }
 
-/* Begins a read besides the feed. */
+/* Begins a read besides the feed; a repeated one keeps its ticket. */
 static void begin_read(struct fed *f)
 {
+	if (!f->reading_again || f->read_wanted)
+		f->reads_begun++;
 	f->reading_again = true;
 	f->read_wanted = false;
-	f->reads_begun++;
 	f->calls++;
 	f->tbl.ops->read(f->tbl.self, f->table, on_read, f);
 }
--- a/packages/router/src/fwd_try.c
+++ b/packages/router/src/fwd_try.c
@@ -15,6 +15,8 @@
 #define MISSING_WAIT_US (150 * US_PER_MS)
 /* Pause before an owner that has not learned of its keys is asked again. */
 #define ASK_AGAIN_US (25 * US_PER_MS)
+/* Changes of the plan are told within this time; then it is read. */
+#define DOUBT_AFTER_US (100 * US_PER_MS)
 /* A daemon that takes no connection within this time is not waited for. */
 #define CONNECT_US (250 * US_PER_MS)
 /* When a caller may come back whose request found no upstream. */
@@ -77,12 +79,13 @@
 {
 	struct fwd *f = arg;
 
-	(void)now_us;
 	f->retry_timer = 0;
 	if (f->waits) {
 		DL_DELETE(f->owner->waiting, f);
 		f->waits = false;
 	}
+	if (f->moving && now_us - f->began_us >= DOUBT_AFTER_US)
+		vew_doubt(f->owner->parts.view);
 	fwd_try(f);
 }
 
--- a/packages/router/src/rnw.c
+++ b/packages/router/src/rnw.c
@@ -8,7 +8,7 @@
 /* A lease is renewed this often; several renewals may fail before it ends. */
 #define RENEW_US (2 * US_PER_S)
 /* Pause after a failed call; drawn at random around it. */
-#define PAUSE_US (200 * US_PER_MS)
+#define PAUSE_US (400 * US_PER_MS)
 
 struct rnw {
 	struct evl *loop;
--- a/packages/router/src/vew.c
+++ b/packages/router/src/vew.c
@@ -10,7 +10,9 @@
  * Daemons tell each other of changes; the feed brings what was missed, and
  * waits so that it costs few calls.
  */
-#define GATHER_US (2 * US_PER_S)
+#define GATHER_US (4 * US_PER_S)
+/* Who has reason to doubt the plan reads it at most this often. */
+#define DOUBT_US (1 * US_PER_S)
 
 struct service_map {
 	char service[RCF_NAME_MAX];
@@ -28,6 +30,8 @@
 	size_t map_count;
 	vew_changed_fn fn;
 	void *arg;
+	struct evl *loop;
+	uint64_t doubted_us;
 	uint64_t epoch;
 	bool ready;
 	bool changed;
@@ -162,6 +166,7 @@
 
 	if (!v)
 		return NULL;
+	v->loop = l;
 	v->fn = fn;
 	v->arg = arg;
 	v->members = mbs_create(l);
@@ -200,6 +205,17 @@
 	return fed_read_again(v->feed);
 }
 
+/* Reads the plan again unless that was done a moment ago. */
+void vew_doubt(struct vew *v)
+{
+	uint64_t now = evl_now_us(v->loop);
+
+	if (now - v->doubted_us < DOUBT_US)
+		return;
+	v->doubted_us = now;
+	vew_read_again(v);
+}
+
 /* Returns the ticket of the last read that has been made. */
 uint64_t vew_ticket(const struct vew *v)
 {
--- a/packages/router/src/vew.h
+++ b/packages/router/src/vew.h
@@ -47,6 +47,9 @@
 uint64_t vew_read_again(struct vew *v);
 uint64_t vew_ticket(const struct vew *v);
 
+/* An owner does not know of its keys, or a member is missing: reads again. */
+void vew_doubt(struct vew *v);
+
 const struct vew_leader *vew_leader(const struct vew *v);
 struct mbs *vew_members(struct vew *v);
 uint64_t vew_members_version(const struct vew *v);
