--- a/packages/keys/src/krm.c
+++ b/packages/keys/src/krm.c
@@ -180,7 +180,7 @@
 
 /* Forgets the former holder of the ranges that it has released. */
 bool krm_release(struct krm *k, const struct life *l, uint32_t first,
-		 uint32_t last, const char *handover)
+		 uint32_t last, uint64_t fence, const char *handover)
 {
 	uint16_t former = find_life(k, l);
 	bool changed = false;
@@ -190,7 +190,9 @@
 	for (size_t i = 0; i < k->count; i++) {
 		struct krm_range *r = &k->ranges[i];
 
-		if (r->former != former || r->first < first || r->last > last)
+		if (r->former != former || r->first < first ||
+		    r->last > last ||
+		    (fence != KRM_ANY_FENCE && r->fence != fence))
 			continue;
 		r->former = KRM_NONE;
 		if (strlen(handover) < sizeof(r->handover))
--- a/packages/keys/src/krm.h
+++ b/packages/keys/src/krm.h
@@ -81,9 +81,14 @@
 uint32_t krm_assign(struct krm *k, uint32_t first, uint32_t last,
 		    const struct life *l);
 
-/* The former holder has let go of all keys from first to last. */
+/*
+ * The former holder has let go of all keys from first to last, which is known of
+ * the range that got this fence; KRM_ANY_FENCE for any. A range that has moved
+ * on meanwhile has another fence and stays as it is.
+ */
+#define KRM_ANY_FENCE UINT64_MAX
 bool krm_release(struct krm *k, const struct life *l, uint32_t first,
-		 uint32_t last, const char *handover);
+		 uint32_t last, uint64_t fence, const char *handover);
 
 /* The life holds nothing any more: it has ended or its lease has run out. */
 bool krm_end_life(struct krm *k, const struct life *l);
--- a/packages/keys/src/krm_json.c
+++ b/packages/keys/src/krm_json.c
@@ -6,7 +6,7 @@
 #include "krm_int.h"
 
 /*
- * {"next":FENCE,"lives":[["ID","NODE",BORN],...],
+ * {"next":FENCE,"lives":[["ID","NODE",BORN,ATTACHED],...],
  *  "ranges":[[FIRST,LAST,FENCE,OWNER,FORMER,"HANDOVER"],...]}
  * OWNER and FORMER are positions in lives, -1 for none.
  */
@@ -29,8 +29,9 @@
 				continue;
 			position[named[n]] = count++;
 			json_array_append_new(
-				lives, json_pack("[s,s,I]", l->id, l->node,
-						 (json_int_t)l->born_ms));
+				lives, json_pack("[s,s,I,I]", l->id, l->node,
+						 (json_int_t)l->born_ms,
+						 (json_int_t)l->attached));
 		}
 	}
 	return count;
@@ -70,14 +71,16 @@
 static bool read_life(const json_t *item, struct life *l)
 {
 	const char *id, *node;
-	json_int_t born;
+	json_int_t born, attached;
 
-	if (json_unpack((json_t *)item, "[s,s,I!]", &id, &node, &born) < 0 ||
+	if (json_unpack((json_t *)item, "[s,s,I,I!]", &id, &node, &born,
+			&attached) < 0 ||
 	    strlen(id) >= sizeof(l->id) || strlen(node) >= sizeof(l->node))
 		return false;
 	strcpy(l->id, id);
 	strcpy(l->node, node);
 	l->born_ms = born;
+	l->attached = attached;
 	return true;
 }
 
--- a/packages/keys/tests/test_krm.c
+++ b/packages/keys/tests/test_krm.c
@@ -9,11 +9,11 @@
 
 #include "krm.h"
 
-static const struct life a = { "a", "node-a", 1000 };
-static const struct life b = { "b", "node-b", 1000 };
-static const struct life c = { "c", "node-c", 1000 };
+static const struct life a = { "a", "node-a", 1000, 1 };
+static const struct life b = { "b", "node-b", 1000, 2 };
+static const struct life c = { "c", "node-c", 1000, 3 };
 /* The same id at the same instance, started again. */
-static const struct life a2 = { "a", "node-a", 2000 };
+static const struct life a2 = { "a", "node-a", 2000, 4 };
 
 /* All keys belong to a. */
 static struct krm *make_map(void)
@@ -36,7 +36,7 @@
 	assert_false(krm_may_grant(k, r, &a));
 	assert_false(krm_may_grant(k, r, &b));
 	assert_true(krm_must_release(k, r, &a));
-	assert_true(krm_release(k, &a, 100, 199, "h1"));
+	assert_true(krm_release(k, &a, 100, 199, KRM_ANY_FENCE, "h1"));
 	r = krm_find(k, 150);
 	assert_true(krm_may_grant(k, r, &b));
 	assert_string_equal(r->handover, "h1");
@@ -55,8 +55,8 @@
 	krm_assign(k, 100, 199, &c);
 	assert_true(krm_must_release(k, krm_find(k, 100), &a));
 	assert_false(krm_may_grant(k, krm_find(k, 100), &c));
-	assert_false(krm_release(k, &b, 100, 199, ""));
-	assert_true(krm_release(k, &a, 0, KRM_KEYS - 1, ""));
+	assert_false(krm_release(k, &b, 100, 199, KRM_ANY_FENCE, ""));
+	assert_true(krm_release(k, &a, 0, KRM_KEYS - 1, KRM_ANY_FENCE, ""));
 	assert_true(krm_may_grant(k, krm_find(k, 100), &c));
 	krm_destroy(k);
 }
@@ -68,7 +68,7 @@
 
 	(void)state;
 	krm_assign(k, 100, 199, &b);
-	assert_false(krm_release(k, &a, 100, 150, "h"));
+	assert_false(krm_release(k, &a, 100, 150, KRM_ANY_FENCE, "h"));
 	assert_false(krm_may_grant(k, krm_find(k, 120), &b));
 	krm_destroy(k);
 }
@@ -87,6 +87,39 @@
 	krm_destroy(k);
 }
 
+/*
+ * An upstream that was given up and comes back is another life: two upstreams
+ * held the same keys when its daemon granted it what an old plan named.
+ */
+static void test_returning_life_owns_nothing(void **state)
+{
+	static const struct life back = { "a", "node-a", 1000, 9 };
+	struct krm *k = make_map();
+
+	(void)state;
+	assert_false(krm_may_grant(k, krm_find(k, 0), &back));
+	assert_false(krm_must_release(k, krm_find(k, 0), &back));
+	krm_destroy(k);
+}
+
+/* A release that is written late must not free a range that moved on. */
+static void test_late_release_is_ignored(void **state)
+{
+	struct krm *k = make_map();
+	uint64_t fence;
+
+	(void)state;
+	krm_assign(k, 100, 199, &b);
+	fence = krm_find(k, 100)->fence;
+	assert_true(krm_release(k, &a, 100, 199, fence, ""));
+	krm_assign(k, 100, 199, &a);
+	assert_true(krm_release(k, &b, 100, 199, KRM_ANY_FENCE, ""));
+	krm_assign(k, 100, 199, &c);
+	assert_false(krm_release(k, &a, 100, 199, fence, ""));
+	assert_false(krm_may_grant(k, krm_find(k, 100), &c));
+	krm_destroy(k);
+}
+
 /* Fences rise on each move, also after neighbours were joined. */
 static void test_fences_rise(void **state)
 {
@@ -99,7 +132,7 @@
 		const struct life *from = i % 2 ? &b : &a;
 
 		krm_assign(k, 100, 199, to);
-		krm_release(k, from, 0, KRM_KEYS - 1, "");
+		krm_release(k, from, 0, KRM_KEYS - 1, KRM_ANY_FENCE, "");
 		krm_merge(k, 1, 0);
 		assert_true(krm_find(k, 150)->fence > last);
 		last = krm_find(k, 150)->fence;
@@ -115,7 +148,7 @@
 	(void)state;
 	krm_assign(k, 0, 99, &b);
 	krm_assign(k, 100, 199, &b);
-	krm_release(k, &a, 0, 99, "");
+	krm_release(k, &a, 0, 99, KRM_ANY_FENCE, "");
 	krm_merge(k, 1, 0);
 	assert_true(krm_may_grant(k, krm_find(k, 50), &b));
 	assert_false(krm_may_grant(k, krm_find(k, 150), &b));
@@ -132,9 +165,9 @@
 
 	(void)state;
 	krm_assign(k, 0, 99, &b);
-	krm_release(k, &a, 0, 99, "h1");
+	krm_release(k, &a, 0, 99, KRM_ANY_FENCE, "h1");
 	krm_assign(k, 100, 199, &b);
-	krm_release(k, &a, 100, 199, "h2");
+	krm_release(k, &a, 100, 199, KRM_ANY_FENCE, "h2");
 	krm_merge(k, 1, 0);
 	assert_int_equal(krm_count(k), 3);
 	krm_merge(k, 1, krm_next_fence(k));
@@ -154,7 +187,7 @@
 	(void)state;
 	krm_assign(k, 100, 199, &b);
 	krm_assign(k, 5000, 5999, &c);
-	krm_release(k, &a, 5000, 5999, "token");
+	krm_release(k, &a, 5000, 5999, KRM_ANY_FENCE, "token");
 	text = krm_write(k);
 	copy = krm_parse(text, strlen(text), &err);
 	assert_non_null(copy);
@@ -198,6 +231,8 @@
 		cmocka_unit_test(test_redirected_move_keeps_former),
 		cmocka_unit_test(test_partial_release_frees_nothing),
 		cmocka_unit_test(test_restarted_life_owns_nothing),
+		cmocka_unit_test(test_returning_life_owns_nothing),
+		cmocka_unit_test(test_late_release_is_ignored),
 		cmocka_unit_test(test_fences_rise),
 		cmocka_unit_test(test_merge_keeps_former),
 		cmocka_unit_test(test_merge_of_settled_ranges),
--- a/packages/keys/tests/test_krp.c
+++ b/packages/keys/tests/test_krp.c
@@ -27,7 +27,7 @@
 static void release_all(struct krm *k)
 {
 	for (uint16_t i = 0; i < krm_life_count(k); i++)
-		krm_release(k, krm_life(k, i), 0, KRM_KEYS - 1, "");
+		krm_release(k, krm_life(k, i), 0, KRM_KEYS - 1, KRM_ANY_FENCE, "");
 }
 
 /* Counts the keys of a life. */
--- a/packages/router/src/att.c
+++ b/packages/router/src/att.c
@@ -17,6 +17,8 @@
 /* Announcements that may be missed until the upstream gets no more work. */
 #define SILENT_MISSED_MAX 3
 #define LOOK_US (250 * US_PER_MS)
+/* Random numbers that JSON integers hold. */
+#define ATTACHED_SHIFT 16
 /* A hold may last longer on the upstream's clock by its drift. */
 #define HOLD_DRIFT_US (300 * US_PER_MS)
 
@@ -87,11 +89,30 @@
 	free(a);
 }
 
-/* Takes over the upstream that an earlier process knew. */
+/* True if it is the same start of the same upstream. */
+static bool is_same_start(const struct life *a, const struct life *b)
+{
+	return a->born_ms == b->born_ms && strcmp(a->id, b->id) == 0;
+}
+
+/*
+ * Takes over the upstream that an earlier process knew. If it has announced
+ * itself to this process already it keeps the identity that the plan names, and
+ * an announcement of a life before it is forgotten.
+ */
 void att_found(struct att *a, const struct nrw *row)
 {
-	if (a->announced || row->life.id[0] == '\0')
+	bool same = is_same_start(&row->life, &a->life);
+
+	if (row->life.id[0] == '\0' ||
+	    (a->announced && !same && row->life.born_ms < a->life.born_ms))
+		return;
+	if (a->announced && same) {
+		a->life.attached = row->life.attached;
+		a->ops->on_upstream(a->arg);
 		return;
+	}
+	a->announced = false;
 	a->life = row->life;
 	strcpy(a->service, row->service);
 	a->slots = row->slots;
@@ -121,6 +142,7 @@
 	}
 	a->life.id[0] = '\0';
 	a->life.born_ms = 0;
+	a->life.attached = 0;
 	a->announced = false;
 	a->granted.count = 0;
 	a->granted_once = false;
@@ -159,6 +181,8 @@
 	att_end_life(a, true, "another life announces itself");
 	strcpy(a->life.id, n->id);
 	a->life.born_ms = n->born_ms;
+	a->life.attached = (int64_t)(clk_random(evl_clock(a->parts.loop)) >>
+				     ATTACHED_SHIFT);
 	strcpy(a->service, n->service);
 	a->slots = n->slots;
 	log_emit(LOG_UPSTREAM_UP, "id=%s born=%lld service=%s slots=%u",
--- a/packages/router/src/att_keys.c
+++ b/packages/router/src/att_keys.c
@@ -173,8 +173,8 @@
 		    overlaps(a->granted.holds, a->granted.count, r->first,
 			     r->last))
 			continue;
-		rls_add(a->parts.releases, a->service, &a->life, r->first,
-			r->last, find_handover(a, r->first, r->last));
+		rls_add(a->parts.releases, a->service, &a->life, r,
+			find_handover(a, r->first, r->last));
 	}
 }
 
--- a/packages/router/src/ldr_plan.c
+++ b/packages/router/src/ldr_plan.c
@@ -55,9 +55,10 @@
 			continue;
 		json_array_append_new(
 			list,
-			json_pack("[s,s,s,s,I,s,I,b]", r->node,
+			json_pack("[s,s,s,s,I,I,s,I,b]", r->node,
 				  r->data_centre, r->peer_address, r->life.id,
-				  (json_int_t)r->life.born_ms, r->service,
+				  (json_int_t)r->life.born_ms,
+				  (json_int_t)r->life.attached, r->service,
 				  (json_int_t)r->slots, r->takes_work));
 	}
 	text = json_dumps(list, JSON_COMPACT);
--- a/packages/router/src/mbr.c
+++ b/packages/router/src/mbr.c
@@ -111,12 +111,12 @@
 static bool take_member(struct mbs *m, const json_t *item)
 {
 	const char *node, *dc, *address, *id, *service;
-	json_int_t born, slots;
+	json_int_t born, attached, slots;
 	int takes_work;
 	struct mbr *r;
 
-	if (json_unpack((json_t *)item, "[s,s,s,s,I,s,I,b!]", &node, &dc,
-			&address, &id, &born, &service, &slots,
+	if (json_unpack((json_t *)item, "[s,s,s,s,I,I,s,I,b!]", &node, &dc,
+			&address, &id, &born, &attached, &service, &slots,
 			&takes_work) < 0 ||
 	    slots < 0)
 		return false;
@@ -135,6 +135,7 @@
 		    copy(r->data_centre, sizeof(r->data_centre), dc) &&
 		    copy(r->service, sizeof(r->service), service);
 	r->life.born_ms = born;
+	r->life.attached = attached;
 	r->slots = (uint32_t)slots;
 	r->takes_work = takes_work != 0;
 	set_address(m, r, address);
--- a/packages/router/src/nrw.c
+++ b/packages/router/src/nrw.c
@@ -8,11 +8,12 @@
 char *nrw_write(const struct nrw *n)
 {
 	json_t *root = json_pack(
-		"{s:s,s:s,s:s,s:I,s:I,s:b,s:s,s:I,s:s,s:I,s:b}", "node",
+		"{s:s,s:s,s:s,s:I,s:I,s:b,s:s,s:I,s:I,s:s,s:I,s:b}", "node",
 		n->node, "dc", n->data_centre, "peer", n->peer_address,
 		"process", (json_int_t)n->process, "until",
 		(json_int_t)n->lease_until_ms, "expired", n->expired, "id",
-		n->life.id, "born", (json_int_t)n->life.born_ms, "service",
+		n->life.id, "born", (json_int_t)n->life.born_ms, "attached",
+		(json_int_t)n->life.attached, "service",
 		n->service, "slots", (json_int_t)n->slots, "takes_work",
 		n->takes_work);
 	char *text = json_dumps(root, JSON_COMPACT);
@@ -35,16 +36,17 @@
 {
 	json_t *root = json_loadb(json, len, 0, NULL);
 	const char *node, *dc, *peer, *id, *service;
-	json_int_t process, until, born, slots;
+	json_int_t process, until, born, attached, slots;
 	int expired, takes_work;
 	bool ok;
 
 	memset(n, 0, sizeof(*n));
 	ok = root &&
-	     json_unpack(root, "{s:s,s:s,s:s,s:I,s:I,s:b,s:s,s:I,s:s,s:I,s:b}",
+	     json_unpack(root,
+			 "{s:s,s:s,s:s,s:I,s:I,s:b,s:s,s:I,s:I,s:s,s:I,s:b}",
 			 "node", &node, "dc", &dc, "peer", &peer, "process",
 			 &process, "until", &until, "expired", &expired, "id",
-			 &id, "born", &born, "service", &service, "slots",
+			 &id, "born", &born, "attached", &attached, "service", &service, "slots",
 			 &slots, "takes_work", &takes_work) == 0 &&
 	     until >= 0 && slots >= 0 &&
 	     copy(n->node, sizeof(n->node), node) &&
@@ -58,6 +60,7 @@
 		n->lease_until_ms = (uint64_t)until;
 		n->expired = expired != 0;
 		n->life.born_ms = born;
+		n->life.attached = attached;
 		n->slots = (uint32_t)slots;
 		n->takes_work = takes_work != 0;
 	}
--- a/packages/router/src/rls.c
+++ b/packages/router/src/rls.c
@@ -13,6 +13,7 @@
 	char service[RCF_NAME_MAX];
 	struct life life;
 	uint32_t first, last;
+	uint64_t fence; /* of the range as it was released */
 	char handover[KRM_HANDOVER_MAX];
 };
 
@@ -58,7 +59,7 @@
 		if (strcmp(x->service, service) != 0) {
 			i++;
 		} else if (krm_release(map, &x->life, x->first, x->last,
-				       x->handover)) {
+				       x->fence, x->handover)) {
 			changed = true;
 			i++;
 		} else {
@@ -163,14 +164,14 @@
 
 /* Adds a release, unless it is there already. */
 void rls_add(struct rls *r, const char *service, const struct life *life,
-	     uint32_t first, uint32_t last, const char *handover)
+	     const struct krm_range *range, const char *handover)
 {
 	struct release *x;
 
 	for (size_t i = 0; i < r->count; i++) {
 		x = &r->pending[i];
-		if (x->first == first && x->last == last &&
-		    life_is_same(&x->life, life))
+		if (x->first == range->first && x->last == range->last &&
+		    x->fence == range->fence && life_is_same(&x->life, life))
 			return;
 	}
 	if (r->count == PENDING_MAX)
@@ -178,8 +179,9 @@
 	x = &r->pending[r->count++];
 	strcpy(x->service, service);
 	x->life = *life;
-	x->first = first;
-	x->last = last;
+	x->first = range->first;
+	x->last = range->last;
+	x->fence = range->fence;
 	x->handover[0] = '\0';
 	if (strlen(handover) < sizeof(x->handover))
 		strcpy(x->handover, handover);
--- a/packages/router/src/rls.h
+++ b/packages/router/src/rls.h
@@ -19,8 +19,8 @@
 		       vew_rows_fn on_rows, void *arg);
 void rls_destroy(struct rls *r);
 
-/* The life has released all keys from first to last; handover may be "". */
+/* The life has released a range; handover may be "". */
 void rls_add(struct rls *r, const char *service, const struct life *life,
-	     uint32_t first, uint32_t last, const char *handover);
+	     const struct krm_range *range, const char *handover);
 
 #endif
--- a/packages/router/src/rpt.c
+++ b/packages/router/src/rpt.c
@@ -22,8 +22,9 @@
 					  (json_int_t)p->last,
 					  (json_int_t)(p->work * WORK_UNIT)));
 	}
-	root = json_pack("[s,s,I,s,i,i,i,I,i,o]", r->life.node, r->life.id,
-			 (json_int_t)r->life.born_ms, r->service,
+	root = json_pack("[s,s,I,I,s,i,i,i,I,i,o]", r->life.node, r->life.id,
+			 (json_int_t)r->life.born_ms,
+			 (json_int_t)r->life.attached, r->service,
 			 (int)r->slots, (int)r->running, (int)r->waiting,
 			 (json_int_t)r->mean_us, (int)r->cold_left_ms, pieces);
 	text = json_dumps(root, JSON_COMPACT);
@@ -58,15 +59,15 @@
 {
 	json_t *root = json_loadb(json, len, 0, NULL);
 	const char *node, *id, *service;
-	json_int_t born, mean;
+	json_int_t born, attached, mean;
 	int slots, running, waiting, cold;
 	json_t *pieces;
 	bool ok;
 
 	memset(r, 0, sizeof(*r));
 	ok = root &&
-	     json_unpack(root, "[s,s,I,s,i,i,i,I,i,o!]", &node, &id, &born,
-			 &service, &slots, &running, &waiting, &mean, &cold,
+	     json_unpack(root, "[s,s,I,I,s,i,i,i,I,i,o!]", &node, &id, &born,
+			 &attached, &service, &slots, &running, &waiting, &mean, &cold,
 			 &pieces) == 0 &&
 	     strlen(node) < sizeof(r->life.node) &&
 	     strlen(id) < sizeof(r->life.id) &&
@@ -77,6 +78,7 @@
 		strcpy(r->life.id, id);
 		strcpy(r->service, service);
 		r->life.born_ms = born;
+		r->life.attached = attached;
 		r->slots = (uint32_t)slots;
 		r->running = (uint32_t)running;
 		r->waiting = (uint32_t)waiting;
