A leader that does not reach the store lets another one lead

A leader without an answer of the store for 1.5 s now says that it does not lead; only a daemon whose own calls are answered claims. Excluded: the load reports (they came) and the end of the upstream (proved at once).

--- a/packages/router/src/ldr.c
+++ b/packages/router/src/ldr.c
@@ -17,7 +17,9 @@
 /* A range has been taken by its owner this long after it was released. */
 #define SETTLED_US (3 * US_PER_S)
 /* Pause after a failed call. */
-#define PAUSE_US (100 * US_PER_MS)
+#define PAUSE_US (250 * US_PER_MS)
+/* A leader without an answer for so long lets another one lead. */
+#define STUCK_US (1500 * US_PER_MS)
 /* Entries of one write, of which some are taken leases. */
 #define CHANGES_MAX 90
 #define EXPIRIES_MAX 20
@@ -51,6 +53,7 @@
 	bool claiming;
 	bool woken; /* the rows of the daemons have changed */
 	uint64_t read_us; /* when they were read last */
+	uint64_t led_us; /* since when this daemon leads, 0 if it does not */
 	bool dead;
 };
 
@@ -310,9 +313,12 @@
 	if (l->calling)
 		return;
 	if (!ldr_leads(l) || !vew_is_ready(l->parts.view)) {
+		l->led_us = 0;
 		tick_in(l, TICK_US);
 		return;
 	}
+	if (l->led_us == 0)
+		l->led_us = now_us;
 	if (!l->woken && now_us - l->read_us < READ_US) {
 		plan(l);
 		return;
@@ -391,6 +397,15 @@
 				on_claimed, l);
 }
 
+/* Counts from the last read, or from the beginning of the lead. */
+bool ldr_is_stuck(const struct ldr *l)
+{
+	uint64_t since = l->read_us > l->led_us ? l->read_us : l->led_us;
+
+	return ldr_leads(l) && l->led_us > 0 &&
+	       evl_now_us(l->parts.loop) - since > STUCK_US;
+}
+
 /* Keeps the newest report of each daemon. */
 void ldr_report(struct ldr *l, const struct rpt *r)
 {
--- a/packages/router/src/ldr.h
+++ b/packages/router/src/ldr.h
@@ -36,6 +36,12 @@
 /* True while this daemon is the leader, as far as it knows. */
 bool ldr_leads(const struct ldr *l);
 
+/*
+ * True if this daemon leads and has not reached the table service for a while:
+ * another one that reaches it should lead.
+ */
+bool ldr_is_stuck(const struct ldr *l);
+
 /* Takes the report of a daemon. */
 void ldr_report(struct ldr *l, const struct rpt *r);
 
--- a/packages/router/src/rnw.c
+++ b/packages/router/src/rnw.c
@@ -243,6 +243,12 @@
 	return r->written == r->changes;
 }
 
+/* True unless the last call has failed. */
+bool rnw_is_reached(const struct rnw *r)
+{
+	return !r->lost;
+}
+
 /* Returns the time of the table. */
 const struct lea_clock *rnw_clock(const struct rnw *r)
 {
--- a/packages/router/src/rnw.h
+++ b/packages/router/src/rnw.h
@@ -40,6 +40,9 @@
 /* End of the lease on the clock of the loop; 0 if there is none. */
 uint64_t rnw_lease_end_us(const struct rnw *r);
 
+/* True while the table service answers the calls of this daemon. */
+bool rnw_is_reached(const struct rnw *r);
+
 /* True once the row says what rnw_set_upstream() was given last. */
 bool rnw_is_written(const struct rnw *r);
 
--- a/packages/router/src/rtr_lead.c
+++ b/packages/router/src/rtr_lead.c
@@ -116,7 +116,7 @@
 
 	r->claim_timer = 0;
 	if (r->stop_began_us || !rnw_lease_end_us(r->lease) ||
-	    ldr_leads(r->leader))
+	    !rnw_is_reached(r->lease) || ldr_leads(r->leader))
 		return;
 	if (vew_leader(r->view)->version == 0)
 		ldr_claim(r->leader, "there is no leader");
@@ -173,7 +173,7 @@
 	if (span_is(hmg_target(m), RTR_PLAN_TARGET)) {
 		if (rtr_take_rows(r, body))
 			status = STATUS_OK;
-	} else if (!ldr_leads(r->leader)) {
+	} else if (!ldr_leads(r->leader) || ldr_is_stuck(r->leader)) {
 		status = STATUS_NOT_LEADER;
 	} else if (span_is(hmg_target(m), REPORT_TARGET)) {
 		if (rpt_parse(buf_data(body), buf_len(body), &x)) {
