--- a/packages/config/src/set.c
+++ b/packages/config/src/set.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "yml.h"
+#include "set_layer.h"
 
 #define SET_BYTES_MAX 65536
 #define ADDRESS_ALLOWED "an IPv4 or IPv6 address, not the wildcard"
@@ -17,7 +17,7 @@
 #define DEFAULT_BODY_BYTES (128 * MIB)
 #define BODY_BYTES_MAX 2147483648
 
-static const struct yml_layer layer = {
+const struct yml_layer set_layer = {
 	.layer = ERR_SETTINGS,
 	.codes = { [YML_UNREADABLE] = SET_UNREADABLE,
 		   [YML_TOO_LARGE] = SET_UNREADABLE,
@@ -159,7 +159,7 @@
 bool set_parse(const char *name, const char *text, size_t len, struct set *set,
 	       struct err *err)
 {
-	struct yml y = { .name = name, .layer = &layer, .err = err };
+	struct yml y = { .name = name, .layer = &set_layer, .err = err };
 	struct set fresh;
 	bool ok;
 
@@ -178,7 +178,7 @@
 bool set_load(const char *path, struct set *set, struct err *err)
 {
 	size_t len = 0;
-	char *text = yml_read_file(path, &layer, &len, err);
+	char *text = yml_read_file(path, &set_layer, &len, err);
 	bool ok = text && set_parse(path, text, len, set, err);
 
 	free(text);
@@ -211,7 +211,9 @@
 /* Reads the value as YAML, so that it is written as in the file. */
 bool set_override(struct set *set, const char *assignment, struct err *err)
 {
-	struct yml y = { .name = COMMAND_LINE, .layer = &layer, .err = err };
+	struct yml y = { .name = COMMAND_LINE,
+			 .layer = &set_layer,
+			 .err = err };
 	const char *equals = strchr(assignment, '=');
 	size_t len = equals ? (size_t)(equals - assignment) : 0;
 	struct set fresh = *set;
--- a/packages/io/src/hsv.c
+++ b/packages/io/src/hsv.c
@@ -344,12 +344,6 @@
 	return s->busy + reading;
 }
 
-/* Counts the open connections. */
-uint32_t hsv_connections(const struct hsv *s)
-{
-	return s->count;
-}
-
 /* Writes the head; a response whose end only the close shows closes. */
 void hsc_begin(struct hsc *c, uint16_t status, const char *fields,
 	       size_t fields_len, int64_t length)
--- a/packages/io/src/hsv.h
+++ b/packages/io/src/hsv.h
@@ -45,7 +45,6 @@
 
 /* Connections with a request that is being read or answered. */
 uint32_t hsv_busy(const struct hsv *s);
-uint32_t hsv_connections(const struct hsv *s);
 
 /*
  * Begins a response. fields are lines "Name: value\r\n". length is that of the
--- a/packages/router/src/exr.c
+++ b/packages/router/src/exr.c
@@ -328,9 +328,3 @@
 {
 	return smp_pieces(x->samples, out, max, evl_now_us(x->loop));
 }
-
-/* Returns how many connections to the upstream were opened. */
-uint64_t exr_connections_opened(const struct exr *x)
-{
-	return hcl_opened(x->pool);
-}
--- a/packages/router/src/exr.h
+++ b/packages/router/src/exr.h
@@ -85,6 +85,4 @@
 /* Measured work of keys, see smp_pieces(). */
 size_t exr_pieces(struct exr *x, struct krp_load *out, size_t max);
 
-uint64_t exr_connections_opened(const struct exr *x);
-
 #endif
--- a/packages/router/src/fed.c
+++ b/packages/router/src/fed.c
@@ -15,7 +15,6 @@
 	const struct fed_ops *ops;
 	void *arg;
 	uint64_t version;
-	uint64_t heard_us;
 	uint64_t pause_us;
 	uint64_t gather_us;
 	uint32_t timer;
@@ -50,7 +49,6 @@
 		f->ops->on_row(f->arg, &r->rows[i]);
 	if (r->version > f->version || whole)
 		f->version = r->version;
-	f->heard_us = evl_now_us(f->loop);
 	f->lost = false;
 	f->pause_us = PAUSE_MIN_US;
 	f->ops->on_synced(f->arg, whole);
@@ -206,9 +204,3 @@
 {
 	return f->reads_done;
 }
-
-/* Returns when the table was last heard of. */
-uint64_t fed_heard_us(const struct fed *f)
-{
-	return f->heard_us;
-}
--- a/packages/router/src/fed.h
+++ b/packages/router/src/fed.h
@@ -36,7 +36,4 @@
 uint64_t fed_read_again(struct fed *f);
 uint64_t fed_ticket(const struct fed *f);
 
-/* When the last answer came, monotonic; 0 for none. */
-uint64_t fed_heard_us(const struct fed *f);
-
 #endif
--- a/packages/router/src/rnw.c
+++ b/packages/router/src/rnw.c
@@ -248,9 +248,3 @@
 {
 	return !r->lost;
 }
-
-/* Returns the time of the table. */
-const struct lea_clock *rnw_clock(const struct rnw *r)
-{
-	return &r->clock;
-}
--- a/packages/router/src/rnw.h
+++ b/packages/router/src/rnw.h
@@ -46,7 +46,4 @@
 /* True once the row says what rnw_set_upstream() was given last. */
 bool rnw_is_written(const struct rnw *r);
 
-/* The time of the table as last told. */
-const struct lea_clock *rnw_clock(const struct rnw *r);
-
 #endif
--- a/packages/router/src/rse.c
+++ b/packages/router/src/rse.c
@@ -6,9 +6,8 @@
 #include "clk.h"
 #include "set.h"
 #include "skt.h"
-#include "yml.h"
+#include "set_layer.h"
 
-#define BYTES_MAX 65536
 #define ADDRESS_ALLOWED "an IPv4 address with a port, as 10.0.0.1:80"
 #define MS_MAX 3600000
 #define SECONDS_MAX 3600
@@ -18,19 +17,6 @@
 #define DEFAULT_DRAIN_MS 2000
 #define DEFAULT_GRACE_MS 6000
 
-static const struct yml_layer layer = {
-	.layer = ERR_SETTINGS,
-	.codes = { [YML_UNREADABLE] = SET_UNREADABLE,
-		   [YML_TOO_LARGE] = SET_UNREADABLE,
-		   [YML_SYNTAX] = SET_SYNTAX,
-		   [YML_UNKNOWN] = SET_UNKNOWN_FIELD,
-		   [YML_MISSING] = SET_MISSING_FIELD,
-		   [YML_BAD] = SET_BAD_VALUE,
-		   [YML_DUPLICATE] = SET_BAD_VALUE,
-		   [YML_NO_GROUP] = SET_BAD_VALUE },
-	.bytes_max = BYTES_MAX,
-};
-
 static const char *const levels[] = { "debug", "info", "warn", "error", NULL };
 
 /* True for an address that can be bound or connected to. */
@@ -135,7 +121,7 @@
 bool rse_parse(const char *name, const char *text, size_t len, struct rse *s,
 	       struct err *err)
 {
-	struct yml y = { .name = name, .layer = &layer, .err = err };
+	struct yml y = { .name = name, .layer = &set_layer, .err = err };
 	bool ok;
 
 	memset(s, 0, sizeof(*s));
@@ -157,7 +143,7 @@
 bool rse_load(const char *path, struct rse *s, struct err *err)
 {
 	size_t len;
-	char *text = yml_read_file(path, &layer, &len, err);
+	char *text = yml_read_file(path, &set_layer, &len, err);
 	bool ok;
 
 	if (!text)
--- a/packages/router/src/rtr_int.h
+++ b/packages/router/src/rtr_int.h
@@ -8,6 +8,7 @@
 #include "fed.h"
 #include "fwd.h"
 #include "ldr.h"
+#include "pmg.h"
 #include "rls.h"
 #include "rnw.h"
 #include "rtr.h"
@@ -40,6 +41,7 @@
 	bool was_ready;
 	/* Contact to the leader. */
 	struct hcl *leader_pool;
+	struct pmg_sender leader_sender;
 	uint64_t leader_version; /* of the row that leader_pool is for */
 	uint64_t leader_heard_us;
 	uint32_t leader_timer;
--- a/packages/router/src/rtr_lead.c
+++ b/packages/router/src/rtr_lead.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "log.h"
+#include "pmg.h"
 #include "rtr_int.h"
 #include "txt.h"
 
@@ -58,55 +59,24 @@
 }
 
 /* Notes whether the leader says that it leads. */
-static void on_head(void *arg, const struct hmg *m)
+static void on_answer(void *arg, uint16_t status)
 {
 	struct rtr *r = arg;
 
-	if (m->status == STATUS_OK)
+	if (status == STATUS_OK)
 		r->leader_heard_us = evl_now_us(r->loop);
+	else
+		log_emit(LOG_LEADER_UNREACHED, "leader=%s status=%u",
+			 vew_leader(r->view)->node, status);
 }
 
-static void on_body(void *arg, const char *bytes, size_t len)
-{
-	(void)arg;
-	(void)bytes;
-	(void)len;
-}
-
-static void on_done(void *arg)
-{
-	(void)arg;
-}
-
-/* The leader's silence is noticed by the time since it was heard. */
-static void on_failed(void *arg, enum hxc_failure failure)
-{
-	struct rtr *r = arg;
-
-	log_emit(LOG_LEADER_UNREACHED, "leader=%s failure=%d",
-		 vew_leader(r->view)->node, failure);
-}
-
-static const struct hxc_ops leader_ops = { NULL, on_head, on_body, on_done,
-					   on_failed };
-
 /* Sends a message to the leader. */
-static void tell_leader(struct rtr *r, const char *target, const char *body)
+static void tell_leader(struct rtr *r, const char *target, const char *text)
 {
 	struct hcl *pool = pool_of_leader(r);
-	struct buf head = { 0 };
-	struct hxc_request q = { .head = &head,
-				 .body = body,
-				 .body_len = strlen(body),
-				 .reuse_us = POOL_IDLE_US };
 
-	if (!pool)
-		return;
-	buf_printf(&head, "POST %s HTTP/1.1\r\nContent-Length: %zu\r\n\r\n",
-		   target, q.body_len);
-	if (!hxc_start(pool, &q, &leader_ops, r))
+	if (pool && !pmg_send(pool, target, text, &r->leader_sender))
 		log_emit(LOG_NO_DESCRIPTOR, "to=leader");
-	buf_free(&head);
 }
 
 /* Claims the lead if nobody has done so meanwhile. */
@@ -192,6 +162,7 @@
 {
 	uint64_t now = evl_now_us(r->loop);
 
+	r->leader_sender = (struct pmg_sender){ on_answer, r };
 	r->leader_heard_us = now;
 	r->leader_timer =
 		tmr_every(evl_timers(r->loop),
--- a/packages/router/src/rtr_push.c
+++ b/packages/router/src/rtr_push.c
@@ -4,57 +4,27 @@
 #include <jansson.h>
 
 #include "log.h"
+#include "pmg.h"
 #include "rtr_int.h"
 
-/* An idle connection is used again for a message within this time. */
-#define REUSE_US (5 * US_PER_S)
 /* Daemons that are told of one release. */
 #define OWNERS_MAX 64
 
-/* The answer is not needed: whoever misses a message has the feed. */
-static void on_head(void *arg, const struct hmg *m)
+/* Whoever misses a message has the feed. */
+static void on_answer(void *arg, uint16_t status)
 {
 	(void)arg;
-	(void)m;
+	if (status == 0)
+		log_emit(LOG_PLAN_NOT_SENT, "status=%u", status);
 }
 
-static void on_body(void *arg, const char *bytes, size_t len)
-{
-	(void)arg;
-	(void)bytes;
-	(void)len;
-}
-
-static void on_done(void *arg)
-{
-	(void)arg;
-}
-
-static void on_failed(void *arg, enum hxc_failure failure)
-{
-	(void)arg;
-	log_emit(LOG_PLAN_NOT_SENT, "failure=%d", failure);
-}
-
-static const struct hxc_ops message_ops = { NULL, on_head, on_body, on_done,
-					    on_failed };
+static const struct pmg_sender sender = { on_answer, NULL };
 
 /* Sends a message to a member. */
-static void send_to(struct mbr *m, const char *body)
+static void send_to(struct mbr *m, const char *text)
 {
-	struct buf head = { 0 };
-	struct hxc_request q = { .head = &head,
-				 .body = body,
-				 .body_len = strlen(body),
-				 .reuse_us = REUSE_US };
-
-	if (!m->pool)
-		return;
-	buf_printf(&head, "POST %s HTTP/1.1\r\nContent-Length: %zu\r\n\r\n",
-		   RTR_PLAN_TARGET, q.body_len);
-	if (!hxc_start(m->pool, &q, &message_ops, NULL))
+	if (m->pool && !pmg_send(m->pool, RTR_PLAN_TARGET, text, &sender))
 		log_emit(LOG_NO_DESCRIPTOR, "to=%s", m->peer_address);
-	buf_free(&head);
 }
 
 /* Returns the rows as a message, which the caller frees. */
