--- a/packages/router/src/att.c
+++ b/packages/router/src/att.c
@@ -228,7 +228,7 @@
 		a->seq = n->seq;
 		a->slots = n->slots;
 		a->cold_until_us =
-			now_us + (uint64_t)n->cold_left_ms * US_PER_MS;
+			now_us + (uint64_t)n->slow_left_ms * US_PER_MS;
 		a->last = *n;
 	}
 	a->heard_us = now_us;
@@ -348,7 +348,7 @@
 }
 
 /* Returns how long it stays slow. */
-uint32_t att_cold_left_ms(const struct att *a, uint64_t now_us)
+uint32_t att_slow_left_ms(const struct att *a, uint64_t now_us)
 {
 	return a->cold_until_us > now_us ?
 		       (uint32_t)((a->cold_until_us - now_us) / US_PER_MS) :
--- a/packages/router/src/att.h
+++ b/packages/router/src/att.h
@@ -70,7 +70,7 @@
 bool att_is_open(const struct att *a, uint64_t now_us);
 
 /* Milliseconds that it stays slow after its start, as it says. */
-uint32_t att_cold_left_ms(const struct att *a, uint64_t now_us);
+uint32_t att_slow_left_ms(const struct att *a, uint64_t now_us);
 
 enum att_key {
 	ATT_GRANTED, /* the upstream holds the key */
--- a/packages/router/src/ldr_plan.c
+++ b/packages/router/src/ldr_plan.c
@@ -133,7 +133,7 @@
 	if (!r || r->mean_us == 0 || mean <= 0)
 		return 1;
 	speed = mean / (double)r->mean_us;
-	if (r->cold_left_ms > 0 && speed > COLD_SPEED)
+	if (r->slow_left_ms > 0 && speed > COLD_SPEED)
 		speed = COLD_SPEED;
 	if (speed < SPEED_MIN)
 		return SPEED_MIN;
--- a/packages/router/src/plat.h
+++ b/packages/router/src/plat.h
@@ -70,7 +70,7 @@
 	char data_centre[RCF_NAME_MAX];
 	uint32_t slots;
 	enum plat_state state;
-	uint32_t cold_left_ms;
+	uint32_t slow_left_ms;
 	struct plat_hold holds[PLAT_HOLDS_MAX]; /* held or worked on */
 	size_t hold_count;
 	struct plat_hold freed[PLAT_HOLDS_MAX]; /* since the last answer */
--- a/packages/router/src/rpt.c
+++ b/packages/router/src/rpt.c
@@ -27,7 +27,7 @@
 			 (json_int_t)r->life.born_ms,
 			 (json_int_t)r->life.attached, r->service,
 			 (int)r->slots, (int)r->running, (int)r->waiting,
-			 (json_int_t)r->mean_us, (int)r->cold_left_ms, pieces);
+			 (json_int_t)r->mean_us, (int)r->slow_left_ms, pieces);
 	text = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 	return text;
@@ -84,7 +84,7 @@
 		r->running = (uint32_t)running;
 		r->waiting = (uint32_t)waiting;
 		r->mean_us = (uint64_t)mean;
-		r->cold_left_ms = (uint32_t)cold;
+		r->slow_left_ms = (uint32_t)cold;
 	}
 	json_decref(root);
 	return ok;
--- a/packages/router/src/rpt.h
+++ b/packages/router/src/rpt.h
@@ -18,7 +18,7 @@
 	uint32_t slots;
 	uint32_t running, waiting;
 	uint64_t mean_us; /* of the upstream's work on a request */
-	uint32_t cold_left_ms;
+	uint32_t slow_left_ms;
 	struct krp_load pieces[RPT_PIECES_MAX]; /* work in its own time */
 	size_t piece_count;
 };
--- a/packages/router/src/rtr_lead.c
+++ b/packages/router/src/rtr_lead.c
@@ -35,8 +35,8 @@
 	report->waiting = load.waiting;
 	if (load.finished > 0)
 		report->mean_us = load.mean_us;
-	report->cold_left_ms =
-		att_cold_left_ms(r->upstream, evl_now_us(r->loop));
+	report->slow_left_ms =
+		att_slow_left_ms(r->upstream, evl_now_us(r->loop));
 	report->piece_count =
 		exr_pieces(r->runner, report->pieces, RPT_PIECES_MAX);
 }
