A request that its upstream refuses counts as an attempt; test of the settings

Found by reading: a 421 of an upstream was treated as a range on the move, so that one request could arrive there each 25 ms for 0.6 s without counting against the attempts of its route or the retry budget.

--- a/packages/router/src/exr_run.c
+++ b/packages/router/src/exr_run.c
@@ -130,8 +130,9 @@
 		log_emit(LOG_UPSTREAM_SHED,
 			 "request=%s not_owner=%d running=%u",
 			 j->request.request.id, j->not_owner, x->running_count);
-		exr_refuse(j, j->not_owner ? EXR_NOT_OWNER : EXR_SHED,
-			   SHED_RETURN_US);
+		/* It has arrived there, so that it counts as an attempt
+		 * also if the upstream does not hold the key. */
+		exr_refuse(j, EXR_SHED, SHED_RETURN_US);
 	} else {
 		learn(j);
 		free(j);
--- a/packages/router/src/fwd_try.c
+++ b/packages/router/src/fwd_try.c
@@ -167,7 +167,7 @@
 		return;
 	case EXR_SHED:
 		f->attempts++;
-		if (may_run_again(f, RET_SHED))
+		if (may_run_again(f, RET_NOT_RUN))
 			wait_for_plan(f, now);
 		else
 			fwd_refuse(f, "the upstream has refused it");
--- /dev/null
+++ b/packages/router/tests/test_rse.c
@@ -0,0 +1,111 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "rse.h"
+#include "set.h"
+
+#define REQUIRED                                 \
+	"instance: \"node-1\"\n"                 \
+	"data_centre: \"kgn-a\"\n"               \
+	"caller_address: \"10.1.0.38:8147\"\n"   \
+	"peer_address: \"10.1.0.38:8146\"\n"     \
+	"ready_address: \"10.1.0.38:8141\"\n"    \
+	"announce_address: \"10.1.0.38:8144\"\n" \
+	"upstream_address: \"10.1.0.38:8145\"\n" \
+	"platform_address: \"10.200.1.7:8142\"\n"
+
+static bool parse(const char *text, struct rse *s, struct err *err)
+{
+	memset(err, 0, sizeof(*err));
+	return rse_parse("boot", text, strlen(text), s, err);
+}
+
+/* A file with the required fields only has the stated defaults. */
+static void test_defaults(void **state)
+{
+	struct rse s;
+	struct err err;
+
+	(void)state;
+	assert_true(parse(REQUIRED, &s, &err));
+	assert_string_equal(s.instance, "node-1");
+	assert_string_equal(s.service, "");
+	assert_string_equal(s.metrics_address, "");
+	assert_int_equal(s.announce_ms, 1000);
+	assert_int_equal(s.hold_max_ms, 10000);
+	assert_int_equal(s.drain_ms, 2000);
+	assert_int_equal(s.grace_ms, 6000);
+}
+
+/* The platform writes some times in seconds with a fraction. */
+static void test_all_fields(void **state)
+{
+	struct rse s;
+	struct err err;
+
+	(void)state;
+	assert_true(parse(REQUIRED "service: \"s\"\n"
+				   "metrics_address: \"10.1.0.38:7380\"\n"
+				   "announce_ms: 870\n"
+				   "hold_max_ms: 9000\n"
+				   "drain_ms: 1500\n"
+				   "grace_s: \"2.5\"\n"
+				   "memory_mb: 260\n"
+				   "log_level: warn\n",
+			  &s, &err));
+	assert_int_equal(s.announce_ms, 870);
+	assert_int_equal(s.hold_max_ms, 9000);
+	assert_int_equal(s.drain_ms, 1500);
+	assert_int_equal(s.grace_ms, 2500);
+	assert_int_equal(s.memory_mb, 260);
+	assert_int_equal(s.log_level, LOG_LEVEL_WARN);
+}
+
+/* Each mistake names its field. */
+static void test_mistakes(void **state)
+{
+	static const struct {
+		const char *text;
+		const char *field;
+		int code;
+	} cases[] = {
+		{ "instance: \"a\"\n", "data_centre", SET_MISSING_FIELD },
+		{ REQUIRED "metrics_address: \"10.1.0.38\"\n",
+		  "metrics_address", SET_BAD_VALUE },
+		{ REQUIRED "metrics_address: \"host:80\"\n", "metrics_address",
+		  SET_BAD_VALUE },
+		{ REQUIRED "metrics_address: \"10.1.0.38:70000\"\n",
+		  "metrics_address", SET_BAD_VALUE },
+		{ REQUIRED "announce_ms: 0\n", "announce_ms", SET_BAD_VALUE },
+		{ REQUIRED "grace_s: \"soon\"\n", "grace_s", SET_BAD_VALUE },
+		{ REQUIRED "colour: red\n", "colour", SET_UNKNOWN_FIELD },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct rse s;
+		struct err err;
+
+		assert_false(parse(cases[i].text, &s, &err));
+		assert_int_equal(err.layer, ERR_SETTINGS);
+		assert_int_equal(err.code, cases[i].code);
+		assert_non_null(strstr(err.text, cases[i].field));
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_defaults),
+		cmocka_unit_test(test_all_fields),
+		cmocka_unit_test(test_mistakes),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
