--- a/packages/io/src/buf.c
+++ b/packages/io/src/buf.c
@@ -16,7 +16,7 @@
 
 	if (b->size - b->end >= len && b->bytes)
 		return b->bytes + b->end;
-	if (b->start > 0) {
+	if (b->bytes && b->start > 0) {
 		memmove(b->bytes, b->bytes + b->start, buf_len(b));
 		b->end -= b->start;
 		b->start = 0;
