--- a/packages/router/src/rtr_lead.c
+++ b/packages/router/src/rtr_lead.c
@@ -85,6 +85,8 @@
 	struct rtr *r = arg;
 
 	r->claim_timer = 0;
+	/* A leader that has just claimed has not been silent yet. */
+	pool_of_leader(r);
 	if (r->stop_began_us || !rnw_lease_end_us(r->lease) ||
 	    !rnw_is_reached(r->lease) || ldr_leads(r->leader))
 		return;
