--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 OPT := -O2 -g -fno-omit-frame-pointer
 TIRPC := -I/usr/include/tirpc
 CFLAGS := $(CSTD) $(WARN) $(OPT) $(SANFLAGS) $(TIRPC) -D_GNU_SOURCE
-LIBS := -lwebsockets -lhttp_parser -lev -ltirpc -lcyaml -lyaml -ljansson -lxxhash -lm
+LIBS := -lwebsockets -lhttp_parser -lev -ltirpc -lcyaml -lyaml -ljansson -lxxhash -lz -lm
 
 # The adapter of the platform has a folder of its own beside the packages.
 src_dir = $(if $(filter platform,$(1)),platform,packages/$(1)/src)
--- a/packages/router/src/mbr.h
+++ b/packages/router/src/mbr.h
@@ -33,6 +33,7 @@
 	uint64_t told_us;
 	uint64_t avoid_until_us;
 	uint32_t failures; /* in a row */
+	uint64_t config_next_us; /* when it may be sent a configuration */
 	bool listed;
 };
 
--- a/packages/router/src/pmg.c
+++ b/packages/router/src/pmg.c
@@ -39,13 +39,13 @@
 					    on_failed };
 
 /* Posts a message. */
-bool pmg_send(struct hcl *daemon, const char *target, const char *text,
-	      const struct pmg_sender *sender)
+bool pmg_send_bytes(struct hcl *daemon, const char *target, const char *bytes,
+		    size_t len, const struct pmg_sender *sender)
 {
 	struct buf head = { 0 };
 	struct hxc_request q = { .head = &head,
-				 .body = text,
-				 .body_len = strlen(text),
+				 .body = bytes,
+				 .body_len = len,
 				 .reuse_us = REUSE_US };
 	bool sent;
 
@@ -55,3 +55,10 @@
 	buf_free(&head);
 	return sent;
 }
+
+/* Posts a text. */
+bool pmg_send(struct hcl *daemon, const char *target, const char *text,
+	      const struct pmg_sender *sender)
+{
+	return pmg_send_bytes(daemon, target, text, strlen(text), sender);
+}
--- a/packages/router/src/pmg.h
+++ b/packages/router/src/pmg.h
@@ -14,7 +14,9 @@
 	void *arg;
 };
 
-/* Posts a text to a daemon. False if nothing can be sent. */
+/* Posts bytes or a text to a daemon. False if nothing can be sent. */
+bool pmg_send_bytes(struct hcl *daemon, const char *target, const char *bytes,
+		    size_t len, const struct pmg_sender *sender);
 bool pmg_send(struct hcl *daemon, const char *target, const char *text,
 	      const struct pmg_sender *sender);
 
--- a/packages/router/src/rpt.c
+++ b/packages/router/src/rpt.c
@@ -23,11 +23,12 @@
 					  (json_int_t)p->last,
 					  (json_int_t)(p->work * WORK_UNIT)));
 	}
-	root = json_pack("[s,s,I,I,s,i,i,i,I,i,o]", r->life.node, r->life.id,
+	root = json_pack("[s,s,I,I,s,i,i,i,I,i,o,I]", r->life.node, r->life.id,
 			 (json_int_t)r->life.born_ms,
 			 (json_int_t)r->life.attached, r->service,
 			 (int)r->slots, (int)r->running, (int)r->waiting,
-			 (json_int_t)r->mean_us, (int)r->slow_left_ms, pieces);
+			 (json_int_t)r->mean_us, (int)r->slow_left_ms, pieces,
+			 (json_int_t)r->config_version);
 	text = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 	return text;
@@ -60,20 +61,20 @@
 {
 	json_t *root = json_loadb(json, len, 0, NULL);
 	const char *node, *id, *service;
-	json_int_t born, attached, mean;
+	json_int_t born, attached, mean, config;
 	int slots, running, waiting, cold;
 	json_t *pieces;
 	bool ok;
 
 	memset(r, 0, sizeof(*r));
 	ok = root &&
-	     json_unpack(root, "[s,s,I,I,s,i,i,i,I,i,o!]", &node, &id, &born,
+	     json_unpack(root, "[s,s,I,I,s,i,i,i,I,i,o,I!]", &node, &id, &born,
 			 &attached, &service, &slots, &running, &waiting, &mean,
-			 &cold, &pieces) == 0 &&
+			 &cold, &pieces, &config) == 0 &&
 	     strlen(node) < sizeof(r->life.node) &&
 	     strlen(id) < sizeof(r->life.id) &&
 	     strlen(service) < sizeof(r->service) && slots >= 0 && mean >= 0 &&
-	     read_pieces(pieces, r);
+	     config >= 0 && read_pieces(pieces, r);
 	if (ok) {
 		txt_copy(r->life.node, sizeof(r->life.node), node);
 		txt_copy(r->life.id, sizeof(r->life.id), id);
@@ -85,6 +86,7 @@
 		r->waiting = (uint32_t)waiting;
 		r->mean_us = (uint64_t)mean;
 		r->slow_left_ms = (uint32_t)cold;
+		r->config_version = (uint64_t)config;
 	}
 	json_decref(root);
 	return ok;
--- a/packages/router/src/rpt.h
+++ b/packages/router/src/rpt.h
@@ -19,6 +19,7 @@
 	uint32_t running, waiting;
 	uint64_t mean_us; /* of the upstream's work on a request */
 	uint32_t slow_left_ms;
+	uint64_t config_version; /* in force there */
 	struct krp_load pieces[RPT_PIECES_MAX]; /* work in its own time */
 	size_t piece_count;
 };
--- a/packages/router/src/rtr.c
+++ b/packages/router/src/rtr.c
@@ -28,35 +28,13 @@
 	fwr_plan_changed(r->forwards);
 }
 
-/* Puts a newer configuration in force. */
+/* Takes a row of the operator's table. */
 static void on_config_row(void *arg, const struct tbl_row *row)
 {
-	struct rtr *r = arg;
-	struct rcf config = { 0 };
-	struct err err = { 0 };
-
-	if (row->removed || strcmp(row->key, r->platform.ops->config_key) != 0)
-		return;
-	if (!r->platform.ops->read_config(row->value, row->len, &config,
-					  &err)) {
-		log_emit(LOG_CONFIG_REFUSED, "in_force=%llu reason=\"%s\"",
-			 (unsigned long long)r->config.version, err.text);
-		return;
-	}
-	if (config.version <= r->config.version) {
-		rcf_free(&config);
-		return;
-	}
-	rcf_free(&r->config);
-	r->config = config;
-	log_emit(LOG_CONFIG_IN_FORCE, "version=%llu routes=%zu services=%zu",
-		 (unsigned long long)config.version, config.route_count,
-		 config.service_count);
-	rtr_set_limits(r);
-	ldr_wake(r->leader);
+	rtr_take_config_row(arg, row);
 }
 
-/* Nothing follows once all rows are given. */
+/* Each row is put in force when it comes. */
 static void on_config_synced(void *arg, bool whole)
 {
 	(void)arg;
@@ -306,6 +284,7 @@
 	if (r->platform.ops)
 		r->platform.ops->destroy(r->platform.self);
 	rcf_free(&r->config);
+	buf_free(&r->config_text);
 	evl_destroy(r->loop);
 	free(r);
 }
--- /dev/null
+++ b/packages/router/src/rtr_config.c
@@ -0,0 +1,124 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+#include "pmg.h"
+#include "rtr_int.h"
+#include "zip.h"
+
+/* Messages with a configuration that are on their way at a time. */
+#define SENDING_MAX 4
+/* A daemon is sent one this often. */
+#define SEND_AGAIN_US (1 * US_PER_S)
+/* Largest text that is taken, in bytes. */
+#define TEXT_MAX (16U << 20)
+/* First line of the message: the length of the text. */
+#define HEAD_MAX 32
+
+/*
+ * A leader keeps the compressed text of the configuration in force for messages;
+ * the others save the processor time.
+ */
+static void keep_text(struct rtr *r, const char *text, size_t len)
+{
+	size_t packed_len = 0;
+	char *packed;
+
+	r->config_text.start = r->config_text.end = 0;
+	if (!ldr_leads(r->leader))
+		return;
+	packed = zip_pack(text, len, &packed_len);
+	if (!packed || !buf_printf(&r->config_text, "%zu\n", len) ||
+	    !buf_add(&r->config_text, packed, packed_len))
+		r->config_text.start = r->config_text.end = 0;
+	free(packed);
+}
+
+/* Puts a newer configuration in force. */
+static void take_config(struct rtr *r, const char *text, size_t len,
+			const char *from)
+{
+	struct rcf config = { 0 };
+	struct err err = { 0 };
+
+	if (!r->platform.ops->read_config(text, len, &config, &err)) {
+		log_emit(LOG_CONFIG_REFUSED, "in_force=%llu reason=\"%s\"",
+			 (unsigned long long)r->config.version, err.text);
+		return;
+	}
+	if (config.version <= r->config.version) {
+		rcf_free(&config);
+		return;
+	}
+	rcf_free(&r->config);
+	r->config = config;
+	log_emit(LOG_CONFIG_IN_FORCE,
+		 "version=%llu routes=%zu services=%zu from=%s",
+		 (unsigned long long)config.version, config.route_count,
+		 config.service_count, from);
+	lag_add(&r->config_lag, config.version, evl_now_us(r->loop));
+	keep_text(r, text, len);
+	rtr_set_limits(r);
+	ldr_wake(r->leader);
+}
+
+/* Takes a row of the operator's table. */
+void rtr_take_config_row(struct rtr *r, const struct tbl_row *row)
+{
+	if (!row->removed && strcmp(row->key, r->platform.ops->config_key) == 0)
+		take_config(r, row->value, row->len, "table");
+}
+
+/* Takes the message of another daemon. */
+bool rtr_take_config(struct rtr *r, const struct buf *body)
+{
+	const char *bytes = buf_len(body) ? buf_data(body) : "";
+	const char *end = memchr(bytes, '\n', buf_len(body));
+	struct span line = { bytes, end ? (size_t)(end - bytes) : 0 };
+	uint64_t len;
+	char *text;
+
+	if (!end || line.len > HEAD_MAX || !span_number(line, TEXT_MAX, &len))
+		return false;
+	text = zip_unpack(end + 1, buf_len(body) - line.len - 1, len);
+	if (!text)
+		return false;
+	take_config(r, text, len, "leader");
+	free(text);
+	return true;
+}
+
+/* A message has arrived, or was lost; the next report tells which. */
+static void on_sent(void *arg, uint16_t status)
+{
+	struct rtr *r = arg;
+
+	(void)status;
+	r->config_sending--;
+}
+
+/* Sends the configuration to a daemon whose report shows that it is late. */
+void rtr_help_with_config(struct rtr *r, const struct rpt *report)
+{
+	struct mbr *m = mbs_find(vew_members(r->view), report->life.node);
+	uint64_t now = evl_now_us(r->loop);
+
+	if (!m || !m->pool || buf_len(&r->config_text) == 0 ||
+	    r->config_sending >= SENDING_MAX || now < m->config_next_us ||
+	    !lag_is_late(&r->config_lag, report->config_version, now))
+		return;
+	r->config_sender = (struct pmg_sender){ on_sent, r };
+	if (!pmg_send_bytes(m->pool, RTR_CONFIG_TARGET,
+			    buf_data(&r->config_text), buf_len(&r->config_text),
+			    &r->config_sender)) {
+		log_emit(LOG_NO_DESCRIPTOR, "to=%s", m->peer_address);
+		return;
+	}
+	r->config_sending++;
+	m->config_next_us = now + SEND_AGAIN_US;
+	log_emit(LOG_CONFIG_SENT,
+		 "to=%s its_version=%" PRIu64 " version=%" PRIu64, m->life.node,
+		 report->config_version, r->config.version);
+}
--- a/packages/router/src/rtr_int.h
+++ b/packages/router/src/rtr_int.h
@@ -8,6 +8,7 @@
 #include "exr.h"
 #include "fed.h"
 #include "fwd.h"
+#include "lag.h"
 #include "ldr.h"
 #include "pmg.h"
 #include "rls.h"
@@ -23,6 +24,10 @@
 	struct plat platform;
 	struct rcf config;
 	struct fed *config_feed;
+	struct buf config_text; /* message with the configuration in force */
+	struct lag config_lag;
+	struct pmg_sender config_sender;
+	uint32_t config_sending; /* messages on their way */
 	struct vew *view;
 	struct rnw *lease;
 	struct rls *releases;
@@ -66,6 +71,14 @@
 bool rtr_take_rows(struct rtr *r, const struct buf *body);
 #define RTR_PLAN_TARGET "/-/plan"
 
+/* Takes the configuration from the operator's table, or from the leader. */
+void rtr_take_config_row(struct rtr *r, const struct tbl_row *row);
+bool rtr_take_config(struct rtr *r, const struct buf *body);
+#define RTR_CONFIG_TARGET "/-/config"
+
+/* Sends the configuration to a daemon that is late with it. */
+void rtr_help_with_config(struct rtr *r, const struct rpt *report);
+
 /* Owners, members or the leader have changed. */
 void rtr_plan_changed(void *arg);
 
--- a/packages/router/src/rtr_lead.c
+++ b/packages/router/src/rtr_lead.c
@@ -33,6 +33,7 @@
 		report->mean_us = load.mean_us;
 	report->slow_left_ms =
 		att_slow_left_ms(r->upstream, evl_now_us(r->loop));
+	report->config_version = r->config.version;
 	report->piece_count =
 		exr_pieces(r->runner, report->pieces, RPT_PIECES_MAX);
 }
@@ -139,11 +140,15 @@
 	if (span_is(hmg_target(m), RTR_PLAN_TARGET)) {
 		if (rtr_take_rows(r, body))
 			status = STATUS_OK;
+	} else if (span_is(hmg_target(m), RTR_CONFIG_TARGET)) {
+		if (rtr_take_config(r, body))
+			status = STATUS_OK;
 	} else if (!ldr_leads(r->leader) || ldr_is_stuck(r->leader)) {
 		status = STATUS_NOT_LEADER;
 	} else if (span_is(hmg_target(m), REPORT_TARGET)) {
 		if (rpt_parse(buf_data(body), buf_len(body), &x)) {
 			ldr_report(r->leader, &x);
+			rtr_help_with_config(r, &x);
 			status = STATUS_OK;
 		}
 	} else if (span_is(hmg_target(m), WAKE_TARGET)) {
--- /dev/null
+++ b/packages/router/tests/test_lag.c
@@ -0,0 +1,119 @@
+/*
+ * Guards against a daemon behind a busy link that serves by an old configuration
+ * for seconds, against messages to daemons that are in time, and against a
+ * compressed text that is cut or changed and taken as whole.
+ */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "clk.h"
+#include "lag.h"
+#include "rpt.h"
+#include "zip.h"
+
+#define MS US_PER_MS
+/* A version is in force everywhere within this time after it was accepted. */
+#define APPLY_US (2000 * MS)
+#define REPORT_US (500 * MS)
+/* A compressed message over a busy link, with its decoding. */
+#define MESSAGE_US (700 * MS)
+#define ROUTES 1300
+
+static void a_daemon_in_time_is_not_late(void **state)
+{
+	struct lag l = { 0 };
+
+	(void)state;
+	assert_false(lag_is_late(&l, 0, 10000 * MS));
+	lag_add(&l, 7, 10000 * MS);
+	assert_false(lag_is_late(&l, 7, 20000 * MS));
+	assert_false(lag_is_late(&l, 4, 10500 * MS));
+	assert_true(lag_is_late(&l, 4, 10700 * MS));
+}
+
+/* In a series of versions the age of the first one counts that is missed. */
+static void a_series_of_versions_does_not_hide_the_lag(void **state)
+{
+	struct lag l = { 0 };
+	uint64_t version = 10;
+
+	(void)state;
+	for (uint64_t now = 0; now < 10000 * MS; now += 200 * MS)
+		lag_add(&l, version++, now);
+	assert_true(lag_is_late(&l, version - 5, 10000 * MS));
+	assert_false(lag_is_late(&l, version - 2, 10000 * MS));
+	assert_true(lag_is_late(&l, 1, 10000 * MS));
+}
+
+/* From the version's acceptance to its use, at the latest report. */
+static void a_late_daemon_is_helped_in_time(void **state)
+{
+	struct lag l = { 0 };
+	uint64_t in_force = 100 * MS;
+	uint64_t report = in_force;
+
+	(void)state;
+	lag_add(&l, 2, in_force);
+	while (!lag_is_late(&l, 1, report))
+		report += REPORT_US - 1;
+	assert_true(report + MESSAGE_US <= APPLY_US);
+}
+
+static void the_version_is_reported(void **state)
+{
+	struct rpt r = { .config_version = 4711, .slots = 6 };
+	struct rpt back;
+	char *text = rpt_write(&r);
+
+	(void)state;
+	assert_true(rpt_parse(text, strlen(text), &back));
+	assert_int_equal(back.config_version, 4711);
+	assert_int_equal(back.slots, 6);
+	free(text);
+}
+
+static void a_text_survives_compression(void **state)
+{
+	size_t len = 0, packed_len;
+	char *text = malloc(ROUTES * 100);
+	char *packed, *back;
+
+	(void)state;
+	for (int i = 0; i < ROUTES; i++)
+		len += (size_t)sprintf(text + len,
+				       "{\"path\":\"/r%d/x\",\"to\":\"s\"}", i);
+	packed = zip_pack(text, len, &packed_len);
+	assert_non_null(packed);
+	assert_true(packed_len < len / 3);
+	back = zip_unpack(packed, packed_len, len);
+	assert_non_null(back);
+	assert_string_equal(back, text);
+	free(back);
+	assert_null(zip_unpack(packed, packed_len / 2, len));
+	assert_null(zip_unpack(packed, packed_len, len - 1));
+	packed[packed_len / 2] ^= 0x55;
+	assert_null(zip_unpack(packed, packed_len, len));
+	free(packed);
+	free(text);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_daemon_in_time_is_not_late),
+		cmocka_unit_test(a_series_of_versions_does_not_hide_the_lag),
+		cmocka_unit_test(a_late_daemon_is_helped_in_time),
+		cmocka_unit_test(the_version_is_reported),
+		cmocka_unit_test(a_text_survives_compression),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -4,7 +4,7 @@
 set -e
 packages="gcc make clang-format clang-tidy libclang-rt-14-dev
 	libwebsockets-dev libtirpc-dev libcyaml-dev libyaml-dev
-	libhttp-parser-dev libev-dev libjansson-dev libxxhash-dev uthash-dev libcmocka-dev pkg-config"
+	libhttp-parser-dev libev-dev libjansson-dev libxxhash-dev zlib1g-dev uthash-dev libcmocka-dev pkg-config"
 missing=
 for p in $packages; do
 	dpkg -s "$p" >/dev/null 2>&1 || missing="$missing $p"
