A leave counts also if it comes before the daemon knows its upstream

The daemon keeps such a leave for 15 s and applies it to the upstream when it is found. The same hole for an upstream that says it is draining when a new process first hears of it is closed too: the process before may have acknowledged that, so nothing more is sent.

Tests: router/test_att plays announcements over loopback with the table in memory. The table in memory is now shared with test_ldr.

--- a/packages/router/src/att.c
+++ b/packages/router/src/att.c
@@ -23,6 +23,12 @@
 /* A hold may last longer on the upstream's clock by its drift. */
 #define HOLD_DRIFT_US (300 * US_PER_MS)
 
+/*
+ * A leave binds an upstream that is learned of later only for this time; after
+ * it the same id is another life.
+ */
+#define LEAVE_MEMORY_US (15 * US_PER_S)
+
 /* Sends no more requests to an upstream that does not answer, or again. */
 void att_set_silent(struct att *a, bool silent, const char *reason)
 {
@@ -96,6 +102,56 @@
 	return a->born_ms == b->born_ms && strcmp(a->id, b->id) == 0;
 }
 
+/* Returns when requests end to an upstream whose leave was heard at heard_us. */
+static uint64_t close_after(const struct att *a, uint64_t heard_us)
+{
+	uint64_t drain_us = (uint64_t)a->parts.settings->drain_ms * US_PER_MS;
+
+	return heard_us +
+	       (drain_us > DRAIN_MARGIN_US ? drain_us - DRAIN_MARGIN_US : 1);
+}
+
+/*
+ * Notes that the upstream leaves, or has changed its mind. One that leaves when
+ * this process first hears of it may have told an earlier process before.
+ */
+static void set_draining(struct att *a, bool draining, bool heard_before,
+			 uint64_t now_us)
+{
+	if (draining == a->draining && (a->closed_us > 0 || !draining))
+		return;
+	a->draining = draining;
+	a->closed_us = 0;
+	if (draining)
+		a->closed_us = heard_before ? close_after(a, now_us) : now_us;
+	log_emit(LOG_UPSTREAM_DRAINING, "id=%s draining=%d", a->life.id,
+		 draining);
+}
+
+/* Keeps the leave of an upstream that this process does not know yet. */
+static void note_leave(struct att *a, const char *id, uint64_t now_us)
+{
+	if (strcmp(a->left_id, id) == 0 &&
+	    now_us < a->left_us + LEAVE_MEMORY_US)
+		return;
+	if (strlen(id) >= sizeof(a->left_id))
+		return;
+	txt_copy(a->left_id, sizeof(a->left_id), id);
+	a->left_us = now_us;
+}
+
+/* Applies a leave that came before the upstream was known. */
+static void apply_leave(struct att *a, uint64_t now_us)
+{
+	if (strcmp(a->life.id, a->left_id) != 0 ||
+	    now_us >= a->left_us + LEAVE_MEMORY_US)
+		return;
+	a->left = true;
+	a->draining = true;
+	a->closed_us = close_after(a, a->left_us);
+	log_emit(LOG_UPSTREAM_DRAINING, "id=%s draining=1", a->life.id);
+}
+
 /*
  * Takes over the upstream that an earlier process knew. If it has announced
  * itself to this process already it keeps the identity that the plan names, and
@@ -121,6 +177,7 @@
 	a->heard_us = evl_now_us(a->parts.loop);
 	log_emit(LOG_UPSTREAM_FOUND, "id=%s born=%lld service=%s", a->life.id,
 		 (long long)a->life.born_ms, a->service);
+	apply_leave(a, a->heard_us);
 	a->ops->on_upstream(a->arg);
 }
 
@@ -190,38 +247,23 @@
 		 a->life.id, (long long)a->life.born_ms, a->service, a->slots);
 }
 
-/* Notes that the upstream leaves, or has changed its mind. */
-static void set_draining(struct att *a, bool draining, uint64_t now_us)
-{
-	uint64_t drain_us = (uint64_t)a->parts.settings->drain_ms * US_PER_MS;
-
-	if (draining == a->draining && (a->closed_us > 0 || !draining))
-		return;
-	a->draining = draining;
-	a->closed_us = 0;
-	if (draining) {
-		a->closed_us = now_us + 1;
-		if (drain_us > DRAIN_MARGIN_US)
-			a->closed_us = now_us + drain_us - DRAIN_MARGIN_US;
-	}
-	log_emit(LOG_UPSTREAM_DRAINING, "id=%s draining=%d", a->life.id,
-		 draining);
-}
-
 /* Takes what the announcement says of the upstream. */
 static void learn(struct att *a, const struct plat_announcement *n,
 		  uint64_t now_us)
 {
 	bool changed = !a->announced;
+	bool heard_before = a->announced;
 	bool draining = n->leaves || a->left || n->state == PLAT_DRAINING;
 
 	if (n->leaves) {
+		heard_before = true;
 		a->left = true;
 	} else {
 		if (strcmp(a->life.id, n->id) != 0 ||
 		    a->life.born_ms != n->born_ms) {
 			begin_life(a, n);
-			draining = n->state == PLAT_DRAINING;
+			apply_leave(a, now_us);
+			draining = a->left || n->state == PLAT_DRAINING;
 			changed = true;
 		}
 		a->announced = true;
@@ -235,7 +277,7 @@
 	a->refusals = 0;
 	att_set_silent(a, false, "it announces itself");
 	changed = changed || draining != a->draining;
-	set_draining(a, draining, now_us);
+	set_draining(a, draining, heard_before, now_us);
 	if (changed)
 		a->ops->on_upstream(a->arg);
 }
@@ -258,6 +300,8 @@
 	uint64_t wait = ANSWER_WAIT_US;
 
 	if (is_stale(a, n)) {
+		if (n->leaves && a->life.id[0] == '\0')
+			note_leave(a, n->id, now);
 		log_emit(LOG_ANNOUNCEMENT_STALE, "id=%s born=%lld seq=%llu",
 			 n->id, (long long)n->born_ms,
 			 (unsigned long long)n->seq);
--- a/packages/router/src/att_int.h
+++ b/packages/router/src/att_int.h
@@ -30,6 +30,8 @@
 	uint64_t closed_us; /* requests are sent until then; 0 if it stays */
 	int64_t ended_born_ms; /* of the last life that has ended */
 	char ended_id[LIFE_ID_MAX];
+	char left_id[LIFE_ID_MAX]; /* has left before it was known here */
+	uint64_t left_us;
 	/* Keys. */
 	struct plat_announcement last; /* what it said last */
 	struct plat_grant granted; /* what it was answered last */
--- /dev/null
+++ b/packages/router/tests/fake.c
@@ -0,0 +1,153 @@
+#include "fake.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ANSWER_US (1 * US_PER_MS)
+
+/* Looks through the rows. */
+struct fake_row *fake_find(struct fake *f, const char *table, const char *key)
+{
+	for (size_t i = 0; i < f->row_count; i++) {
+		if (strcmp(f->rows[i].table, table) == 0 &&
+		    strcmp(f->rows[i].key, key) == 0)
+			return &f->rows[i];
+	}
+	return NULL;
+}
+
+/* Adds or replaces a row. */
+void fake_put(struct fake *f, const char *table, const char *key,
+	      const char *value)
+{
+	struct fake_row *r = fake_find(f, table, key);
+
+	if (!r)
+		r = &f->rows[f->row_count++];
+	snprintf(r->table, sizeof(r->table), "%s", table);
+	snprintf(r->key, sizeof(r->key), "%s", key);
+	snprintf(r->value, sizeof(r->value), "%s", value);
+	r->version = f->version;
+}
+
+/* Answers a call. */
+static void answer(void *arg, uint64_t now_us)
+{
+	struct fake_call *c = arg;
+	struct fake *f = c->f;
+	struct tbl_row rows[FAKE_ROWS_MAX];
+	struct tbl_result r = { .status = c->status,
+				.rows = rows,
+				.version = f->version,
+				.now_ms = now_us / US_PER_MS,
+				.sent_us = now_us,
+				.reason = "down" };
+
+	c->used = false;
+	for (size_t i = 0; i < f->row_count; i++) {
+		struct fake_row *x = &f->rows[i];
+
+		if ((c->reads && strcmp(x->table, c->table) == 0) ||
+		    c->status == TBL_CONFLICT)
+			rows[r.count++] =
+				(struct tbl_row){ x->table,   x->key,
+						  x->value,   strlen(x->value),
+						  x->version, false };
+	}
+	c->fn(c->arg, &r);
+}
+
+/* Plans the answer of a call. */
+static struct fake_call *begin(struct fake *f, tbl_fn fn, void *arg)
+{
+	for (size_t i = 0; i < FAKE_CALLS_MAX; i++) {
+		struct fake_call *c = &f->calls[i];
+
+		if (c->used)
+			continue;
+		memset(c, 0, sizeof(*c));
+		c->f = f;
+		c->fn = fn;
+		c->arg = arg;
+		c->used = true;
+		c->status = f->down ? TBL_REFUSED : TBL_OK;
+		tmr_at(evl_timers(f->loop), evl_now_us(f->loop) + ANSWER_US,
+		       answer, c);
+		return c;
+	}
+	abort();
+}
+
+static void fake_read(void *self, const char *table, tbl_fn fn, void *arg)
+{
+	struct fake *f = self;
+	struct fake_call *c = begin(f, fn, arg);
+
+	f->reads++;
+	c->reads = !f->down;
+	snprintf(c->table, sizeof(c->table), "%s", table);
+}
+
+static void fake_write(void *self, const struct tbl_change *changes,
+		       size_t count, tbl_fn fn, void *arg)
+{
+	struct fake *f = self;
+	struct fake_call *c = begin(f, fn, arg);
+
+	f->writes++;
+	if (f->down)
+		return;
+	for (size_t i = 0; i < count; i++) {
+		const struct fake_row *r =
+			fake_find(f, changes[i].table, changes[i].key);
+
+		if (changes[i].expected != (r ? r->version : 0))
+			c->status = TBL_CONFLICT;
+	}
+	if (c->status != TBL_OK)
+		return;
+	f->version++;
+	for (size_t i = 0; i < count; i++) {
+		if (changes[i].value)
+			fake_put(f, changes[i].table, changes[i].key,
+				 changes[i].value);
+	}
+}
+
+/* The feed answers at the end only: what is written here is taken at once. */
+static void fake_watch(void *self, const char *table, uint64_t after,
+		       uint32_t wait_ms, tbl_fn fn, void *arg)
+{
+	struct fake *f = self;
+
+	(void)table;
+	(void)after;
+	(void)wait_ms;
+	f->watches++;
+	if (f->hasty) {
+		begin(f, fn, arg);
+		return;
+	}
+	f->watch_fn = fn;
+	f->watch_arg = arg;
+}
+
+static const struct tbl_ops fake_ops = { fake_read, fake_write, fake_watch };
+
+/* Begins without rows. */
+void fake_open(struct fake *f, struct evl *l)
+{
+	f->loop = l;
+	f->tbl = (struct tbl){ &fake_ops, f };
+}
+
+/* Reports a failure to the user of the feed. */
+void fake_close(struct fake *f)
+{
+	struct tbl_result none = { .status = TBL_REFUSED };
+
+	if (f->watch_fn)
+		f->watch_fn(f->watch_arg, &none);
+	f->watch_fn = NULL;
+}
--- /dev/null
+++ b/packages/router/tests/test_att.c
@@ -0,0 +1,506 @@
+/*
+ * The attached upstream and its queue, with announcements over loopback and the
+ * table service in memory. Guards against requests to an upstream that has left
+ * or falls silent, and against a feed that calls without a pause.
+ */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "att.h"
+#include "exr.h"
+#include "fake.h"
+#include "hsv.h"
+#include "pmg.h"
+
+#define ADMIN "127.0.0.1:20121"
+#define UPSTREAM "127.0.0.1:20122"
+#define DRAIN_MS 700
+#define ANNOUNCE_MS 300
+#define WORK_MS 250
+#define KIND 1
+
+struct fixture {
+	struct evl *loop;
+	struct fake db;
+	struct rse settings;
+	struct plat platform;
+	struct vew *view;
+	struct rnw *lease;
+	struct rls *releases;
+	struct att *upstream;
+	struct exr *runner;
+	struct hsv *admin; /* takes announcements */
+	struct hcl *announcer;
+	struct hsv *server; /* the upstream */
+	struct plat_announcement next;
+	int status; /* of the last answer to an announcement, -1 for none */
+	uint32_t arrived; /* requests at the upstream */
+	uint64_t last_arrival_us;
+	uint32_t refused, answered;
+};
+
+static struct fixture *fx;
+
+static void run(uint32_t ms)
+{
+	uint64_t end = evl_now_us(fx->loop) + (uint64_t)ms * US_PER_MS;
+
+	while (evl_now_us(fx->loop) < end)
+		evl_step(fx->loop, 5 * US_PER_MS);
+}
+
+static void on_event(void *arg)
+{
+	struct fixture *f = arg;
+
+	if (f->runner)
+		exr_keys_changed(f->runner);
+}
+
+static const struct att_ops upstream_ops = { on_event, on_event };
+
+static void on_found(void *arg, const struct nrw *row)
+{
+	struct fixture *f = arg;
+
+	if (row)
+		att_found(f->upstream, row);
+}
+
+static void on_renewed(void *arg)
+{
+	(void)arg;
+}
+
+static void on_lapsed(void *arg, const char *reason)
+{
+	(void)arg;
+	(void)reason;
+}
+
+static const struct rnw_ops lease_ops = { on_found, on_renewed, on_lapsed };
+
+static void on_rows(void *arg, const struct tbl_change *rows, size_t count,
+		    uint64_t version)
+{
+	(void)arg;
+	(void)rows;
+	(void)count;
+	(void)version;
+}
+
+static void write_grant(struct buf *out, const struct plat_grant *g)
+{
+	(void)g;
+	buf_add_text(out, "{}");
+}
+
+static void *on_announcement(void *arg, struct hsc *c, const struct hmg *m,
+			     const struct buf *body)
+{
+	struct fixture *f = arg;
+
+	(void)m;
+	(void)body;
+	return att_announce(f->upstream, c, &f->next);
+}
+
+static void on_gone(void *request)
+{
+	att_answer_gone(request);
+}
+
+static const struct hsv_ops admin_ops = { on_announcement, on_gone, NULL };
+
+/* The upstream answers after its work, one request for each connection. */
+static void reply(void *arg, uint64_t now_us)
+{
+	(void)now_us;
+	hsc_reply(arg, 200, "", "ok", 2);
+}
+
+static void *on_request(void *arg, struct hsc *c, const struct hmg *m,
+			const struct buf *body)
+{
+	struct fixture *f = arg;
+
+	(void)m;
+	(void)body;
+	f->arrived++;
+	f->last_arrival_us = evl_now_us(f->loop);
+	tmr_at(evl_timers(f->loop), f->last_arrival_us + WORK_MS * US_PER_MS,
+	       reply, c);
+	return c;
+}
+
+static void on_request_gone(void *request)
+{
+	(void)request;
+}
+
+static const struct hsv_ops server_ops = { on_request, on_request_gone, NULL };
+
+static void on_answer(void *arg, uint16_t status)
+{
+	struct fixture *f = arg;
+
+	f->status = status;
+}
+
+/* Announces the upstream; the answer may be kept for a while. */
+static void announce(const char *id, enum plat_state state, bool leaves,
+		     int64_t born_ms)
+{
+	static struct pmg_sender sender;
+	static uint64_t seq;
+
+	sender = (struct pmg_sender){ on_answer, fx };
+	memset(&fx->next, 0, sizeof(fx->next));
+	snprintf(fx->next.id, sizeof(fx->next.id), "%s", id);
+	snprintf(fx->next.service, sizeof(fx->next.service), "s");
+	fx->next.state = state;
+	fx->next.leaves = leaves;
+	fx->next.born_ms = born_ms;
+	fx->next.slots = 1;
+	fx->next.seq = ++seq;
+	fx->status = -1;
+	assert_true(pmg_send(fx->announcer, "/announce", "{}", &sender));
+	run(30);
+}
+
+static bool is_forward_field(struct span name)
+{
+	(void)name;
+	return false;
+}
+
+static void write_forward(struct buf *out, const struct plat_forward *f)
+{
+	(void)out;
+	(void)f;
+}
+
+static void read_response(const struct hmg *m, const char *request_id,
+			  struct plat_response *r)
+{
+	(void)m;
+	(void)request_id;
+	memset(r, 0, sizeof(*r));
+	r->has_id = r->id_matches = r->is_signed = true;
+}
+
+static const struct plat_ops platform_ops = { .write_grant = write_grant,
+					      .is_forward_field =
+						      is_forward_field,
+					      .write_forward = write_forward,
+					      .read_response = read_response };
+
+static void on_job_head(void *arg, const struct hmg *m)
+{
+	(void)arg;
+	(void)m;
+}
+
+static void on_job_body(void *arg, const char *bytes, size_t len)
+{
+	(void)arg;
+	(void)bytes;
+	(void)len;
+}
+
+static void on_job_done(void *arg)
+{
+	((struct fixture *)arg)->answered++;
+}
+
+static void on_job_refused(void *arg, enum exr_refusal why, uint64_t wait_us)
+{
+	(void)why;
+	(void)wait_us;
+	((struct fixture *)arg)->refused++;
+}
+
+static void on_job_failed(void *arg, enum exr_failure why)
+{
+	(void)arg;
+	(void)why;
+}
+
+static const struct exr_ops job_ops = { on_job_head, on_job_body, on_job_done,
+					on_job_refused, on_job_failed };
+
+/* Starts a request without a key that has five seconds. */
+static void ask(void)
+{
+	static struct hmg message;
+	static struct buf body;
+	static struct exr_job *job;
+	uint64_t now = evl_now_us(fx->loop);
+	struct exr_request r = { .message = &message,
+				 .body = &body,
+				 .request = { .key = PLAT_NO_KEY },
+				 .upstream_id = att_life(fx->upstream)->id,
+				 .caller_service = "c",
+				 .kind = KIND,
+				 .deadline_us = now + 5 * US_PER_S,
+				 .objective_us = now + 4 * US_PER_S };
+
+	if (message.target_len == 0) {
+		buf_add_text(&message.text, "/x");
+		message.target_len = 2;
+		message.method = "GET";
+	}
+	exr_start(fx->runner, &r, &job_ops, fx, &job);
+}
+
+/* Puts the row that an earlier process has left. */
+static void put_row(const char *id, int64_t born_ms, bool takes_work)
+{
+	struct nrw n = { .process = 1, .slots = 1, .takes_work = takes_work };
+	char *text;
+
+	snprintf(n.node, sizeof(n.node), "a");
+	snprintf(n.life.node, sizeof(n.life.node), "a");
+	snprintf(n.life.id, sizeof(n.life.id), "%s", id);
+	n.life.born_ms = born_ms;
+	n.life.attached = 5;
+	snprintf(n.service, sizeof(n.service), "s");
+	text = nrw_write(&n);
+	fx->db.version++;
+	fake_put(&fx->db, NRW_TABLE, "a", text);
+	free(text);
+}
+
+static void on_plan(void *arg)
+{
+	(void)arg;
+}
+
+/* Starts what a daemon has around its upstream. */
+static void start_parts(struct fixture *f)
+{
+	struct err err = { 0 };
+	struct nrw row = { .process = 2 };
+	struct sockaddr_in a;
+
+	snprintf(row.node, sizeof(row.node), "a");
+	snprintf(row.life.node, sizeof(row.life.node), "a");
+	f->view = vew_create(f->loop, f->db.tbl, on_plan, f);
+	f->lease = rnw_create(f->loop, f->db.tbl, &row, &lease_ops, f);
+	f->releases = rls_create(f->loop, f->db.tbl, f->view, on_rows, f);
+	struct att_parts parts = { f->loop,  &f->platform, &f->settings,
+				   f->lease, f->view,	   f->releases };
+	f->upstream = att_create(&parts, &upstream_ops, f);
+	f->runner = exr_create(f->loop, &f->platform, f->upstream, UPSTREAM);
+	f->admin = hsv_create(f->loop, ADMIN, &admin_ops, f, &err);
+	f->server = hsv_create(f->loop, UPSTREAM, &server_ops, f, &err);
+	assert_non_null(f->admin);
+	assert_non_null(f->server);
+	assert_true(skt_parse(ADMIN, &a));
+	f->announcer = hcl_create(f->loop, &a, 5 * US_PER_S);
+}
+
+static int setup(void **state)
+{
+	struct fixture *f = calloc(1, sizeof(*f));
+	struct err err = { 0 };
+
+	(void)state;
+	fx = f;
+	f->loop = evl_create(clk_system(), &err);
+	fake_open(&f->db, f->loop);
+	snprintf(f->settings.instance, RSE_NAME_MAX, "a");
+	snprintf(f->settings.upstream_address, RSE_ADDRESS_MAX, UPSTREAM);
+	f->settings.announce_ms = ANNOUNCE_MS;
+	f->settings.drain_ms = DRAIN_MS;
+	f->settings.hold_max_ms = 4000;
+	f->platform = (struct plat){ &platform_ops, f };
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	struct fixture *f = fx;
+
+	(void)state;
+	run(600); /* what runs or is kept ends */
+	hcl_destroy(f->announcer);
+	hsv_destroy(f->admin);
+	hsv_destroy(f->server);
+	exr_destroy(f->runner);
+	f->runner = NULL;
+	att_destroy(f->upstream);
+	rls_destroy(f->releases);
+	rnw_destroy(f->lease);
+	vew_destroy(f->view);
+	fake_close(&f->db);
+	run(100);
+	evl_destroy(f->loop);
+	free(f);
+	return 0;
+}
+
+static bool is_open(void)
+{
+	return att_is_open(fx->upstream, evl_now_us(fx->loop));
+}
+
+/*
+ * A leave that came while the store was away was acknowledged and forgotten;
+ * the upstream got requests when its row was found, beyond its drain time.
+ */
+static void leave_before_the_row_is_found_binds(void **state)
+{
+	(void)state;
+	put_row("u-1", 1000, true);
+	fx->db.down = true;
+	start_parts(fx);
+	run(20);
+	announce("u-1", PLAT_READY, true, 0);
+	assert_int_equal(fx->status, 200);
+	run(DRAIN_MS);
+	fx->db.down = false;
+	run(1000);
+	assert_string_equal(att_life(fx->upstream)->id, "u-1");
+	assert_false(is_open());
+	assert_false(att_takes_work(fx->upstream));
+}
+
+/* The process before has acknowledged the drain some time ago. */
+static void drain_of_an_earlier_process_is_over(void **state)
+{
+	(void)state;
+	put_row("u-1", 1000, true);
+	start_parts(fx);
+	run(50);
+	assert_true(is_open());
+	announce("u-1", PLAT_DRAINING, false, 1000);
+	assert_false(is_open());
+}
+
+/* A leave tells no start time; it was taken for that of an earlier life. */
+static void leave_without_a_start_time_counts(void **state)
+{
+	(void)state;
+	start_parts(fx);
+	run(50);
+	announce("u-1", PLAT_READY, false, 1000);
+	assert_true(att_takes_work(fx->upstream));
+	announce("u-2", PLAT_READY, true, 0);
+	assert_true(att_takes_work(fx->upstream));
+	announce("u-1", PLAT_READY, true, 0);
+	assert_int_equal(fx->status, 200);
+	assert_false(att_takes_work(fx->upstream));
+	assert_true(is_open());
+	run(DRAIN_MS);
+	assert_false(is_open());
+}
+
+/* Requests in the queue were sent after the drain time. */
+static void queue_ends_with_the_drain(void **state)
+{
+	uint64_t told;
+
+	(void)state;
+	start_parts(fx);
+	run(50);
+	announce("u-1", PLAT_READY, false, 1000);
+	for (int i = 0; i < 8; i++)
+		ask();
+	run(20);
+	assert_int_equal(fx->arrived, 1);
+	told = evl_now_us(fx->loop);
+	announce("u-1", PLAT_DRAINING, false, 1000);
+	run(4 * WORK_MS + DRAIN_MS);
+	assert_true(fx->last_arrival_us < told + DRAIN_MS * US_PER_MS);
+	assert_int_equal(fx->answered, fx->arrived);
+	assert_int_equal(fx->answered + fx->refused, 8);
+}
+
+/* One that no longer announces itself got work until its hold was over. */
+static void silent_upstream_gets_no_work(void **state)
+{
+	(void)state;
+	start_parts(fx);
+	run(50);
+	announce("u-1", PLAT_READY, false, 1000);
+	assert_true(att_takes_work(fx->upstream));
+	run(5 * ANNOUNCE_MS);
+	assert_false(att_takes_work(fx->upstream));
+	assert_false(is_open());
+	announce("u-1", PLAT_READY, false, 1000);
+	assert_true(att_takes_work(fx->upstream));
+}
+
+static void on_row(void *arg, const struct tbl_row *r)
+{
+	(void)arg;
+	(void)r;
+}
+
+static void on_synced(void *arg, bool whole)
+{
+	(void)arg;
+	(void)whole;
+}
+
+static void on_lost(void *arg, const char *reason)
+{
+	(void)arg;
+	(void)reason;
+}
+
+static const struct fed_ops feed_ops = { on_row, on_synced, on_lost };
+
+/* A feed that answers at once, and readers in doubt, made a tight loop. */
+static void feed_and_reads_are_paced(void **state)
+{
+	struct fed *feed;
+
+	(void)state;
+	start_parts(fx);
+	run(50);
+	fx->db.hasty = true;
+	fx->db.watches = 0;
+	feed = fed_create(fx->loop, fx->db.tbl, "t", 20 * US_PER_MS, &feed_ops,
+			  fx);
+	run(400);
+	assert_true(fx->db.watches <= 20);
+	fx->db.reads = 0;
+	for (int i = 0; i < 200; i++)
+		vew_doubt(fx->view);
+	run(400);
+	assert_true(fx->db.reads <= 1);
+	fx->db.down = true;
+	fx->db.reads = 0;
+	fed_read_again(feed);
+	run(1000);
+	assert_true(fx->db.reads <= 5);
+	fx->db.down = false;
+	fed_destroy(feed);
+	fx->db.hasty = false;
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		TEST(leave_before_the_row_is_found_binds),
+		TEST(drain_of_an_earlier_process_is_over),
+		TEST(leave_without_a_start_time_counts),
+		TEST(queue_ends_with_the_drain),
+		TEST(silent_upstream_gets_no_work),
+		TEST(feed_and_reads_are_paced),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/router/tests/test_exq.c
+++ b/packages/router/tests/test_exq.c
@@ -2,6 +2,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -11,6 +12,8 @@
 #include "exq.h"
 
 #define MS US_PER_MS
+/* A refusal that comes later could have come at once. */
+#define HELD_US (100 * MS)
 
 /* One kind of request in a played load. */
 struct kind {
@@ -24,6 +27,7 @@
 /* What the callers of one kind got. */
 struct tally {
 	uint32_t asked, on_time, late, refused;
+	uint32_t held; /* refused after a tenth of a second or more */
 	uint64_t longest_wait_us; /* until a refusal */
 };
 
@@ -70,6 +74,7 @@
 	struct tally *t = &p->tally[r->kind];
 
 	t->refused++;
+	t->held += now - r->item.came_us >= HELD_US;
 	if (now - r->item.came_us > t->longest_wait_us)
 		t->longest_wait_us = now - r->item.came_us;
 	free(r);
@@ -224,6 +229,45 @@
 	assert_true((t[1].on_time + t[1].late) * 100 > t[1].asked * 15);
 }
 
+/* What the callers of a kind got, in responses that were on time. */
+static double worth_of(const struct tally *t)
+{
+	return t->on_time + 0.3 * t->late;
+}
+
+/*
+ * Two and three times the load that an upstream with few slots carries, of a
+ * grown service. Requests were taken whose turn never came, as later ones of a
+ * more urgent kind, or of their own kind and on time, went first: they were held
+ * to three quarters of their time and then refused, and most of those that were
+ * served were late.
+ */
+static void test_hopeless_requests_are_not_taken(void **state)
+{
+	struct kind kinds[] = { { 1, 120 * MS, 500 * MS, 2000 * MS, 0 },
+				{ 2, 93 * MS, 400 * MS, 1500 * MS, 0 } };
+
+	(void)state;
+	for (int load = 2; load <= 3; load++) {
+		struct tally t[2] = { 0 };
+		double work;
+
+		kinds[0].per_s = load * 12.5;
+		kinds[1].per_s = load * 27;
+		play(kinds, 2, t, 4, 30);
+		work = (t[0].on_time + t[0].late) * 0.120 +
+		       (t[1].on_time + t[1].late) * 0.093;
+		printf("load %d: confirm %u on time %u late %u refused %u held; "
+		       "lookup %u on time %u late %u refused %u held\n",
+		       load, t[0].on_time, t[0].late, t[0].refused, t[0].held,
+		       t[1].on_time, t[1].late, t[1].refused, t[1].held);
+		assert_true(work > 0.9 * 4 * 30);
+		assert_true(worth_of(&t[0]) > 0.8 * (t[0].on_time + t[0].late));
+		assert_true(worth_of(&t[1]) > 0.8 * (t[1].on_time + t[1].late));
+		assert_true(t[1].held * 20 < t[1].refused);
+	}
+}
+
 /* Without slots nothing is worth waiting for. */
 static void test_no_slots(void **state)
 {
@@ -245,6 +289,7 @@
 		cmocka_unit_test(test_refusals_come_early),
 		cmocka_unit_test(test_late_calls_keep_their_rank),
 		cmocka_unit_test(test_calls_get_what_they_need),
+		cmocka_unit_test(test_hopeless_requests_are_not_taken),
 		cmocka_unit_test(test_no_slots),
 	};
 
--- a/packages/router/tests/test_ldr.c
+++ b/packages/router/tests/test_ldr.c
@@ -8,41 +8,13 @@
 
 #include <cmocka.h>
 
+#include "fake.h"
 #include "ldr.h"
 #include "nrw.h"
 
-/* A table service in memory that answers from the loop, or does not. */
-
-#define ROWS_MAX 32
-#define CALLS_MAX 32
-#define ANSWER_US (1 * US_PER_MS)
-
-struct fake_row {
-	char table[64], key[96], value[8192];
-	uint64_t version;
-};
-
-struct fake_call {
-	struct fixture *f;
-	tbl_fn fn;
-	void *arg;
-	char table[64];
-	enum tbl_status status;
-	bool reads;
-	bool used;
-};
-
 struct fixture {
 	struct evl *loop;
-	struct tbl tbl;
-	struct fake_row rows[ROWS_MAX];
-	size_t row_count;
-	uint64_t version;
-	struct fake_call calls[CALLS_MAX];
-	tbl_fn watch_fn;
-	void *watch_arg;
-	bool down;
-	uint32_t reads, writes;
+	struct fake db;
 	struct rse settings;
 	struct rcf config;
 	struct rcf_service service;
@@ -50,130 +22,6 @@
 	struct ldr *leader;
 };
 
-static struct fake_row *find_row(struct fixture *f, const char *table,
-				 const char *key)
-{
-	for (size_t i = 0; i < f->row_count; i++) {
-		if (strcmp(f->rows[i].table, table) == 0 &&
-		    strcmp(f->rows[i].key, key) == 0)
-			return &f->rows[i];
-	}
-	return NULL;
-}
-
-/* Writes a row with the present version. */
-static void put_row(struct fixture *f, const char *table, const char *key,
-		    const char *value)
-{
-	struct fake_row *r = find_row(f, table, key);
-
-	if (!r)
-		r = &f->rows[f->row_count++];
-	snprintf(r->table, sizeof(r->table), "%s", table);
-	snprintf(r->key, sizeof(r->key), "%s", key);
-	snprintf(r->value, sizeof(r->value), "%s", value);
-	r->version = f->version;
-}
-
-/* Answers a call. */
-static void answer(void *arg, uint64_t now_us)
-{
-	struct fake_call *c = arg;
-	struct fixture *f = c->f;
-	struct tbl_row rows[ROWS_MAX];
-	struct tbl_result r = { .status = c->status,
-				.rows = rows,
-				.version = f->version,
-				.now_ms = now_us / US_PER_MS,
-				.sent_us = now_us,
-				.reason = "down" };
-
-	c->used = false;
-	for (size_t i = 0; i < f->row_count; i++) {
-		struct fake_row *x = &f->rows[i];
-
-		if ((c->reads && strcmp(x->table, c->table) == 0) ||
-		    c->status == TBL_CONFLICT)
-			rows[r.count++] =
-				(struct tbl_row){ x->table,   x->key,
-						  x->value,   strlen(x->value),
-						  x->version, false };
-	}
-	c->fn(c->arg, &r);
-}
-
-/* Plans the answer of a call. */
-static struct fake_call *begin(struct fixture *f, tbl_fn fn, void *arg)
-{
-	for (size_t i = 0; i < CALLS_MAX; i++) {
-		struct fake_call *c = &f->calls[i];
-
-		if (c->used)
-			continue;
-		memset(c, 0, sizeof(*c));
-		c->f = f;
-		c->fn = fn;
-		c->arg = arg;
-		c->used = true;
-		c->status = f->down ? TBL_REFUSED : TBL_OK;
-		tmr_at(evl_timers(f->loop), evl_now_us(f->loop) + ANSWER_US,
-		       answer, c);
-		return c;
-	}
-	abort();
-}
-
-static void fake_read(void *self, const char *table, tbl_fn fn, void *arg)
-{
-	struct fixture *f = self;
-	struct fake_call *c = begin(f, fn, arg);
-
-	f->reads++;
-	c->reads = !f->down;
-	snprintf(c->table, sizeof(c->table), "%s", table);
-}
-
-static void fake_write(void *self, const struct tbl_change *changes,
-		       size_t count, tbl_fn fn, void *arg)
-{
-	struct fixture *f = self;
-	struct fake_call *c = begin(f, fn, arg);
-
-	f->writes++;
-	if (f->down)
-		return;
-	for (size_t i = 0; i < count; i++) {
-		const struct fake_row *r =
-			find_row(f, changes[i].table, changes[i].key);
-
-		if (changes[i].expected != (r ? r->version : 0))
-			c->status = TBL_CONFLICT;
-	}
-	if (c->status != TBL_OK)
-		return;
-	f->version++;
-	for (size_t i = 0; i < count; i++) {
-		if (changes[i].value)
-			put_row(f, changes[i].table, changes[i].key,
-				changes[i].value);
-	}
-}
-
-/* The feed answers at the end only: what is written here is taken at once. */
-static void fake_watch(void *self, const char *table, uint64_t after,
-		       uint32_t wait_ms, tbl_fn fn, void *arg)
-{
-	struct fixture *f = self;
-
-	(void)table;
-	(void)after;
-	(void)wait_ms;
-	f->watch_fn = fn;
-	f->watch_arg = arg;
-}
-
-static const struct tbl_ops fake_ops = { fake_read, fake_write, fake_watch };
-
 static void on_plan(void *arg)
 {
 	(void)arg;
@@ -206,8 +54,8 @@
 	snprintf(n.life.id, sizeof(n.life.id), "u-%s", name);
 	snprintf(n.service, sizeof(n.service), "s");
 	text = nrw_write(&n);
-	f->version++;
-	put_row(f, NRW_TABLE, name, text);
+	f->db.version++;
+	fake_put(&f->db, NRW_TABLE, name, text);
 	free(text);
 }
 
@@ -226,7 +74,7 @@
 	struct err err = { 0 };
 
 	f->loop = evl_create(clk_system(), &err);
-	f->tbl = (struct tbl){ &fake_ops, f };
+	fake_open(&f->db, f->loop);
 	snprintf(f->settings.instance, RSE_NAME_MAX, "a");
 	snprintf(f->settings.peer_address, RSE_ADDRESS_MAX, "127.0.0.1:1");
 	snprintf(f->service.name, RCF_NAME_MAX, "s");
@@ -234,9 +82,9 @@
 	f->config = (struct rcf){ .version = 1,
 				  .services = &f->service,
 				  .service_count = 1 };
-	f->view = vew_create(f->loop, f->tbl, on_plan, f);
-	struct ldr_parts parts = { f->loop,    f->tbl,	f->view, &f->settings,
-				   &f->config, on_rows, f };
+	f->view = vew_create(f->loop, f->db.tbl, on_plan, f);
+	struct ldr_parts parts = { f->loop,    f->db.tbl, f->view, &f->settings,
+				   &f->config, on_rows,	  f };
 	f->leader = ldr_create(&parts);
 	put_node(f, "a", 60000);
 	put_node(f, "b", 60000);
@@ -250,12 +98,9 @@
 static int teardown(void **state)
 {
 	struct fixture *f = *state;
-	struct tbl_result none = { .status = TBL_REFUSED };
-
 	ldr_destroy(f->leader);
 	vew_destroy(f->view);
-	if (f->watch_fn)
-		f->watch_fn(f->watch_arg, &none);
+	fake_close(&f->db);
 	run(f, 20);
 	evl_destroy(f->loop);
 	free(f);
@@ -294,13 +139,13 @@
 	struct fixture *f = *state;
 	uint32_t before;
 
-	f->down = true;
-	before = f->reads;
+	f->db.down = true;
+	before = f->db.reads;
 	run(f, 3200);
 	assert_true(ldr_is_stuck(f->leader));
 	/* It goes on trying, at a rate that costs little. */
-	assert_in_range(f->reads - before, 2, 20);
-	f->down = false;
+	assert_in_range(f->db.reads - before, 2, 20);
+	f->db.down = false;
 	run(f, 1000);
 	assert_false(ldr_is_stuck(f->leader));
 }
@@ -314,7 +159,7 @@
 
 	put_node(f, "b", 0);
 	run(f, 2500);
-	b = find_row(f, NRW_TABLE, "b");
+	b = fake_find(&f->db, NRW_TABLE, "b");
 	assert_true(nrw_parse(b->value, strlen(b->value), &row));
 	assert_true(row.expired);
 	assert_string_equal(owner_of(f, 0), "u-a");
