Rows and messages of the plan are compressed

Excluded: forwards of requests (their bytes do not grow with the size), more frequent plans.

One format for both and for the configuration (zip), with the length in its first line; router/test_lag cuts and changes it.

--- a/packages/base/src/zip.h
+++ b/packages/base/src/zip.h
@@ -1,18 +1,25 @@
 #ifndef ZIP_H
 #define ZIP_H
 
-/* Compressed texts for messages between daemons, by zlib. */
+/*
+ * Compressed texts, by zlib. A packed text begins with a mark that no JSON text
+ * begins with, and with its length.
+ */
 
 #include <stdbool.h>
 #include <stddef.h>
 
-/* Returns the compressed bytes, which the caller frees; NULL without memory. */
+/* Returns the packed text, which the caller frees; NULL without memory. */
 char *zip_pack(const char *text, size_t len, size_t *packed_len);
 
+/* True if the bytes begin like a packed text. */
+bool zip_is_packed(const char *bytes, size_t len);
+
 /*
- * Returns the text of len bytes, ended by NUL, which the caller frees; NULL if
- * the bytes are not a compressed text of that length.
+ * Returns the text, ended by NUL, which the caller frees; NULL if the bytes are
+ * not a whole packed text, or one of more than max bytes.
  */
-char *zip_unpack(const char *packed, size_t packed_len, size_t len);
+char *zip_unpack(const char *packed, size_t packed_len, size_t max,
+		 size_t *len);
 
 #endif
--- a/packages/net/src/htp_conn.c
+++ b/packages/net/src/htp_conn.c
@@ -201,7 +201,8 @@
 		return;
 	if (taken < len && !buf_add(&c->in, bytes + taken, len - taken))
 		htp_conn_kill(c);
-	give_body(c->req, NULL, 0, true);
+	if (c->req)
+		give_body(c->req, NULL, 0, true);
 }
 
 /* Tells whether bytes from the socket have a use now. */
--- a/packages/net/src/htp_head.c
+++ b/packages/net/src/htp_head.c
@@ -79,6 +79,7 @@
 const char *htp_header(const struct htp_req *r, const char *name)
 {
 	struct htp_req *req = (struct htp_req *)r;
+	size_t size = strlen(name) + 1;
 	struct htp_copy *copy;
 	struct span value;
 
@@ -86,10 +87,10 @@
 		if (strcmp(copy->name, name) == 0)
 			return copy->value;
 	}
-	copy = malloc(sizeof(*copy) + strlen(name) + 1);
+	copy = malloc(sizeof(*copy) + size);
 	if (!copy)
 		return NULL;
-	strcpy(copy->name, name);
+	memcpy(copy->name, name, size);
 	value = hmg_find(hps_message(r->conn->parser), name);
 	copy->value = value.text ? strndup(value.text, value.len) : NULL;
 	copy->next = req->copies;
--- a/packages/router/src/rtr_config.c
+++ b/packages/router/src/rtr_config.c
@@ -14,8 +14,6 @@
 #define SEND_AGAIN_US (1 * US_PER_S)
 /* Largest text that is taken, in bytes. */
 #define TEXT_MAX (16U << 20)
-/* First line of the message: the length of the text. */
-#define HEAD_MAX 32
 
 /*
  * A leader keeps the compressed text of the configuration in force for messages;
@@ -30,9 +28,8 @@
 	if (!ldr_leads(r->leader))
 		return;
 	packed = zip_pack(text, len, &packed_len);
-	if (!packed || !buf_printf(&r->config_text, "%zu\n", len) ||
-	    !buf_add(&r->config_text, packed, packed_len))
-		r->config_text.start = r->config_text.end = 0;
+	if (packed)
+		buf_add(&r->config_text, packed, packed_len);
 	free(packed);
 }
 
@@ -74,15 +71,11 @@
 /* Takes the message of another daemon. */
 bool rtr_take_config(struct rtr *r, const struct buf *body)
 {
-	const char *bytes = buf_len(body) ? buf_data(body) : "";
-	const char *end = memchr(bytes, '\n', buf_len(body));
-	struct span line = { bytes, end ? (size_t)(end - bytes) : 0 };
-	uint64_t len;
-	char *text;
+	size_t len;
+	char *text = buf_len(body) ? zip_unpack(buf_data(body), buf_len(body),
+						TEXT_MAX, &len) :
+				     NULL;
 
-	if (!end || line.len > HEAD_MAX || !span_number(line, TEXT_MAX, &len))
-		return false;
-	text = zip_unpack(end + 1, buf_len(body) - line.len - 1, len);
 	if (!text)
 		return false;
 	take_config(r, text, len, "leader");
--- a/packages/router/src/rtr_push.c
+++ b/packages/router/src/rtr_push.c
@@ -6,6 +6,7 @@
 #include "log.h"
 #include "pmg.h"
 #include "rtr_int.h"
+#include "zip.h"
 
 /* Daemons that are told of one release. */
 #define OWNERS_MAX 64
@@ -20,19 +21,27 @@
 
 static const struct pmg_sender sender = { on_answer, NULL };
 
+/* Longest text of a message that is taken, in bytes. */
+#define TEXT_MAX (64U << 20)
+
 /* Sends a message to a member. */
-static void send_to(struct mbr *m, const char *text)
+static void send_to(struct mbr *m, const struct buf *text)
 {
-	if (m->pool && !pmg_send(m->pool, RTR_PLAN_TARGET, text, &sender))
+	if (m->pool && !pmg_send_bytes(m->pool, RTR_PLAN_TARGET, buf_data(text),
+				       buf_len(text), &sender))
 		log_emit(LOG_NO_DESCRIPTOR, "to=%s", m->peer_address);
 }
 
-/* Returns the rows as a message, which the caller frees. */
-static char *write_rows(const struct tbl_change *rows, size_t count,
-			uint64_t version)
+/*
+ * Writes the rows as a compressed message. A leader sends it to every daemon, so
+ * that its size counts most on the way to more of them.
+ */
+static void write_rows(const struct tbl_change *rows, size_t count,
+		       uint64_t version, struct buf *out)
 {
 	json_t *list = json_array();
-	char *text;
+	size_t packed_len = 0;
+	char *text, *packed;
 
 	for (size_t i = 0; i < count; i++) {
 		if (rows[i].value && strcmp(rows[i].table, VEW_TABLE) == 0)
@@ -43,11 +52,15 @@
 	}
 	text = json_dumps(list, JSON_COMPACT);
 	json_decref(list);
-	return text;
+	packed = text ? zip_pack(text, strlen(text), &packed_len) : NULL;
+	if (packed)
+		buf_add(out, packed, packed_len);
+	free(packed);
+	free(text);
 }
 
 /* Sends to all other daemons. */
-static void send_to_all(struct rtr *r, const char *text)
+static void send_to_all(struct rtr *r, const struct buf *text)
 {
 	struct mbs *members = vew_members(r->view);
 
@@ -64,7 +77,7 @@
  * and were not before. The maps have the same ranges: a release joins none.
  */
 static void send_to_owners(struct rtr *r, const struct krm *before,
-			   const struct krm *after, const char *text)
+			   const struct krm *after, const struct buf *text)
 {
 	struct mbr *sent[OWNERS_MAX];
 	size_t count = 0;
@@ -96,14 +109,15 @@
 	uint64_t known_version;
 	const struct krm *known = vew_map(r->view, service, &known_version);
 	struct krm *before = known ? krm_copy(known) : NULL;
-	char *text = write_rows(row, 1, version);
+	struct buf text = { 0 };
 
+	write_rows(row, 1, version, &text);
 	vew_take(r->view, row->key, row->value, strlen(row->value), version);
 	known = vew_map(r->view, service, &known_version);
 	if (before && known)
-		send_to_owners(r, before, known, text);
+		send_to_owners(r, before, known, &text);
 	krm_destroy(before);
-	free(text);
+	buf_free(&text);
 }
 
 /* Puts rows in force and tells those whom they concern. */
@@ -111,7 +125,7 @@
 		      uint64_t version)
 {
 	struct rtr *r = arg;
-	char *text;
+	struct buf text = { 0 };
 
 	if (count == 1 &&
 	    strncmp(rows->key, VEW_KEYS_PREFIX, strlen(VEW_KEYS_PREFIX)) == 0) {
@@ -124,20 +138,24 @@
 			vew_take(r->view, rows[i].key, rows[i].value,
 				 strlen(rows[i].value), version);
 	}
-	text = write_rows(rows, count, version);
-	send_to_all(r, text);
-	free(text);
+	write_rows(rows, count, version, &text);
+	send_to_all(r, &text);
+	buf_free(&text);
 	rtr_plan_changed(r);
 }
 
 /* Takes the rows of a message; older ones than known are ignored. */
 bool rtr_take_rows(struct rtr *r, const struct buf *body)
 {
-	json_t *list = json_loadb(buf_len(body) ? buf_data(body) : "",
-				  buf_len(body), 0, NULL);
+	size_t len = 0;
+	char *text = buf_len(body) ? zip_unpack(buf_data(body), buf_len(body),
+						TEXT_MAX, &len) :
+				     NULL;
+	json_t *list = text ? json_loadb(text, len, 0, NULL) : NULL;
 	json_t *item;
 	size_t i;
 
+	free(text);
 	if (!json_is_array(list)) {
 		json_decref(list);
 		return false;
--- a/packages/router/tests/test_lag.c
+++ b/packages/router/tests/test_lag.c
@@ -82,7 +82,7 @@
 
 static void a_text_survives_compression(void **state)
 {
-	size_t len = 0, packed_len;
+	size_t len = 0, packed_len, back_len;
 	char *text = malloc(ROUTES * 100);
 	char *packed, *back;
 
@@ -93,14 +93,19 @@
 	packed = zip_pack(text, len, &packed_len);
 	assert_non_null(packed);
 	assert_true(packed_len < len / 3);
-	back = zip_unpack(packed, packed_len, len);
+	assert_true(zip_is_packed(packed, packed_len));
+	assert_false(zip_is_packed(text, len));
+	back = zip_unpack(packed, packed_len, len, &back_len);
 	assert_non_null(back);
+	assert_int_equal(back_len, len);
 	assert_string_equal(back, text);
 	free(back);
-	assert_null(zip_unpack(packed, packed_len / 2, len));
-	assert_null(zip_unpack(packed, packed_len, len - 1));
+	assert_null(zip_unpack(packed, packed_len / 2, len, &back_len));
+	assert_null(zip_unpack(packed, packed_len, len - 1, &back_len));
+	assert_null(zip_unpack(packed, 2, len, &back_len));
+	assert_null(zip_unpack(text, len, len, &back_len));
 	packed[packed_len / 2] ^= 0x55;
-	assert_null(zip_unpack(packed, packed_len, len));
+	assert_null(zip_unpack(packed, packed_len, len, &back_len));
 	free(packed);
 	free(text);
 }
