--- a/packages/net/src/htp_conn.c
+++ b/packages/net/src/htp_conn.c
@@ -10,7 +10,7 @@
 /* Bytes that are read at once; as many of a paused body are kept at most. */
 #define READ_MAX 16384
 
-/* Reads in a row before the other connections get their turn. */
+/* Reads in a row, 64 KiB, before the other connections get their turn. */
 #define READS_MAX 4
 
 static bool on_head(void *arg, struct hmg *m);
--- a/packages/router/src/exq.c
+++ b/packages/router/src/exq.c
@@ -22,13 +22,16 @@
  */
 #define FAIR_SHARE_PCT 15
 
-/* Time over which the work that was begun is averaged. */
+/* Time over which the work that was begun is averaged: some ten requests. */
 #define MEMORY_US (1 * US_PER_S)
 /* Ranks that are told apart; less urgent ones count as the last. */
 #define RANKS 4
-/* Least part of the slots that a wait is predicted with. */
+/* Least part of the slots that a wait is predicted with, so that it is finite. */
 #define PART_MIN 0.02
-/* Below this part of the slots, what is late has no turn in time. */
+/*
+ * Below this part of the slots, what is late has no turn in time: it would wait
+ * for ten times the work on a request.
+ */
 #define PART_FOR_LATE 0.10
 
 /* Work that was begun, in microseconds, fading with MEMORY_US. */
--- a/packages/router/src/rtr_config.c
+++ b/packages/router/src/rtr_config.c
@@ -8,11 +8,14 @@
 #include "rtr_int.h"
 #include "zip.h"
 
-/* Messages with a configuration that are on their way at a time. */
+/*
+ * Messages with a configuration that are on their way at a time. Four of some
+ * 50 kB, for 1,300 routes, fill a link of 13 Mbit/s for an eighth of a second.
+ */
 #define SENDING_MAX 4
-/* A daemon is sent one this often. */
+/* A daemon is sent one this often: two reports come in that time. */
 #define SEND_AGAIN_US (1 * US_PER_S)
-/* Largest text that is taken, in bytes. */
+/* Largest text that is taken, in bytes: far above any configuration seen. */
 #define TEXT_MAX (16U << 20)
 
 /*
--- a/packages/router/src/rtr_push.c
+++ b/packages/router/src/rtr_push.c
@@ -21,7 +21,7 @@
 
 static const struct pmg_sender sender = { on_answer, NULL };
 
-/* Longest text of a message that is taken, in bytes. */
+/* Longest text of a message that is taken, in bytes, as of a value in a row. */
 #define TEXT_MAX (64U << 20)
 
 /* Sends a message to a member. */
