Requests of a route are counted by outcome and by where their time goes

What callers saw: nothing changes for them. Events 2134 ROUTE_LOAD and 2135 UPSTREAM_LOAD, every 5 s; the daemon beside the upstream tells the other one its part of the time. Reasons of refusals are an enum instead of texts.

--- a/packages/router/src/exr.c
+++ b/packages/router/src/exr.c
@@ -48,6 +48,7 @@
 	const struct exr_ops *ops = j->ops;
 	void *arg = j->arg;
 
+	j->owner->refused += why == EXR_BUSY;
 	free(j);
 	ops->on_refused(arg, why, wait_us);
 }
@@ -308,6 +309,15 @@
 	return j->exchange && hxc_has_sent(j->exchange);
 }
 
+/* Tells how long a request waited and ran. */
+void exr_times(const struct exr_job *j, struct exr_times *out)
+{
+	uint64_t now = evl_now_us(j->owner->loop);
+
+	out->queue_us = j->started_us - j->came_us;
+	out->run_us = now - j->started_us;
+}
+
 /* Sorts what waits by the new state of the upstream. */
 void exr_keys_changed(struct exr *x)
 {
@@ -326,6 +336,8 @@
 	out->mean_us = (uint64_t)x->mean_us;
 	out->finished = x->finished;
 	out->failed = x->failed;
+	out->refused = x->refused;
+	out->worked_us = x->worked_us;
 }
 
 /* Tells the work of keys. */
--- a/packages/router/src/exr.h
+++ b/packages/router/src/exr.h
@@ -71,6 +71,12 @@
 /* True if the request has been sent to the upstream. */
 bool exr_was_sent(const struct exr_job *j);
 
+/* How long a request waited here and ran at the upstream until now. */
+struct exr_times {
+	uint64_t queue_us, run_us;
+};
+void exr_times(const struct exr_job *j, struct exr_times *out);
+
 /* Keys, life or state of the upstream have changed. */
 void exr_keys_changed(struct exr *x);
 
@@ -79,6 +85,8 @@
 	uint64_t mean_us; /* of the upstream's work on a request */
 	uint64_t finished; /* responses since the start */
 	uint64_t failed; /* of them, failures of the upstream */
+	uint64_t refused; /* requests that would not have ended in time */
+	uint64_t worked_us; /* time of all responses at the upstream */
 };
 void exr_load(const struct exr *x, struct exr_load *out);
 
--- a/packages/router/src/exr_int.h
+++ b/packages/router/src/exr_int.h
@@ -46,6 +46,8 @@
 	double kind_us[EXR_KINDS];
 	uint64_t finished;
 	uint64_t failed;
+	uint64_t refused;
+	uint64_t worked_us;
 };
 
 /* Starts the request at the upstream. */
--- a/packages/router/src/exr_run.c
+++ b/packages/router/src/exr_run.c
@@ -112,6 +112,7 @@
 		*kind = took;
 	*kind += (took - *kind) * MEAN_WEIGHT;
 	x->finished++;
+	x->worked_us += (uint64_t)took;
 	if (j->failed_status)
 		x->failed++;
 }
--- a/packages/router/src/fwd.c
+++ b/packages/router/src/fwd.c
@@ -39,16 +39,17 @@
 
 /* Logs the end of a request that was not answered by an upstream. */
 static void log_end(const struct fwd *f, enum log_event event,
-		    const char *reason)
+		    enum rts_outcome why)
 {
 	uint64_t now = evl_now_us(f->owner->parts.loop);
 
+	rts_end(f->owner->stats, f->stats, why);
 	log_emit(event,
 		 "request=%s route=%s service=%s key=%d reason=\"%s\" "
 		 "attempts=%u target=%s waited_us=%llu config=%llu epoch=%llu",
 		 f->request.id, f->route.name, f->service,
 		 f->request.key == PLAT_NO_KEY ? -1 : (int)f->request.key,
-		 reason, f->attempts,
+		 rts_text(why), f->attempts,
 		 f->tried_count ? f->tried[f->tried_count - 1] : "-",
 		 (unsigned long long)(now - f->began_us),
 		 (unsigned long long)f->owner->parts.config->version,
@@ -56,17 +57,17 @@
 }
 
 /* Answers that the request has not run and when to come back. */
-void fwd_refuse(struct fwd *f, const char *reason)
+void fwd_refuse(struct fwd *f, enum rts_outcome why)
 {
 	struct hsc *c = f->connection;
 	const struct plat_ops *ops = f->owner->parts.platform->ops;
 	struct buf fields = { 0 };
 
 	if (f->may_have_run) {
-		fwd_fail(f, STATUS_BAD_GATEWAY, reason);
+		fwd_fail(f, STATUS_BAD_GATEWAY, why);
 		return;
 	}
-	log_end(f, LOG_REQUEST_REFUSED, reason);
+	log_end(f, LOG_REQUEST_REFUSED, why);
 	ctr_add(CTR_REQUESTS_REFUSED, 1);
 	hst_add(&f->owner->refusal_times,
 		evl_now_us(f->owner->parts.loop) - f->began_us);
@@ -79,12 +80,12 @@
 }
 
 /* Answers that the request may have run, or breaks its response off. */
-void fwd_fail(struct fwd *f, uint16_t status, const char *reason)
+void fwd_fail(struct fwd *f, uint16_t status, enum rts_outcome why)
 {
 	struct hsc *c = f->connection;
 	bool begun = f->begun;
 
-	log_end(f, LOG_REQUEST_FAILED, reason);
+	log_end(f, LOG_REQUEST_FAILED, why);
 	ctr_add(CTR_REQUESTS_FAILED, 1);
 	fwd_finish(f);
 	if (begun)
@@ -105,9 +106,9 @@
 	if (f->job && exr_was_sent(f->job))
 		f->may_have_run = true;
 	if (f->may_have_run)
-		fwd_fail(f, STATUS_TIMEOUT, "no response in time");
+		fwd_fail(f, STATUS_TIMEOUT, RTS_NO_RESPONSE);
 	else
-		fwd_refuse(f, "not sent in time");
+		fwd_refuse(f, RTS_NOT_SENT);
 }
 
 /* Sets the times by which the request has to be answered. */
@@ -178,6 +179,7 @@
 	f->message = m;
 	f->body = body;
 	f->route = *route;
+	f->stats = rts_route(w->stats, route->name);
 	txt_copy(f->service, sizeof(f->service), name);
 	w->parts.platform->ops->read_request(m, &f->request);
 	f->keyed = service && service->keyed && f->request.key != PLAT_NO_KEY;
@@ -197,6 +199,7 @@
 	struct fwd *f = request;
 
 	ctr_add(CTR_CALLERS_GONE, 1);
+	rts_end(f->owner->stats, f->stats, RTS_CALLER_GONE);
 	fwd_finish(f);
 }
 
@@ -229,6 +232,16 @@
 	}
 }
 
+/* Frees the part; its requests must be over. */
+void fwr_destroy(struct fwr *w)
+{
+	if (!w)
+		return;
+	rts_destroy(w->stats);
+	ret_destroy(w->retries);
+	free(w);
+}
+
 /* Makes the part. */
 struct fwr *fwr_create(const struct fwr_parts *parts)
 {
@@ -239,22 +252,14 @@
 	w->parts = *parts;
 	w->points = clk_random(evl_clock(parts->loop));
 	w->retries = ret_create();
-	if (!w->retries) {
-		free(w);
+	w->stats = rts_create(parts->loop);
+	if (!w->retries || !w->stats) {
+		fwr_destroy(w);
 		return NULL;
 	}
 	return w;
 }
 
-/* Frees the part; its requests must be over. */
-void fwr_destroy(struct fwr *w)
-{
-	if (!w)
-		return;
-	ret_destroy(w->retries);
-	free(w);
-}
-
 /* Returns the times of responses. */
 const struct hst *fwr_response_times(const struct fwr *w)
 {
--- a/packages/router/src/fwd_answer.c
+++ b/packages/router/src/fwd_answer.c
@@ -84,6 +84,20 @@
 			  evl_now_us(f->owner->parts.loop));
 }
 
+/* Counts a whole response that goes to the caller. */
+static void count_end(struct fwd *f)
+{
+	struct fwr *w = f->owner;
+	uint64_t now = evl_now_us(w->parts.loop);
+	enum rts_outcome outcome = RTS_UPSTREAM_FAILURE;
+
+	if (f->status < STATUS_FAILURE_MIN)
+		outcome = now <= f->objective_us ? RTS_ON_TIME : RTS_LATE;
+	rts_end(w->stats, f->stats, outcome);
+	rts_add_time(w->stats, f->stats, RTS_BODY, now - f->head_us);
+	hst_add(&w->response_times, now - f->began_us);
+}
+
 /* The response is complete. */
 void fwd_take_end(struct fwd *f)
 {
@@ -100,8 +114,7 @@
 		fwd_try(f);
 		return;
 	}
-	hst_add(&f->owner->response_times,
-		evl_now_us(f->owner->parts.loop) - f->began_us);
+	count_end(f);
 	ctr_add(CTR_DONE, 1);
 	if (!f->begun)
 		begin(f, f->length >= 0 ? f->length :
--- a/packages/router/src/fwd_int.h
+++ b/packages/router/src/fwd_int.h
@@ -8,6 +8,7 @@
 #include "fwl.h"
 #include "hcl.h"
 #include "ret.h"
+#include "rts.h"
 
 #define FWD_TRIED_MAX 3
 
@@ -27,6 +28,7 @@
 	struct rcf_route route; /* as it was in force when the request came */
 	char service[RCF_NAME_MAX];
 	bool keyed;
+	uint32_t stats; /* of its route */
 	uint64_t began_us;
 	uint64_t deadline_us;
 	uint64_t objective_us;
@@ -37,6 +39,8 @@
 	struct mbr *target;
 	struct exr_job *job; /* at the upstream beside this daemon */
 	struct hxc *exchange; /* with another daemon */
+	uint64_t sent_us; /* of this attempt */
+	uint64_t head_us; /* of the response of this attempt */
 	uint32_t connect_timer;
 	uint32_t deadline_timer;
 	uint32_t retry_timer;
@@ -61,6 +65,7 @@
 struct fwr {
 	struct fwr_parts parts;
 	struct ret *retries;
+	struct rts *stats;
 	struct fwd *waiting;
 	uint64_t points; /* for choosing among the parts of a route */
 	struct hst response_times;
@@ -86,8 +91,8 @@
 void fwd_drop_response(struct fwd *f);
 
 /* Final answers of this daemon; the request is over. */
-void fwd_refuse(struct fwd *f, const char *reason);
-void fwd_fail(struct fwd *f, uint16_t status, const char *reason);
+void fwd_refuse(struct fwd *f, enum rts_outcome why);
+void fwd_fail(struct fwd *f, uint16_t status, enum rts_outcome why);
 void fwd_finish(struct fwd *f);
 
 #endif
--- a/packages/router/src/fwd_try.c
+++ b/packages/router/src/fwd_try.c
@@ -108,8 +108,7 @@
 	if (now_us >= f->began_us + plan_wait_us(f)) {
 		if (f->return_us == 0)
 			f->return_us = NO_TARGET_RETURN_US;
-		fwd_refuse(f, f->keyed ? "no upstream owns the key" :
-					 "no upstream takes work");
+		fwd_refuse(f, f->keyed ? RTS_NO_OWNER : RTS_NO_UPSTREAM);
 		return;
 	}
 	/* Those that refused before may take it then. */
@@ -163,14 +162,14 @@
 		    find_target(f, now))
 			fwd_try(f);
 		else
-			fwd_refuse(f, "the upstream is busy");
+			fwd_refuse(f, RTS_BUSY);
 		return;
 	case EXR_SHED:
 		f->attempts++;
 		if (may_run_again(f, RET_NOT_RUN))
 			wait_for_plan(f, now);
 		else
-			fwd_refuse(f, "the upstream has refused it");
+			fwd_refuse(f, RTS_SHED);
 		return;
 	case EXR_NOT_OWNER:
 		f->moving = true;
@@ -208,8 +207,7 @@
 		if (may_run_again(f, RET_UNKNOWN))
 			fwd_try(f);
 		else
-			fwd_fail(f, STATUS_BAD_GATEWAY,
-				 "the response was lost");
+			fwd_fail(f, STATUS_BAD_GATEWAY, RTS_LOST);
 	}
 }
 
@@ -226,8 +224,27 @@
 	fwd_attempt_ended(f, FWD_UNREACHED);
 }
 
+/* Notes where the time of the request went, up to the head of the response. */
+static void note_times(struct fwd *f, const struct exr_times *t, uint64_t now)
+{
+	struct rts *stats = f->owner->stats;
+	uint64_t passed = now - f->sent_us;
+	uint64_t there = t->queue_us + t->run_us;
+
+	f->head_us = now;
+	rts_add_time(stats, f->stats, RTS_QUEUE, t->queue_us);
+	rts_add_time(stats, f->stats, RTS_RUN, t->run_us);
+	rts_add_time(stats, f->stats, RTS_TRANSIT,
+		     passed > there ? passed - there : 0);
+}
+
 static void on_head(void *arg, const struct hmg *m)
 {
+	struct fwd *f = arg;
+	struct exr_times t;
+
+	exr_times(f->job, &t);
+	note_times(f, &t, evl_now_us(f->owner->parts.loop));
 	fwd_take_head(arg, m);
 }
 
@@ -263,7 +280,7 @@
 	(void)why;
 	f->job = NULL;
 	if (f->begun)
-		fwd_fail(f, STATUS_BAD_GATEWAY, "the response was cut off");
+		fwd_fail(f, STATUS_BAD_GATEWAY, RTS_CUT);
 	else
 		fwd_attempt_ended(f, FWD_FAILED);
 }
@@ -303,6 +320,7 @@
 {
 	struct fwd *f = arg;
 	uint64_t now = evl_now_us(f->owner->parts.loop);
+	struct exr_times times;
 	uint32_t busy;
 
 	mbr_answered(f->target);
@@ -312,6 +330,8 @@
 	}
 	f->peer_refused = fwl_read_refusal(m, &f->refusal, &f->return_us);
 	f->peer_failed = hmg_find(m, FWL_FAILED_FIELD).text != NULL;
+	if (fwl_read_times(m, &times))
+		note_times(f, &times, now);
 	if (!f->peer_refused && !f->peer_failed)
 		fwd_take_head(f, m);
 }
@@ -346,7 +366,7 @@
 
 	f->exchange = NULL;
 	if (f->begun)
-		fwd_fail(f, STATUS_BAD_GATEWAY, "the response was cut off");
+		fwd_fail(f, STATUS_BAD_GATEWAY, RTS_CUT);
 	else if (failure == HXC_REFUSED || failure == HXC_NOT_SENT)
 		fwd_attempt_ended(f, FWD_UNREACHED);
 	else
@@ -419,6 +439,7 @@
 	uint64_t now = evl_now_us(f->owner->parts.loop);
 
 	f->target = m;
+	f->sent_us = now;
 	m->outstanding++;
 	if (f->tried_count < FWD_TRIED_MAX)
 		txt_copy(f->tried[f->tried_count++],
--- a/packages/router/src/fwl.c
+++ b/packages/router/src/fwl.c
@@ -88,3 +88,26 @@
 	*busy = (uint32_t)n;
 	return true;
 }
+
+/* Writes how long a request waited and ran. */
+void fwl_write_times(struct buf *out, const struct exr_times *t)
+{
+	buf_printf(out, "%s: %llu %llu\r\n", FWL_TIMES_FIELD,
+		   (unsigned long long)t->queue_us,
+		   (unsigned long long)t->run_us);
+}
+
+/* Reads how long a request waited and ran. */
+bool fwl_read_times(const struct hmg *m, struct exr_times *t)
+{
+	char line[LINE_MAX_BYTES];
+	unsigned long long queue, run;
+
+	if (!span_copy(hmg_find(m, FWL_TIMES_FIELD), line, sizeof(line)) ||
+	    sscanf(line, "%llu %llu", &queue, &run) != 2 ||
+	    queue > TIME_MAX_US || run > TIME_MAX_US)
+		return false;
+	t->queue_us = queue;
+	t->run_us = run;
+	return true;
+}
--- a/packages/router/src/fwl.h
+++ b/packages/router/src/fwl.h
@@ -17,6 +17,7 @@
 #define FWL_REFUSED_FIELD "Geranium-Refused"
 #define FWL_FAILED_FIELD "Geranium-Failed"
 #define FWL_LOAD_FIELD "Geranium-Load"
+#define FWL_TIMES_FIELD "Geranium-Times"
 
 struct fwl_request {
 	char upstream_id[LIFE_ID_MAX];
@@ -38,6 +39,9 @@
 
 void fwl_write_load(struct buf *out, const struct exr_load *load);
 
+void fwl_write_times(struct buf *out, const struct exr_times *t);
+bool fwl_read_times(const struct hmg *m, struct exr_times *t);
+
 /* Requests that run and wait there. */
 bool fwl_read_load(const struct hmg *m, uint32_t *busy);
 
--- a/packages/router/src/rtr.c
+++ b/packages/router/src/rtr.c
@@ -247,6 +247,7 @@
 	}
 	evl_on_signal(r->loop, on_signal, r);
 	rtr_start_reports(r);
+	rtr_start_stats(r);
 	log_emit(LOG_DAEMON_STARTED, "instance=%s data_centre=%s service=%s",
 		 s->instance, s->data_centre, s->service);
 	return r;
@@ -269,8 +270,10 @@
 {
 	if (!r)
 		return;
-	if (r->loop && r->leader)
+	if (r->loop && r->leader) {
+		rtr_stop_stats(r);
 		rtr_stop_reports(r);
+	}
 	rtr_close_servers(r);
 	fed_destroy(r->config_feed);
 	ldr_destroy(r->leader);
--- a/packages/router/src/rtr_int.h
+++ b/packages/router/src/rtr_int.h
@@ -51,6 +51,9 @@
 	struct clm claim; /* follows the leader that leader_pool is for */
 	uint32_t leader_timer;
 	uint32_t claim_timer;
+	/* Lines about the upstream. */
+	struct exr_load stats_last;
+	uint32_t stats_timer;
 	/* Stop. */
 	uint64_t stop_began_us; /* 0 while not stopping */
 	uint32_t stop_timer;
@@ -89,6 +92,12 @@
 void rtr_peer_message(struct rtr *r, struct hsc *c, const struct hmg *m,
 		      const struct buf *body);
 
+/* Serves the page of metrics, and logs the work of the upstream. */
+void *rtr_on_metrics(void *arg, struct hsc *c, const struct hmg *m,
+		     const struct buf *body);
+void rtr_start_stats(struct rtr *r);
+void rtr_stop_stats(struct rtr *r);
+
 /* Opens the listening addresses. */
 bool rtr_open_servers(struct rtr *r, struct err *err);
 void rtr_close_servers(struct rtr *r);
--- a/packages/router/src/rtr_serve.c
+++ b/packages/router/src/rtr_serve.c
@@ -1,13 +1,10 @@
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "ctr.h"
 #include "fwl.h"
 #include "log.h"
 #include "rtr_int.h"
 
-#define METRICS_BYTES 65536
 /* When a caller may come back that a stopping daemon refuses. */
 #define STOP_RETURN_MS 200
 #define STATUS_OK 200
@@ -122,57 +119,7 @@
 static const struct hsv_ops announcement_ops = { on_announcement,
 						 on_announcement_gone, NULL };
 
-/* Adds the quantiles of one histogram. */
-static size_t write_quantiles(const char *name, const struct hst *h, char *out,
-			      size_t size)
-{
-	static const double quantiles[] = { 0.5, 0.9, 0.99, 0.999 };
-	size_t n = 0;
-
-	for (size_t i = 0; i < sizeof(quantiles) / sizeof(quantiles[0]); i++)
-		n += (size_t)snprintf(
-			out + n, size - n, "%s{quantile=\"%g\"} %llu\n", name,
-			quantiles[i],
-			(unsigned long long)hst_quantile(h, quantiles[i]));
-	n += (size_t)snprintf(out + n, size - n, "%s_count %llu\n", name,
-			      (unsigned long long)h->count);
-	return n;
-}
-
-/* Serves counters and histograms. */
-static void *on_metrics(void *arg, struct hsc *c, const struct hmg *m,
-			const struct buf *body)
-{
-	struct rtr *r = arg;
-	char *text = calloc(1, METRICS_BYTES);
-	struct exr_load load;
-	size_t n;
-
-	(void)m;
-	(void)body;
-	if (!text) {
-		hsc_reply(c, STATUS_UNAVAILABLE, "", "", 0);
-		return NULL;
-	}
-	exr_load(r->runner, &load);
-	ctr_set(CTR_UPSTREAM_RUNNING, load.running);
-	ctr_set(CTR_UPSTREAM_WAITING, load.waiting);
-	ctr_set(CTR_CONFIG_VERSION, r->config.version);
-	ctr_set(CTR_PLAN_EPOCH, vew_epoch(r->view));
-	n = ctr_write(text, METRICS_BYTES / 2);
-	n = n < METRICS_BYTES / 2 ? n : strlen(text);
-	n += write_quantiles("geraniumspoke_response_us",
-			     fwr_response_times(r->forwards), text + n,
-			     METRICS_BYTES - n);
-	n += write_quantiles("geraniumspoke_refusal_us",
-			     fwr_refusal_times(r->forwards), text + n,
-			     METRICS_BYTES - n);
-	hsc_reply(c, STATUS_OK, "Content-Type: text/plain\r\n", text, n);
-	free(text);
-	return NULL;
-}
-
-static const struct hsv_ops metrics_ops = { on_metrics, on_nothing, NULL };
+static const struct hsv_ops metrics_ops = { rtr_on_metrics, on_nothing, NULL };
 
 /* Opens the listening addresses. */
 bool rtr_open_servers(struct rtr *r, struct err *err)
--- /dev/null
+++ b/packages/router/src/rtr_stats.c
@@ -0,0 +1,109 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ctr.h"
+#include "log.h"
+#include "rtr_int.h"
+
+#define METRICS_BYTES 65536
+#define STATUS_OK 200
+#define STATUS_UNAVAILABLE 503
+
+/* One line about the upstream in this time. */
+#define PERIOD_US (5 * US_PER_S)
+#define PERCENT 100
+
+/* Adds the quantiles of one histogram. */
+static size_t write_quantiles(const char *name, const struct hst *h, char *out,
+			      size_t size)
+{
+	static const double quantiles[] = { 0.5, 0.9, 0.99, 0.999 };
+	size_t n = 0;
+
+	for (size_t i = 0; i < sizeof(quantiles) / sizeof(quantiles[0]); i++)
+		n += (size_t)snprintf(
+			out + n, size - n, "%s{quantile=\"%g\"} %llu\n", name,
+			quantiles[i],
+			(unsigned long long)hst_quantile(h, quantiles[i]));
+	n += (size_t)snprintf(out + n, size - n, "%s_count %llu\n", name,
+			      (unsigned long long)h->count);
+	return n;
+}
+
+/* Serves counters and histograms. */
+void *rtr_on_metrics(void *arg, struct hsc *c, const struct hmg *m,
+		     const struct buf *body)
+{
+	struct rtr *r = arg;
+	char *text = calloc(1, METRICS_BYTES);
+	struct exr_load load;
+	size_t n;
+
+	(void)m;
+	(void)body;
+	if (!text) {
+		hsc_reply(c, STATUS_UNAVAILABLE, "", "", 0);
+		return NULL;
+	}
+	exr_load(r->runner, &load);
+	ctr_set(CTR_UPSTREAM_RUNNING, load.running);
+	ctr_set(CTR_UPSTREAM_WAITING, load.waiting);
+	ctr_set(CTR_CONFIG_VERSION, r->config.version);
+	ctr_set(CTR_PLAN_EPOCH, vew_epoch(r->view));
+	n = ctr_write(text, METRICS_BYTES / 2);
+	n = n < METRICS_BYTES / 2 ? n : strlen(text);
+	n += write_quantiles("geraniumspoke_response_us",
+			     fwr_response_times(r->forwards), text + n,
+			     METRICS_BYTES - n);
+	n += write_quantiles("geraniumspoke_refusal_us",
+			     fwr_refusal_times(r->forwards), text + n,
+			     METRICS_BYTES - n);
+	hsc_reply(c, STATUS_OK, "Content-Type: text/plain\r\n", text, n);
+	free(text);
+	return NULL;
+}
+
+/* Writes what the upstream has done since the last line. */
+static void on_period(void *arg, uint64_t now_us)
+{
+	struct rtr *r = arg;
+	const struct exr_load *last = &r->stats_last;
+	struct exr_load now;
+	uint64_t room;
+
+	(void)now_us;
+	exr_load(r->runner, &now);
+	room = now.slots * PERIOD_US;
+	if (now.finished != last->finished || now.refused != last->refused)
+		log_emit(LOG_UPSTREAM_LOAD,
+			 "finished=%llu failed=%llu refused=%llu used_pct=%llu "
+			 "slots=%u running=%u waiting=%u mean_us=%llu",
+			 (unsigned long long)(now.finished - last->finished),
+			 (unsigned long long)(now.failed - last->failed),
+			 (unsigned long long)(now.refused - last->refused),
+			 (unsigned long long)(room ? (now.worked_us -
+						      last->worked_us) *
+							      PERCENT / room :
+						     0),
+			 now.slots, now.running, now.waiting,
+			 (unsigned long long)now.mean_us);
+	r->stats_last = now;
+}
+
+/* Starts the lines about the upstream. */
+void rtr_start_stats(struct rtr *r)
+{
+	r->stats_timer =
+		tmr_every(evl_timers(r->loop), evl_now_us(r->loop) + PERIOD_US,
+			  PERIOD_US, on_period, r);
+}
+
+/* Writes the last line. */
+void rtr_stop_stats(struct rtr *r)
+{
+	if (!r->stats_timer)
+		return;
+	on_period(r, 0);
+	tmr_cancel(evl_timers(r->loop), r->stats_timer);
+}
--- a/packages/router/src/srv.c
+++ b/packages/router/src/srv.c
@@ -55,11 +55,14 @@
 {
 	struct forwarded *f = arg;
 	struct exr_load load;
+	struct exr_times times;
 	struct buf fields = { 0 };
 
 	hmg_copy_fields(m, &fields, NULL, NULL);
 	exr_load(f->server->runner, &load);
 	fwl_write_load(&fields, &load);
+	exr_times(f->job, &times);
+	fwl_write_times(&fields, &times);
 	hsc_begin(f->connection, m->status, buf_data(&fields), buf_len(&fields),
 		  m->length);
 	buf_free(&fields);
--- /dev/null
+++ b/packages/router/tests/test_rts.c
@@ -0,0 +1,110 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "fwl.h"
+#include "log.h"
+#include "rts.h"
+
+#define REQUESTS 1000
+#define ROUTES 40
+
+static struct evl *loop;
+
+static int setup(void **state)
+{
+	struct err err = { 0 };
+
+	(void)state;
+	loop = evl_create(clk_system(), &err);
+	return loop ? 0 : -1;
+}
+
+static int teardown(void **state)
+{
+	(void)state;
+	evl_destroy(loop);
+	return 0;
+}
+
+/* Guards against refusals that are only counted by lines of limited rate. */
+static void test_all_ends_are_counted(void **state)
+{
+	struct rts *s = rts_create(loop);
+	uint32_t a = rts_route(s, "a");
+	uint32_t b = rts_route(s, "b");
+
+	(void)state;
+	for (int i = 0; i < REQUESTS; i++)
+		rts_end(s, a, RTS_BUSY);
+	rts_end(s, b, RTS_ON_TIME);
+	assert_int_equal(rts_route(s, "a"), a);
+	assert_int_equal(rts_count(s, a, RTS_BUSY), REQUESTS);
+	assert_int_equal(rts_count(s, b, RTS_BUSY), 0);
+	assert_int_equal(rts_count(s, b, RTS_ON_TIME), 1);
+	rts_destroy(s);
+}
+
+/* Guards against memory that grows with a configuration of many routes. */
+static void test_many_routes_share_one_entry(void **state)
+{
+	struct rts *s = rts_create(loop);
+	char name[16];
+	uint32_t last = 0;
+	uint32_t before = 0;
+
+	(void)state;
+	for (int i = 0; i < ROUTES; i++) {
+		snprintf(name, sizeof(name), "r%d", i);
+		before = last;
+		last = rts_route(s, name);
+		rts_end(s, last, RTS_LATE);
+	}
+	assert_int_equal(last, before);
+	assert_true(rts_count(s, last, RTS_LATE) > 1);
+	rts_destroy(s);
+}
+
+/* Guards against lines without the time between the daemons. */
+static void test_line_has_outcomes_and_times(void **state)
+{
+	struct rts *s = rts_create(loop);
+	uint32_t a = rts_route(s, "a");
+	char line[1024] = "";
+	int fds[2];
+
+	(void)state;
+	assert_int_equal(pipe(fds), 0);
+	rts_add_time(s, a, RTS_TRANSIT, 70 * US_PER_MS);
+	rts_end(s, a, RTS_NO_RESPONSE);
+	log_set_fd(fds[1]);
+	rts_destroy(s);
+	log_set_fd(2);
+	assert_true(read(fds[0], line, sizeof(line) - 1) > 0);
+	assert_non_null(strstr(line, "ROUTE_LOAD"));
+	assert_non_null(strstr(line, "no_response=1"));
+	assert_non_null(strstr(line, "transit_ms=7"));
+	close(fds[0]);
+	close(fds[1]);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_all_ends_are_counted,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_many_routes_share_one_entry, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_line_has_outcomes_and_times, setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
