Long responses leave at the rate of the link and do not hold up others

Cause: all bytes of downloads were handed to the system at once. They fill the queue of a 14 Mbit/s link, short responses of the same machine wait behind them for some hundred milliseconds, calls time out, and the slots of the upstreams that made the calls are held meanwhile. Class: a shared resource that admission does not know of; slots were counted, bytes were not. Excluded: slots of documents (its queue was 7 to 19 ms for the calls). A download is admitted by the time that its response needs on the link, and the load told to others counts it. The own upstream is preferred, which needs no link. A stopping daemon limits the time of new requests to its own, and their responses go first. Setting link_mbit_s. Also a queue test and one of a stopping runner.

--- a/packages/io/src/hsv.c
+++ b/packages/io/src/hsv.c
@@ -8,7 +8,8 @@
 #include "skt.h"
 
 #define SWEEP_US (500 * US_PER_MS)
-#define FIELDS_LINE_MAX 256
+/* Size of a chunk in hexadecimal digits, with the end of its line. */
+#define CHUNK_LINE_MAX 24
 #define STATUS_NO_CONTENT 204
 #define STATUS_NOT_MODIFIED 304
 #define STATUS_BAD_REQUEST 400
@@ -33,8 +34,11 @@
 	struct skt *socket;
 	struct hps *parser;
 	struct buf body;
+	struct pac_response paced; /* a long response on its way */
 	void *request; /* of the user */
 	enum phase phase;
+	int64_t sent; /* bytes of the body */
+	bool hurries; /* a long response goes before others */
 	uint64_t since_us; /* idle since, or first byte of the request */
 	uint16_t refuse; /* status for a request that is not taken */
 	bool begun; /* the head of the response has been written */
@@ -46,6 +50,7 @@
 struct hsv {
 	struct evl *loop;
 	struct skl *listener;
+	struct pac *link; /* NULL if all is sent at once */
 	const struct hsv_ops *ops;
 	void *arg;
 	struct hsv_limits limits;
@@ -74,6 +79,7 @@
 	if (c->phase == PHASE_ANSWER)
 		s->busy--;
 	c->phase = PHASE_CLOSED;
+	pac_stop(&c->paced);
 	drop_body(c);
 	DL_DELETE(s->connections, c);
 	s->count--;
@@ -91,6 +97,7 @@
 	struct hsv *s = c->server;
 
 	c->request = NULL;
+	pac_stop(&c->paced);
 	if (c->close_after) {
 		close_connection(c, true);
 		return;
@@ -124,6 +131,7 @@
 	void *request;
 
 	c->phase = PHASE_ANSWER;
+	c->hurries = false;
 	s->busy++;
 	c->close_after = !m->keep_alive || s->draining;
 	c->head_only = strcmp(m->method, "HEAD") == 0;
@@ -177,7 +185,20 @@
 {
 	struct hsc *c = arg;
 
-	if (c->request && c->server->ops->on_drained)
+	if (c->paced.owner)
+		pac_resume(&c->paced);
+	else if (c->request && c->server->ops->on_drained)
+		c->server->ops->on_drained(c->request);
+}
+
+/* All that the user has given of a long response has been sent. */
+static void on_paced(void *arg)
+{
+	struct hsc *c = arg;
+
+	if (c->paced.ended)
+		finish(c);
+	else if (c->request && c->server->ops->on_drained)
 		c->server->ops->on_drained(c->request);
 }
 
@@ -317,6 +338,12 @@
 	s->limits = *limits;
 }
 
+/* Shares the link among the long responses of several servers. */
+void hsv_set_link(struct hsv *s, struct pac *link)
+{
+	s->link = link;
+}
+
 /* Lets every connection end behind its response. */
 void hsv_drain(struct hsv *s)
 {
@@ -344,6 +371,12 @@
 	return s->busy + reading;
 }
 
+/* Lets the response go before others. */
+void hsc_hurry(struct hsc *c)
+{
+	c->hurries = true;
+}
+
 /* Writes the head; a response whose end only the close shows closes. */
 void hsc_begin(struct hsc *c, uint16_t status, const char *fields,
 	       size_t fields_len, int64_t length)
@@ -366,28 +399,70 @@
 	if (c->close_after)
 		buf_add_text(out, "Connection: close\r\n");
 	buf_add_text(out, "\r\n");
+	c->sent = 0;
+	if (c->server->link && !c->head_only && !no_body && length >= 0 &&
+	    pac_is_long(c->server->link, length))
+		pac_begin(c->server->link, &c->paced, c->socket, length,
+			  c->hurries, on_paced, c);
+	else if (c->server->link)
+		pac_spend(c->server->link, fields_len);
+}
+
+/* Adds a long response to what waits for the link, or sends a short one. */
+static void send_piece(struct hsc *c, const void *bytes, size_t len)
+{
+	struct pac *link = c->server->link;
+
+	c->sent += (int64_t)len;
+	/* Without a length it shows only on the way that a response is long. */
+	if (link && !c->paced.owner && pac_is_long(link, c->sent))
+		pac_begin(link, &c->paced, c->socket, -1, c->hurries, on_paced,
+			  c);
+	if (c->paced.owner) {
+		pac_add(&c->paced, bytes, len);
+		return;
+	}
+	buf_add(skt_output(c->socket), bytes, len);
+	if (link)
+		pac_spend(link, len);
 }
 
 /* Writes a piece of the body. */
 void hsc_body(struct hsc *c, const void *bytes, size_t len)
 {
-	struct buf *out = skt_output(c->socket);
+	char size[CHUNK_LINE_MAX];
 
 	if (len == 0 || c->head_only)
 		return;
 	if (c->chunked)
-		buf_printf(out, "%zx\r\n", len);
-	buf_add(out, bytes, len);
+		send_piece(
+			c, size,
+			(size_t)snprintf(size, sizeof(size), "%zx\r\n", len));
+	send_piece(c, bytes, len);
 	if (c->chunked)
-		buf_add_text(out, "\r\n");
-	skt_flush(c->socket);
+		send_piece(c, "\r\n", 2);
+	if (!c->paced.owner)
+		skt_flush(c->socket);
 }
 
 /* Completes the response. */
 void hsc_end(struct hsc *c)
 {
+	static const char last[] = "0\r\n\r\n";
+
+	/* The user is done; the connection is busy until all has been sent. */
+	c->request = NULL;
+	if (c->paced.owner) {
+		skt_flush(c->socket);
+		pac_end(&c->paced);
+		if (c->chunked)
+			pac_add(&c->paced, last, strlen(last));
+		else if (buf_len(&c->paced.queue) == 0)
+			finish(c);
+		return;
+	}
 	if (c->chunked)
-		buf_add_text(skt_output(c->socket), "0\r\n\r\n");
+		buf_add_text(skt_output(c->socket), last);
 	skt_flush(c->socket);
 	finish(c);
 }
@@ -405,7 +480,7 @@
 {
 	hsc_begin(c, status, fields, strlen(fields), (int64_t)len);
 	if (!c->head_only)
-		buf_add(skt_output(c->socket), body, len);
+		send_piece(c, body, len);
 	c->chunked = false;
 	hsc_end(c);
 }
@@ -413,7 +488,7 @@
 /* Returns the bytes that the system has not taken yet. */
 size_t hsc_backlog(struct hsc *c)
 {
-	return buf_len(skt_output(c->socket));
+	return buf_len(skt_output(c->socket)) + buf_len(&c->paced.queue);
 }
 
 /* Returns when the request began. */
--- a/packages/io/src/hsv.h
+++ b/packages/io/src/hsv.h
@@ -11,6 +11,7 @@
 
 #include "evl.h"
 #include "hmg.h"
+#include "pac.h"
 
 struct hsv; /* a listening address */
 struct hsc; /* a connection of a client */
@@ -40,12 +41,18 @@
 void hsv_destroy(struct hsv *s);
 void hsv_set_limits(struct hsv *s, const struct hsv_limits *limits);
 
+/* Long responses are sent at the rate of the link from now on. */
+void hsv_set_link(struct hsv *s, struct pac *link);
+
 /* From now on connections are closed behind the response that runs. */
 void hsv_drain(struct hsv *s);
 
 /* Connections with a request that is being read or answered. */
 uint32_t hsv_busy(const struct hsv *s);
 
+/* A long response to the running request goes before others. */
+void hsc_hurry(struct hsc *c);
+
 /*
  * Begins a response. fields are lines "Name: value\r\n". length is that of the
  * body, -1 if it is not known; the body is then sent in chunks.
--- a/packages/router/src/exq.c
+++ b/packages/router/src/exq.c
@@ -63,7 +63,7 @@
 /* True if a request would end within its objective if it began now. */
 static bool is_on_time(const struct exq_item *i, uint64_t now_us)
 {
-	return now_us + i->estimate_us <= i->objective_us;
+	return now_us + i->estimate_us + i->transfer_us <= i->objective_us;
 }
 
 /* True if a takes so much less work than b that it hardly delays it. */
@@ -189,7 +189,8 @@
 {
 	if (item->deadline_us <= now_us)
 		return false;
-	return now_us + wait_us + item->estimate_us <= latest_end_us(item);
+	return now_us + wait_us + item->estimate_us + item->transfer_us <=
+	       latest_end_us(item);
 }
 
 /* Adds a request. */
@@ -254,7 +255,7 @@
 static bool is_hopeless(const struct exq *q, const struct exq_item *i,
 			uint64_t now_us)
 {
-	if (now_us + i->estimate_us > latest_end_us(i))
+	if (now_us + i->estimate_us + i->transfer_us > latest_end_us(i))
 		return true;
 	return !is_on_time(i, now_us) && q->slots > 0 &&
 	       part_for(q, i, false) < PART_FOR_LATE;
--- a/packages/router/src/exq.h
+++ b/packages/router/src/exq.h
@@ -18,6 +18,7 @@
 	uint64_t deadline_us; /* nobody waits any longer */
 	uint32_t rank; /* 0 is the most urgent */
 	uint64_t estimate_us; /* of the upstream's work */
+	uint64_t transfer_us; /* from its end until the response has left */
 };
 
 struct exq;
--- a/packages/router/src/exr.c
+++ b/packages/router/src/exr.c
@@ -27,11 +27,19 @@
 /* When a caller may come back that was refused without an estimate. */
 #define RETURN_US (150 * US_PER_MS)
 
+/* From now on the link knows its length. */
+void exr_forget_length(struct exr_job *j)
+{
+	j->owner->expected_bytes -= j->expected_bytes;
+	j->expected_bytes = 0;
+}
+
 /* Takes a job off its list. */
 void exr_unlink(struct exr_job *j)
 {
 	struct exr *x = j->owner;
 
+	exr_forget_length(j);
 	if (j->state == EXR_WAITS) {
 		exq_remove(x->queue, &j->item);
 	} else if (j->state == EXR_HELD) {
@@ -48,6 +56,7 @@
 	const struct exr_ops *ops = j->ops;
 	void *arg = j->arg;
 
+	exr_forget_length(j);
 	j->owner->refused += why == EXR_BUSY;
 	free(j);
 	ops->on_refused(arg, why, wait_us);
@@ -201,7 +210,8 @@
 
 /* Makes a runner for one upstream address. */
 struct exr *exr_create(struct evl *l, const struct plat *platform,
-		       struct att *upstream, const char *address)
+		       struct att *upstream, const struct pac *link,
+		       const char *address)
 {
 	struct exr *x = calloc(1, sizeof(*x));
 	struct sockaddr_in a;
@@ -211,6 +221,7 @@
 	x->loop = l;
 	x->platform = platform;
 	x->upstream = upstream;
+	x->link = link;
 	x->mean_us = FIRST_MEAN_US;
 	x->queue = exq_create();
 	x->samples = smp_create();
@@ -254,6 +265,22 @@
 	}
 }
 
+/*
+ * Expects a response of the usual length of its kind. It leaves by the link
+ * after all long ones that have come or are expected; a short one does not wait.
+ */
+static void expect_length(struct exr_job *j)
+{
+	struct exr *x = j->owner;
+	int64_t bytes = (int64_t)x->kind_bytes[j->request.kind % EXR_KINDS];
+
+	if (!x->link || !pac_is_long(x->link, bytes))
+		return;
+	j->expected_bytes = (uint64_t)bytes;
+	x->expected_bytes += j->expected_bytes;
+	j->item.transfer_us = pac_time_us(x->link, (uint64_t)bytes);
+}
+
 /* Makes a job and admits it. */
 void exr_start(struct exr *x, const struct exr_request *r,
 	       const struct exr_ops *ops, void *arg, struct exr_job **job)
@@ -273,15 +300,24 @@
 	j->came_us = evl_now_us(x->loop);
 	j->item.came_us = j->came_us;
 	j->item.objective_us = r->objective_us;
-	j->item.deadline_us = r->deadline_us;
+	if (x->end_us && j->request.deadline_us > x->end_us)
+		j->request.deadline_us = x->end_us;
+	j->item.deadline_us = j->request.deadline_us;
 	j->item.rank = r->rank;
 	j->item.estimate_us = (uint64_t)(kind_us > 0 ? kind_us : x->mean_us);
+	expect_length(j);
 	if (!x->timer)
 		x->timer = tmr_at(evl_timers(x->loop), j->came_us + TICK_US,
 				  tick, x);
 	admit(j);
 }
 
+/* Limits the time of requests that come from now on. */
+void exr_stop_at(struct exr *x, uint64_t end_us)
+{
+	x->end_us = end_us;
+}
+
 /* Drops a job. */
 void exr_cancel(struct exr_job *j)
 {
@@ -334,6 +370,7 @@
 	out->waiting = exq_count(x->queue);
 	out->slots = att_slots(x->upstream);
 	out->mean_us = (uint64_t)x->mean_us;
+	out->link_us = x->link ? pac_time_us(x->link, x->expected_bytes) : 0;
 	out->finished = x->finished;
 	out->failed = x->failed;
 	out->refused = x->refused;
--- a/packages/router/src/exr.h
+++ b/packages/router/src/exr.h
@@ -11,6 +11,7 @@
 
 #include "att.h"
 #include "exq.h"
+#include "pac.h"
 #include "smp.h"
 
 struct exr;
@@ -51,8 +52,10 @@
 	uint64_t objective_us;
 };
 
+/* link: that responses leave by, NULL if it is not known. */
 struct exr *exr_create(struct evl *l, const struct plat *platform,
-		       struct att *upstream, const char *address);
+		       struct att *upstream, const struct pac *link,
+		       const char *address);
 void exr_destroy(struct exr *x);
 
 /*
@@ -62,6 +65,9 @@
 void exr_start(struct exr *x, const struct exr_request *r,
 	       const struct exr_ops *ops, void *arg, struct exr_job **job);
 
+/* The process ends then: requests that come from now on end before it. */
+void exr_stop_at(struct exr *x, uint64_t end_us);
+
 /* Nobody waits for the job: it is dropped or cut off without a report. */
 void exr_cancel(struct exr_job *j);
 
@@ -83,6 +89,7 @@
 struct exr_load {
 	uint32_t running, waiting, slots;
 	uint64_t mean_us; /* of the upstream's work on a request */
+	uint64_t link_us; /* until all long responses have left */
 	uint64_t finished; /* responses since the start */
 	uint64_t failed; /* of them, failures of the upstream */
 	uint64_t refused; /* requests that would not have ended in time */
--- a/packages/router/src/exr_int.h
+++ b/packages/router/src/exr_int.h
@@ -25,6 +25,8 @@
 	struct hxc *exchange;
 	uint64_t started_us;
 	uint64_t came_us;
+	uint64_t bytes; /* of the response until now */
+	uint64_t expected_bytes; /* of a long response that has not begun */
 	bool refused; /* by the upstream, which says that it did not run */
 	bool not_owner; /* refused, as it does not hold the key */
 	bool failed_status; /* a failure of the upstream */
@@ -34,6 +36,7 @@
 	struct evl *loop;
 	const struct plat *platform;
 	struct att *upstream;
+	const struct pac *link;
 	struct hcl *pool;
 	struct exq *queue;
 	struct smp *samples;
@@ -41,9 +44,12 @@
 	struct exr_job *held;
 	uint32_t running_count;
 	uint32_t timer;
+	uint64_t end_us; /* of the process, 0 if it does not stop */
 	uint64_t answered_us; /* last response of the upstream */
 	double mean_us;
 	double kind_us[EXR_KINDS];
+	double kind_bytes[EXR_KINDS]; /* of a response */
+	uint64_t expected_bytes; /* of all long responses that have not begun */
 	uint64_t finished;
 	uint64_t failed;
 	uint64_t refused;
@@ -59,6 +65,9 @@
 /* Ends a job with a refusal. */
 void exr_refuse(struct exr_job *j, enum exr_refusal why, uint64_t wait_us);
 
+/* The response of a job has begun, or it has none. */
+void exr_forget_length(struct exr_job *j);
+
 /* Takes a job off its list. */
 void exr_unlink(struct exr_job *j);
 
--- a/packages/router/src/exr_run.c
+++ b/packages/router/src/exr_run.c
@@ -84,6 +84,7 @@
 
 	j->owner->platform->ops->read_response(m, j->request.request.id, &r);
 	j->owner->answered_us = evl_now_us(j->owner->loop);
+	exr_forget_length(j);
 	j->refused = r.not_run || r.other_upstream;
 	j->not_owner = r.other_upstream;
 	j->failed_status = m->status >= STATUS_FAILURE_MIN;
@@ -96,6 +97,7 @@
 {
 	struct exr_job *j = arg;
 
+	j->bytes += len;
 	if (!j->refused)
 		j->ops->on_body(j->arg, bytes, len);
 }
@@ -106,11 +108,15 @@
 	struct exr *x = j->owner;
 	double took = (double)(evl_now_us(x->loop) - j->started_us);
 	double *kind = &x->kind_us[j->request.kind % EXR_KINDS];
+	double *bytes = &x->kind_bytes[j->request.kind % EXR_KINDS];
 
 	x->mean_us += (took - x->mean_us) * MEAN_WEIGHT;
 	if (*kind == 0)
 		*kind = took;
 	*kind += (took - *kind) * MEAN_WEIGHT;
+	if (*bytes == 0)
+		*bytes = (double)j->bytes;
+	*bytes += ((double)j->bytes - *bytes) * MEAN_WEIGHT;
 	x->finished++;
 	x->worked_us += (uint64_t)took;
 	if (j->failed_status)
--- a/packages/router/src/fwd.c
+++ b/packages/router/src/fwd.c
@@ -121,6 +121,8 @@
 	if (f->request.has_deadline && f->request.left_ms * US_PER_MS < limit)
 		limit = f->request.left_ms * US_PER_MS;
 	f->deadline_us = f->began_us + limit;
+	if (f->owner->end_us && f->deadline_us > f->owner->end_us)
+		f->deadline_us = f->owner->end_us;
 	f->objective_us =
 		f->began_us + (uint64_t)f->route.objective_ms * US_PER_MS;
 	if (f->route.objective_ms == 0 || f->objective_us > f->deadline_us)
@@ -217,6 +219,12 @@
 		hxc_hold(f->exchange, false);
 }
 
+/* Limits the time of requests that come from now on. */
+void fwr_stop_at(struct fwr *w, uint64_t end_us)
+{
+	w->end_us = end_us;
+}
+
 /* Each request that waits looks at the plan once; it may wait again. */
 void fwr_plan_changed(struct fwr *w)
 {
--- a/packages/router/src/fwd.h
+++ b/packages/router/src/fwd.h
@@ -35,6 +35,9 @@
 void fwr_gone(void *request);
 void fwr_drained(void *request);
 
+/* The process ends then: requests that come from now on end before it. */
+void fwr_stop_at(struct fwr *w, uint64_t end_us);
+
 /* Owners or members have changed: requests that wait for that go on. */
 void fwr_plan_changed(struct fwr *w);
 
--- a/packages/router/src/fwd_int.h
+++ b/packages/router/src/fwd_int.h
@@ -67,6 +67,7 @@
 	struct ret *retries;
 	struct rts *stats;
 	struct fwd *waiting;
+	uint64_t end_us; /* of the process, 0 if it does not stop */
 	uint64_t points; /* for choosing among the parts of a route */
 	struct hst response_times;
 	struct hst refusal_times;
--- a/packages/router/src/fwd_try.c
+++ b/packages/router/src/fwd_try.c
@@ -70,6 +70,7 @@
 	for (uint32_t i = 0; i < f->tried_count; i++)
 		tried[i] = f->tried[i];
 	m = mbs_choose(vew_members(w->parts.view), f->service,
+		       w->parts.settings->instance,
 		       w->parts.settings->data_centre, tried, f->tried_count,
 		       now_us);
 	return m && now_us >= m->avoid_until_us ? m : NULL;
@@ -387,6 +388,7 @@
 		.kind = kind_of(f),
 		.idempotent = f->route.idempotent,
 		.keyed = f->keyed,
+		.hurries = f->owner->end_us > 0,
 	};
 
 	txt_copy(line.upstream_id, sizeof(line.upstream_id), m->life.id);
--- a/packages/router/src/fwl.c
+++ b/packages/router/src/fwl.c
@@ -5,6 +5,8 @@
 #include <string.h>
 
 #define LINE_MAX_BYTES 512
+/* Words that a line of a request has at least. */
+#define REQUEST_WORDS 8
 /* Longest time that a daemon may name, so that sums do not overflow. */
 #define TIME_MAX_US (3600 * US_PER_S)
 
@@ -17,11 +19,11 @@
 /* Writes the line of a request. */
 void fwl_write_request(struct buf *out, const struct fwl_request *r)
 {
-	buf_printf(out, "%s: %s %s %llu %llu %u %u %d %d\r\n",
+	buf_printf(out, "%s: %s %s %llu %llu %u %u %d %d %d\r\n",
 		   FWL_REQUEST_FIELD, word(r->upstream_id),
 		   word(r->caller_service), (unsigned long long)r->left_us,
 		   (unsigned long long)r->objective_left_us, r->rank, r->kind,
-		   r->idempotent, r->keyed);
+		   r->idempotent, r->keyed, r->hurries);
 }
 
 /* Reads the line of a request. */
@@ -30,13 +32,17 @@
 	char line[LINE_MAX_BYTES];
 	unsigned long long left, objective;
 	int idempotent, keyed;
+	int hurries = 0;
+	int n;
 
 	memset(r, 0, sizeof(*r));
-	if (!span_copy(hmg_find(m, FWL_REQUEST_FIELD), line, sizeof(line)) ||
-	    sscanf(line, "%63s %63s %llu %llu %u %u %d %d", r->upstream_id,
+	if (!span_copy(hmg_find(m, FWL_REQUEST_FIELD), line, sizeof(line)))
+		return false;
+	/* The last word is not sent by earlier versions. */
+	n = sscanf(line, "%63s %63s %llu %llu %u %u %d %d %d", r->upstream_id,
 		   r->caller_service, &left, &objective, &r->rank, &r->kind,
-		   &idempotent, &keyed) != 8 ||
-	    left > TIME_MAX_US || objective > TIME_MAX_US)
+		   &idempotent, &keyed, &hurries);
+	if (n < REQUEST_WORDS || left > TIME_MAX_US || objective > TIME_MAX_US)
 		return false;
 	if (strcmp(r->caller_service, "-") == 0)
 		r->caller_service[0] = '\0';
@@ -44,6 +50,7 @@
 	r->objective_left_us = objective;
 	r->idempotent = idempotent != 0;
 	r->keyed = keyed != 0;
+	r->hurries = hurries != 0;
 	return true;
 }
 
@@ -71,11 +78,14 @@
 	return true;
 }
 
-/* Writes the load of the upstream. */
+/* Writes the load of the upstream; what waits for the link counts too. */
 void fwl_write_load(struct buf *out, const struct exr_load *load)
 {
+	uint64_t on_link =
+		load->mean_us > 0 ? load->link_us / load->mean_us : 0;
+
 	buf_printf(out, "%s: %u\r\n", FWL_LOAD_FIELD,
-		   load->running + load->waiting);
+		   load->running + load->waiting + (uint32_t)on_link);
 }
 
 /* Reads the load of the upstream. */
--- a/packages/router/src/fwl.h
+++ b/packages/router/src/fwl.h
@@ -28,6 +28,7 @@
 	uint32_t kind;
 	bool idempotent;
 	bool keyed; /* the request may run only where its key is held */
+	bool hurries; /* the sending daemon stops and has little time */
 };
 
 void fwl_write_request(struct buf *out, const struct fwl_request *r);
--- a/packages/router/src/mbr.c
+++ b/packages/router/src/mbr.c
@@ -12,6 +12,8 @@
 #define TOLD_FRESH_US (300 * US_PER_MS)
 /* An upstream of another data centre counts as used this much more. */
 #define FAR_PENALTY 0.8
+/* The upstream beside this daemon counts as used less: no link is needed. */
+#define OWN_BONUS 0.25
 /* Idle connections between daemons are closed after this. */
 #define PEER_IDLE_US (8 * US_PER_S)
 
@@ -199,8 +201,9 @@
 
 /* Chooses the least used one; distance and failures count against it. */
 struct mbr *mbs_choose(const struct mbs *m, const char *service,
-		       const char *data_centre, const char *const *tried,
-		       size_t tried_count, uint64_t now_us)
+		       const char *own, const char *data_centre,
+		       const char *const *tried, size_t tried_count,
+		       uint64_t now_us)
 {
 	struct mbr *best = NULL;
 	double best_cost = 0;
@@ -214,7 +217,9 @@
 		    was_tried(r, tried, tried_count))
 			continue;
 		cost = mbr_use(r, now_us);
-		if (strcmp(r->data_centre, data_centre) != 0)
+		if (strcmp(r->life.node, own) == 0)
+			cost -= OWN_BONUS;
+		else if (strcmp(r->data_centre, data_centre) != 0)
 			cost += FAR_PENALTY;
 		if (now_us < r->avoid_until_us)
 			cost += MEMBERS_MAX;
--- a/packages/router/src/mbr.h
+++ b/packages/router/src/mbr.h
@@ -56,12 +56,13 @@
 
 /*
  * Chooses an upstream of a service that owns no keys: the one with the
- * shortest wait, in this data centre unless it is busy there. Skips the
- * instances in `tried`.
+ * shortest wait, at this instance (own) or in this data centre unless it is busy
+ * there. Skips the instances in `tried`.
  */
 struct mbr *mbs_choose(const struct mbs *m, const char *service,
-		       const char *data_centre, const char *const *tried,
-		       size_t tried_count, uint64_t now_us);
+		       const char *own, const char *data_centre,
+		       const char *const *tried, size_t tried_count,
+		       uint64_t now_us);
 
 /* A connection could not be made: no requests go there for a moment. */
 void mbr_failed(struct mbr *m, uint64_t now_us);
--- a/packages/router/src/rse.c
+++ b/packages/router/src/rse.c
@@ -12,6 +12,8 @@
 #define MS_MAX 3600000
 #define SECONDS_MAX 3600
 #define MEMORY_MAX_MB 1048576
+#define LINK_MAX_MBIT_S 1e6
+#define BYTES_PER_MBIT 125000
 #define DEFAULT_ANNOUNCE_MS 1000
 #define DEFAULT_HOLD_MAX_MS 10000
 #define DEFAULT_DRAIN_MS 2000
@@ -56,13 +58,23 @@
 		.size = RSE_ADDRESS_MAX, .valid = is_endpoint_or_empty, \
 		.allowed = ADDRESS_ALLOWED                              \
 	}
-/* True for a number of seconds. */
-static bool is_seconds(const char *text)
+/* True for a number from 0 to max, with a fraction or without. */
+static bool is_number(const char *text, double max)
 {
 	char *end;
-	double s = strtod(text, &end);
+	double n = strtod(text, &end);
+
+	return end != text && *end == '\0' && n >= 0 && n <= max;
+}
+
+static bool is_seconds(const char *text)
+{
+	return is_number(text, SECONDS_MAX);
+}
 
-	return end != text && *end == '\0' && s >= 0 && s <= SECONDS_MAX;
+static bool is_link(const char *text)
+{
+	return is_number(text, LINK_MAX_MBIT_S);
 }
 
 #define NUMBER(field, low, high)                                     \
@@ -110,6 +122,12 @@
 	  .valid = is_seconds,
 	  .allowed = "0 to 3600 seconds, with a fraction" },
 	NUMBER(memory_mb, 0, MEMORY_MAX_MB),
+	{ .name = "link_mbit_s",
+	  .type = YML_TEXT,
+	  .offset = offsetof(struct rse, link_mbit_s),
+	  .size = RSE_NUMBER_MAX,
+	  .valid = is_link,
+	  .allowed = "0 to 1000000 Mbit a second, with a fraction" },
 	{ .name = "log_level",
 	  .type = YML_CHOICE,
 	  .offset = offsetof(struct rse, log_level),
@@ -136,6 +154,9 @@
 	yml_close(&y);
 	if (ok && s->grace_s[0])
 		s->grace_ms = (uint32_t)(strtod(s->grace_s, NULL) * MS_PER_S);
+	if (ok && s->link_mbit_s[0])
+		s->link_bytes_s = (uint64_t)(strtod(s->link_mbit_s, NULL) *
+					     BYTES_PER_MBIT);
 	return ok;
 }
 
--- a/packages/router/src/rse.h
+++ b/packages/router/src/rse.h
@@ -33,6 +33,8 @@
 	char grace_s[RSE_NUMBER_MAX]; /* as it stands in the file */
 	uint32_t grace_ms; /* from SIGTERM to SIGKILL, from grace_s */
 	uint32_t memory_mb; /* limit of the process, 0 for none */
+	char link_mbit_s[RSE_NUMBER_MAX]; /* as it stands in the file */
+	uint64_t link_bytes_s; /* of this machine, 0 if not known */
 	enum log_level log_level;
 };
 
--- a/packages/router/src/rtr.c
+++ b/packages/router/src/rtr.c
@@ -144,17 +144,25 @@
 		       grace * STOP_REFUSE_PCT / PERCENT;
 }
 
+/* A stopping process ends then, with whatever is still in flight. */
+static uint64_t end_of_stop_us(const struct rtr *r)
+{
+	uint64_t grace = (uint64_t)r->settings.grace_ms * US_PER_MS;
+
+	return r->stop_began_us +
+	       (grace > STOP_MARGIN_US ? grace - STOP_MARGIN_US : 0);
+}
+
 /* Ends when nothing is in flight, or when time is up. */
 static void look_for_end(void *arg, uint64_t now_us)
 {
 	struct rtr *r = arg;
 	uint64_t passed = now_us - r->stop_began_us;
-	uint64_t grace = (uint64_t)r->settings.grace_ms * US_PER_MS;
 	uint32_t busy = hsv_busy(r->callers) + hsv_busy(r->peers);
 
 	if (busy == 0 && passed >= STOP_SERVE_US) {
 		evl_stop(r->loop);
-	} else if (passed + STOP_MARGIN_US >= grace) {
+	} else if (now_us >= end_of_stop_us(r)) {
 		log_emit(LOG_DRAIN_TIMEOUT, "busy=%u", busy);
 		evl_stop(r->loop);
 	}
@@ -170,6 +178,8 @@
 	r->stop_began_us = now;
 	log_emit(LOG_DRAIN_BEGUN, "busy=%u",
 		 hsv_busy(r->callers) + hsv_busy(r->peers));
+	fwr_stop_at(r->forwards, end_of_stop_us(r));
+	exr_stop_at(r->runner, end_of_stop_us(r));
 	hsv_drain(r->callers);
 	on_upstream(r);
 	r->stop_timer = tmr_every(evl_timers(r->loop), now + STOP_LOOK_US,
@@ -203,7 +213,9 @@
 	struct att_parts att = { r->loop,  &r->platform, &r->settings,
 				 r->lease, r->view,	 r->releases };
 	r->upstream = att_create(&att, &upstream_ops, r);
-	r->runner = exr_create(r->loop, &r->platform, r->upstream,
+	if (r->settings.link_bytes_s > 0)
+		r->link = pac_create(r->loop, r->settings.link_bytes_s);
+	r->runner = exr_create(r->loop, &r->platform, r->upstream, r->link,
 			       r->settings.upstream_address);
 	struct fwr_parts fwr = { r->loop,    &r->platform, &r->settings,
 				 &r->config, r->view,	   r->runner,
@@ -219,7 +231,7 @@
 				    CONFIG_GATHER_US, &config_ops, r);
 	if (!r->view || !r->lease || !r->releases || !r->upstream ||
 	    !r->runner || !r->forwards || !r->forwarded || !r->leader ||
-	    !r->config_feed)
+	    !r->config_feed || (r->settings.link_bytes_s > 0 && !r->link))
 		return err_set(err, ERR_DAEMON, IO_NO_MEMORY, "out of memory");
 	return true;
 }
@@ -288,6 +300,7 @@
 		r->platform.ops->destroy(r->platform.self);
 	rcf_free(&r->config);
 	buf_free(&r->config_text);
+	pac_destroy(r->link);
 	evl_destroy(r->loop);
 	free(r);
 }
--- a/packages/router/src/rtr_int.h
+++ b/packages/router/src/rtr_int.h
@@ -36,6 +36,7 @@
 	struct fwr *forwards;
 	struct srv *forwarded;
 	struct ldr *leader;
+	struct pac *link; /* of this machine, NULL if its rate is not known */
 	struct hsv *callers;
 	struct hsv *peers;
 	struct hsv *ready;
--- a/packages/router/src/rtr_serve.c
+++ b/packages/router/src/rtr_serve.c
@@ -139,8 +139,11 @@
 	if (r->callers && s->metrics_address[0])
 		r->metrics = hsv_create(r->loop, s->metrics_address,
 					&metrics_ops, r, err);
-	if (r->callers)
+	if (r->callers) {
+		/* Callers are on this machine. */
+		hsv_set_link(r->peers, r->link);
 		rtr_set_limits(r);
+	}
 	return r->callers && (r->metrics || !s->metrics_address[0]);
 }
 
--- a/packages/router/src/srv.c
+++ b/packages/router/src/srv.c
@@ -177,6 +177,8 @@
 	f->server = s;
 	f->connection = c;
 	fill_job(f, m, body, &r);
+	if (f->line.hurries)
+		hsc_hurry(c);
 	f->over = &over;
 	exr_start(s->runner, &r, &job_ops, f, &f->job);
 	if (over)
--- a/packages/router/tests/test_att.c
+++ b/packages/router/tests/test_att.c
@@ -299,7 +299,8 @@
 	struct att_parts parts = { f->loop,  &f->platform, &f->settings,
 				   f->lease, f->view,	   f->releases };
 	f->upstream = att_create(&parts, &upstream_ops, f);
-	f->runner = exr_create(f->loop, &f->platform, f->upstream, UPSTREAM);
+	f->runner =
+		exr_create(f->loop, &f->platform, f->upstream, NULL, UPSTREAM);
 	f->admin = hsv_create(f->loop, ADMIN, &admin_ops, f, &err);
 	f->server = hsv_create(f->loop, UPSTREAM, &server_ops, f, &err);
 	assert_non_null(f->admin);
@@ -425,6 +426,21 @@
 	assert_int_equal(fx->answered + fx->refused, 8);
 }
 
+/* Guards against a request that a stopping process takes and then cuts off. */
+static void stopping_runner_refuses_what_it_cannot_end(void **state)
+{
+	(void)state;
+	start_parts(fx);
+	run(50);
+	announce("u-1", PLAT_READY, false, 1000);
+	ask();
+	run(4 * WORK_MS);
+	assert_int_equal(fx->answered, 1);
+	exr_stop_at(fx->runner, evl_now_us(fx->loop) + 1 * US_PER_MS);
+	ask();
+	assert_int_equal(fx->refused, 1);
+}
+
 /* One that no longer announces itself got work until its hold was over. */
 static void silent_upstream_gets_no_work(void **state)
 {
@@ -498,6 +514,7 @@
 		TEST(drain_of_an_earlier_process_is_over),
 		TEST(leave_without_a_start_time_counts),
 		TEST(queue_ends_with_the_drain),
+		TEST(stopping_runner_refuses_what_it_cannot_end),
 		TEST(silent_upstream_gets_no_work),
 		TEST(feed_and_reads_are_paced),
 	};
--- a/packages/router/tests/test_exq.c
+++ b/packages/router/tests/test_exq.c
@@ -268,6 +268,24 @@
 	}
 }
 
+/* Guards against downloads that run although the link has no time for them. */
+static void test_download_without_time_on_the_link_is_refused(void **state)
+{
+	struct exq *q = exq_create();
+	struct exq_item i = { .deadline_us = 2000 * MS,
+			      .objective_us = 500 * MS,
+			      .estimate_us = 75 * MS,
+			      .transfer_us = 300 * MS };
+
+	(void)state;
+	assert_true(exq_is_worth(&i, 0, 1));
+	i.transfer_us = 1500 * MS;
+	assert_false(exq_is_worth(&i, 0, 1));
+	exq_add(q, &i);
+	assert_ptr_equal(exq_pop_hopeless(q, 1), &i);
+	exq_destroy(q);
+}
+
 /* Without slots nothing is worth waiting for. */
 static void test_no_slots(void **state)
 {
@@ -290,6 +308,8 @@
 		cmocka_unit_test(test_late_calls_keep_their_rank),
 		cmocka_unit_test(test_calls_get_what_they_need),
 		cmocka_unit_test(test_hopeless_requests_are_not_taken),
+		cmocka_unit_test(
+			test_download_without_time_on_the_link_is_refused),
 		cmocka_unit_test(test_no_slots),
 	};
 
--- a/packages/router/tests/test_rse.c
+++ b/packages/router/tests/test_rse.c
@@ -57,6 +57,7 @@
 				   "drain_ms: 1500\n"
 				   "grace_s: \"2.5\"\n"
 				   "memory_mb: 260\n"
+				   "link_mbit_s: \"14.0\"\n"
 				   "log_level: warn\n",
 			  &s, &err));
 	assert_int_equal(s.announce_ms, 870);
@@ -64,6 +65,7 @@
 	assert_int_equal(s.drain_ms, 1500);
 	assert_int_equal(s.grace_ms, 2500);
 	assert_int_equal(s.memory_mb, 260);
+	assert_int_equal(s.link_bytes_s, 1750000);
 	assert_int_equal(s.log_level, LOG_LEVEL_WARN);
 }
 
@@ -84,6 +86,8 @@
 		  "metrics_address", SET_BAD_VALUE },
 		{ REQUIRED "announce_ms: 0\n", "announce_ms", SET_BAD_VALUE },
 		{ REQUIRED "grace_s: \"soon\"\n", "grace_s", SET_BAD_VALUE },
+		{ REQUIRED "link_mbit_s: \"-1\"\n", "link_mbit_s",
+		  SET_BAD_VALUE },
 		{ REQUIRED "colour: red\n", "colour", SET_UNKNOWN_FIELD },
 	};
 
