A request that was cut off keeps its slot until its upstream can see that

Cause: exr_cancel() closes the connection and starts the next request on another one in the same turn; the upstream may read the new request before the end of the cut one. Besides, exr_dispatch() counted once and went on with an old count when a start failed at once, and a request that was started after the time of the turn was taken counted as stuck by a negative difference. Change: a cut request counts for 20 ms; requests are counted anew for each start; clk_passed() serves all ages and is 0 for a later time. Test: cut_request_keeps_its_slot_for_a_moment failed before (1 running where 0 is expected).

--- a/packages/base/src/clk.c
+++ b/packages/base/src/clk.c
@@ -76,3 +76,12 @@
 {
 	return (uint64_t)(((unsigned __int128)clk_random(c) * bound) >> 64);
 }
+
+/*
+ * A time that was taken at the beginning of a turn is earlier than those that
+ * are taken in it; a plain difference would then be huge.
+ */
+uint64_t clk_passed(uint64_t now, uint64_t since)
+{
+	return now > since ? now - since : 0;
+}
--- a/packages/base/src/clk.h
+++ b/packages/base/src/clk.h
@@ -27,6 +27,9 @@
 uint64_t clk_wall_ms(const struct clk *c);
 uint64_t clk_random(const struct clk *c);
 
+/* Time from since until now, 0 if since is the later one. */
+uint64_t clk_passed(uint64_t now, uint64_t since);
+
 /* Returns a uniformly distributed number from 0 to bound-1; bound is over 0. */
 uint64_t clk_random_below(const struct clk *c, uint64_t bound);
 
--- a/packages/router/src/att.c
+++ b/packages/router/src/att.c
@@ -61,9 +61,9 @@
 		a->ops->on_keys(a->arg);
 		return;
 	}
-	if (now_us - a->heard_us > missed_us * SILENT_MISSED_MAX)
+	if (clk_passed(now_us, a->heard_us) > missed_us * SILENT_MISSED_MAX)
 		att_set_silent(a, true, "it does not announce itself");
-	if (now_us - a->heard_us > missed_us * MISSED_MAX)
+	if (clk_passed(now_us, a->heard_us) > missed_us * MISSED_MAX)
 		att_start_probe(a);
 }
 
--- a/packages/router/src/exr.c
+++ b/packages/router/src/exr.c
@@ -24,6 +24,11 @@
 /* A request without a response makes the upstream suspect after this. */
 #define SILENT_FACTOR 3
 #define SILENT_MIN_US (150 * US_PER_MS)
+/*
+ * An upstream sees the end of a connection, and stops the request, within this
+ * time; a request that is sent sooner may find all slots taken.
+ */
+#define CUT_SEEN_US (20 * US_PER_MS)
 /* When a caller may come back that was refused without an estimate. */
 #define RETURN_US (150 * US_PER_MS)
 
@@ -62,7 +67,7 @@
 	ops->on_refused(arg, why, wait_us);
 }
 
-/* Counts the running requests that take a slot. */
+/* Counts the requests that take a slot, those that were just cut off too. */
 static uint32_t count_running(const struct exr *x, uint64_t now_us)
 {
 	uint32_t n = 0;
@@ -74,9 +79,12 @@
 
 		if (limit < STUCK_MIN_US)
 			limit = STUCK_MIN_US;
-		if (now_us - j->started_us < limit)
+		if (clk_passed(now_us, j->started_us) < limit)
 			n++;
 	}
+	for (size_t i = 0; i < EXR_CUTS; i++)
+		n += x->cuts_us[i] > 0 &&
+		     clk_passed(now_us, x->cuts_us[i]) < CUT_SEEN_US;
 	return n;
 }
 
@@ -124,7 +132,8 @@
 		sort_queue(x, now);
 		return;
 	}
-	for (uint32_t n = count_running(x, now); n < slots; n++) {
+	/* A start that fails at once starts others: all are counted each time. */
+	while (count_running(x, evl_now_us(x->loop)) < slots) {
 		item = exq_pop(x->queue, now);
 		if (!item)
 			return;
@@ -186,7 +195,7 @@
 	const struct exr_job *j = x->running; /* the oldest one */
 
 	if (j && x->answered_us < j->started_us &&
-	    now_us - j->started_us >
+	    clk_passed(now_us, j->started_us) >
 		    j->item.estimate_us * SILENT_FACTOR + SILENT_MIN_US)
 		att_suspect(x->upstream);
 }
@@ -325,6 +334,8 @@
 	bool ran = j->state == EXR_RUNS;
 
 	exr_unlink(j);
+	if (j->exchange && hxc_has_sent(j->exchange))
+		x->cuts_us[x->next_cut++ % EXR_CUTS] = evl_now_us(x->loop);
 	if (j->exchange)
 		hxc_cancel(j->exchange);
 	free(j);
--- a/packages/router/src/exr_int.h
+++ b/packages/router/src/exr_int.h
@@ -7,6 +7,8 @@
 #include "hcl.h"
 
 #define EXR_KINDS 64
+/* Requests that were cut off and are remembered. */
+#define EXR_CUTS 64
 
 enum exr_state {
 	EXR_WAITS, /* in the queue */
@@ -43,6 +45,9 @@
 	struct exr_job *running;
 	struct exr_job *held;
 	uint32_t running_count;
+	uint64_t
+		cuts_us[EXR_CUTS]; /* when requests were cut off, 0 if unused */
+	size_t next_cut;
 	uint32_t timer;
 	uint64_t end_us; /* of the process, 0 if it does not stop */
 	uint64_t answered_us; /* last response of the upstream */
--- a/packages/router/src/ldr.c
+++ b/packages/router/src/ldr.c
@@ -191,14 +191,14 @@
 		s->targets = targets;
 		s->changed_us = now_us;
 	}
-	return targets > 0 && now_us - s->changed_us >= GATHER_US;
+	return targets > 0 && clk_passed(now_us, s->changed_us) >= GATHER_US;
 }
 
 /* Notes the next fence, to know later which ranges were taken long ago. */
 static uint64_t mark_settled(struct ldr_service *s, const struct krm *map,
 			     uint64_t now_us)
 {
-	if (now_us - s->marked_us >= SETTLED_US) {
+	if (clk_passed(now_us, s->marked_us) >= SETTLED_US) {
 		s->settled = s->fence;
 		s->fence = krm_next_fence(map);
 		s->marked_us = now_us;
@@ -328,7 +328,7 @@
 	}
 	if (l->led_us == 0)
 		l->led_us = now_us;
-	if (!l->woken && now_us - l->read_us < READ_US) {
+	if (!l->woken && clk_passed(now_us, l->read_us) < READ_US) {
 		plan(l);
 		return;
 	}
--- a/packages/router/src/ldr_plan.c
+++ b/packages/router/src/ldr_plan.c
@@ -87,7 +87,7 @@
 		const struct ldr_known *k = &in->reports[i];
 
 		if (life_is_same(&k->report.life, l) &&
-		    in->now_us - k->at_us < REPORT_FRESH_US)
+		    clk_passed(in->now_us, k->at_us) < REPORT_FRESH_US)
 			return &k->report;
 	}
 	return NULL;
@@ -117,7 +117,7 @@
 		const struct ldr_known *k = &in->reports[i];
 
 		if (strcmp(k->report.service, service) != 0 ||
-		    in->now_us - k->at_us >= REPORT_FRESH_US ||
+		    clk_passed(in->now_us, k->at_us) >= REPORT_FRESH_US ||
 		    k->report.mean_us == 0)
 			continue;
 		sum += (double)k->report.mean_us;
@@ -200,7 +200,8 @@
 		double speed = speed_of(r, mean);
 
 		if (strcmp(r->service, service) != 0 ||
-		    in->now_us - in->reports[i].at_us >= REPORT_FRESH_US)
+		    clk_passed(in->now_us, in->reports[i].at_us) >=
+			    REPORT_FRESH_US)
 			continue;
 		for (size_t p = 0; p < r->piece_count && n < LOADS_MAX; p++) {
 			out[n] = r->pieces[p];
--- a/packages/router/src/mbr.c
+++ b/packages/router/src/mbr.c
@@ -176,7 +176,7 @@
 /* Counts own requests in full and older news of others less and less. */
 double mbr_use(const struct mbr *m, uint64_t now_us)
 {
-	uint64_t age = now_us - m->told_us;
+	uint64_t age = clk_passed(now_us, m->told_us);
 	double told = 0;
 
 	if (m->slots == 0)
--- a/packages/router/src/smp.c
+++ b/packages/router/src/smp.c
@@ -59,7 +59,8 @@
 	for (size_t i = 0; i < SAMPLES_MAX; i++) {
 		const struct sample *x = &s->samples[i];
 
-		if (x->at_us == 0 || now_us - x->at_us > SMP_WINDOW_US)
+		if (x->at_us == 0 ||
+		    clk_passed(now_us, x->at_us) > SMP_WINDOW_US)
 			continue;
 		out[n++] = *x;
 		*total += (double)x->work_us;
--- a/packages/router/src/vew.c
+++ b/packages/router/src/vew.c
@@ -223,7 +223,7 @@
 {
 	uint64_t now = evl_now_us(v->loop);
 
-	if (now - v->doubted_us < DOUBT_US)
+	if (clk_passed(now, v->doubted_us) < DOUBT_US)
 		return;
 	v->doubted_us = now;
 	vew_read_again(v);
--- a/packages/router/tests/test_att.c
+++ b/packages/router/tests/test_att.c
@@ -45,6 +45,9 @@
 	uint32_t arrived; /* requests at the upstream */
 	uint64_t last_arrival_us;
 	uint32_t refused, answered;
+	uint32_t reply_timer;
+	bool working; /* the upstream has a request */
+	uint32_t overlaps; /* requests that came while it had one */
 };
 
 static struct fixture *fx;
@@ -124,6 +127,7 @@
 static void reply(void *arg, uint64_t now_us)
 {
 	(void)now_us;
+	fx->working = false;
 	hsc_reply(arg, 200, "", "ok", 2);
 }
 
@@ -135,15 +139,20 @@
 	(void)m;
 	(void)body;
 	f->arrived++;
+	f->overlaps += f->working;
 	f->last_arrival_us = evl_now_us(f->loop);
-	tmr_at(evl_timers(f->loop), f->last_arrival_us + WORK_MS * US_PER_MS,
-	       reply, c);
+	f->reply_timer =
+		tmr_at(evl_timers(f->loop),
+		       f->last_arrival_us + WORK_MS * US_PER_MS, reply, c);
+	f->working = true;
 	return c;
 }
 
 static void on_request_gone(void *request)
 {
 	(void)request;
+	tmr_cancel(evl_timers(fx->loop), fx->reply_timer);
+	fx->working = false;
 }
 
 static const struct hsv_ops server_ops = { on_request, on_request_gone, NULL };
@@ -238,7 +247,7 @@
 					on_job_refused, on_job_failed };
 
 /* Starts a request without a key that has five seconds. */
-static void ask(void)
+static struct exr_job *ask(void)
 {
 	static struct hmg message;
 	static struct buf body;
@@ -259,6 +268,7 @@
 		message.method = "GET";
 	}
 	exr_start(fx->runner, &r, &job_ops, fx, &job);
+	return job;
 }
 
 /* Puts the row that an earlier process has left. */
@@ -441,6 +451,30 @@
 	assert_int_equal(fx->refused, 1);
 }
 
+/* Guards against a request that is sent before the cut one has left its slot. */
+static void cut_request_keeps_its_slot_for_a_moment(void **state)
+{
+	struct exr_job *first;
+	struct exr_load load;
+
+	(void)state;
+	start_parts(fx);
+	run(50);
+	announce("u-1", PLAT_READY, false, 1000);
+	first = ask();
+	ask();
+	while (fx->arrived < 1)
+		run(1);
+	exr_cancel(first);
+	exr_load(fx->runner, &load);
+	assert_int_equal(load.running, 0);
+	assert_int_equal(load.waiting, 1);
+	run(4 * WORK_MS);
+	assert_int_equal(fx->arrived, 2);
+	assert_int_equal(fx->answered, 1);
+	assert_int_equal(fx->overlaps, 0);
+}
+
 /* One that no longer announces itself got work until its hold was over. */
 static void silent_upstream_gets_no_work(void **state)
 {
@@ -515,6 +549,7 @@
 		TEST(leave_without_a_start_time_counts),
 		TEST(queue_ends_with_the_drain),
 		TEST(stopping_runner_refuses_what_it_cannot_end),
+		TEST(cut_request_keeps_its_slot_for_a_moment),
 		TEST(silent_upstream_gets_no_work),
 		TEST(feed_and_reads_are_paced),
 	};
