Requests in flight are freed at the end of a daemon

Cause: hsv_destroy() told no user, so that forwarded requests and their jobs stayed allocated when the time to drain was over; the leak checker then sets the status. The log has DRAIN_TIMEOUT busy=6, then the report. Change: on_gone is called for each request that runs, and the runner starts nothing more once the process ends. Test: test_destroyed_server_ends_its_requests failed before.

--- a/packages/io/src/hsv.c
+++ b/packages/io/src/hsv.c
@@ -318,7 +318,7 @@
 	return s;
 }
 
-/* Closes the address and all connections; no user is told. */
+/* Closes the address and all connections. */
 void hsv_destroy(struct hsv *s)
 {
 	if (!s)
@@ -327,7 +327,7 @@
 	/* The analyzer does not follow the list of utlist. */
 	while (s->connections)
 		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
-		close_connection(s->connections, false);
+		on_end(s->connections, SKT_EOF);
 	skl_destroy(s->listener);
 	free(s);
 }
--- a/packages/io/src/hsv.h
+++ b/packages/io/src/hsv.h
@@ -38,6 +38,8 @@
 
 struct hsv *hsv_create(struct evl *l, const char *address,
 		       const struct hsv_ops *ops, void *arg, struct err *err);
+
+/* Closes all connections; on_gone is called for the requests that run. */
 void hsv_destroy(struct hsv *s);
 void hsv_set_limits(struct hsv *s, const struct hsv_limits *limits);
 
--- a/packages/io/tests/test_http.c
+++ b/packages/io/tests/test_http.c
@@ -353,6 +353,21 @@
 	assert_false(f->done || f->failed);
 }
 
+/* Guards against requests that are not freed at the end of a process. */
+static void test_destroyed_server_ends_its_requests(void **state)
+{
+	struct fixture *f = *state;
+
+	f->hold = true;
+	call(f, SERVER, "GET / HTTP/1.1\r\n\r\n", 0, false);
+	for (int i = 0; i < 20 && f->requests == 0; i++)
+		evl_step(f->loop, 20 * US_PER_MS);
+	assert_int_equal(f->requests, 1);
+	hsv_destroy(f->server);
+	f->server = NULL;
+	assert_true(f->gone);
+}
+
 #define CASE(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -369,6 +384,7 @@
 		CASE(test_garbage_is_no_response),
 		CASE(test_refused_connection),
 		CASE(test_cancel_reaches_the_server),
+		CASE(test_destroyed_server_ends_its_requests),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/router/src/exr.c
+++ b/packages/router/src/exr.c
@@ -125,7 +125,7 @@
 	uint32_t slots = att_slots(x->upstream);
 	struct exq_item *item;
 
-	if (exq_count(x->queue) == 0)
+	if (x->closed || exq_count(x->queue) == 0)
 		return;
 	/* An upstream that leaves is closed by time, without an event. */
 	if (!att_is_open(x->upstream, now)) {
@@ -327,6 +327,12 @@
 	x->end_us = end_us;
 }
 
+/* The process ends: what waits is not started when others are dropped. */
+void exr_close(struct exr *x)
+{
+	x->closed = true;
+}
+
 /* Drops a job. */
 void exr_cancel(struct exr_job *j)
 {
--- a/packages/router/src/exr.h
+++ b/packages/router/src/exr.h
@@ -68,6 +68,9 @@
 /* The process ends then: requests that come from now on end before it. */
 void exr_stop_at(struct exr *x, uint64_t end_us);
 
+/* No request is sent to the upstream any more. */
+void exr_close(struct exr *x);
+
 /* Nobody waits for the job: it is dropped or cut off without a report. */
 void exr_cancel(struct exr_job *j);
 
--- a/packages/router/src/exr_int.h
+++ b/packages/router/src/exr_int.h
@@ -49,6 +49,7 @@
 		cuts_us[EXR_CUTS]; /* when requests were cut off, 0 if unused */
 	size_t next_cut;
 	uint32_t timer;
+	bool closed; /* nothing is sent any more */
 	uint64_t end_us; /* of the process, 0 if it does not stop */
 	uint64_t answered_us; /* last response of the upstream */
 	double mean_us;
--- a/packages/router/src/rtr.c
+++ b/packages/router/src/rtr.c
@@ -274,10 +274,7 @@
 		 hsv_busy(r->callers) + hsv_busy(r->peers));
 }
 
-/*
- * Frees the daemon. What is in flight is left to the end of the process: its
- * connections would only be cut a moment sooner.
- */
+/* Frees the daemon; what is in flight is cut off. */
 void rtr_destroy(struct rtr *r)
 {
 	if (!r)
@@ -286,6 +283,8 @@
 		rtr_stop_stats(r);
 		rtr_stop_reports(r);
 	}
+	if (r->runner)
+		exr_close(r->runner);
 	rtr_close_servers(r);
 	fed_destroy(r->config_feed);
 	ldr_destroy(r->leader);
