Keys move only to upstreams with room, and speeds are means of more requests

The capacity of an upstream came from a mean over some ten requests, which scatters by a quarter. Evidence: a trial that printed the use of all targets: capacities from 2.4 to 9.6 where the upstreams differ by 0.6 to 1.4. Test: test_overload_of_all_moves_nothing failed before.

--- a/packages/keys/src/krp.c
+++ b/packages/keys/src/krp.c
@@ -13,6 +13,11 @@
 #define PIECES_PER_TARGET 4
 /* Below this use of the busiest target nothing is moved. */
 #define BUSY_USE 0.65
+/*
+ * A target that is used more has no room for more: when all are overloaded, a
+ * move serves nobody, and the keys have no owner meanwhile.
+ */
+#define ROOM_USE 0.90
 /* Difference of use between busiest and idlest that is left as it is. */
 #define USE_TOLERANCE 0.30
 /*
@@ -247,6 +252,8 @@
 	if (use_of(to) < mean_use * NEWCOMER_SHARE &&
 	    use_of(from) > mean_use * NEWCOMER_SHARE)
 		return true;
+	if (use_of(to) >= ROOM_USE)
+		return false;
 	return use_of(from) >= BUSY_USE &&
 	       use_of(from) - use_of(to) >= tolerance(from, to);
 }
--- a/packages/keys/tests/test_krp.c
+++ b/packages/keys/tests/test_krp.c
@@ -267,6 +267,26 @@
 	krm_destroy(k);
 }
 
+/* Guards against moves among upstreams that all have more than they can do. */
+static void test_overload_of_all_moves_nothing(void **state)
+{
+	static struct krp_load loads[MANY];
+	static struct krp_target t[MANY];
+	struct krm *k = krm_create();
+	uint32_t keys = KRM_KEYS / MANY;
+
+	(void)state;
+	make_many(t, 0);
+	krp_plan(k, t, MANY, NULL, 0, 0);
+	release_all(k);
+	/* Between two and four times what they can do. */
+	for (uint32_t i = 0; i < MANY; i++)
+		loads[i] = (struct krp_load){ i * keys, i * keys + keys - 1,
+					      MANY_SLOTS * (2 + i % 3) };
+	assert_int_equal(settle(k, t, MANY, loads, MANY), 0);
+	krm_destroy(k);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -278,6 +298,7 @@
 		cmocka_unit_test(test_no_targets),
 		cmocka_unit_test(test_scatter_of_an_even_load_moves_few_keys),
 		cmocka_unit_test(test_hot_key_does_not_stop_other_moves),
+		cmocka_unit_test(test_overload_of_all_moves_nothing),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/router/src/exr.c
+++ b/packages/router/src/exr.c
@@ -232,6 +232,7 @@
 	x->upstream = upstream;
 	x->link = link;
 	x->mean_us = FIRST_MEAN_US;
+	x->lasting_us = FIRST_MEAN_US;
 	x->queue = exq_create();
 	x->samples = smp_create();
 	x->pool = skt_parse(address, &a) ? hcl_create(l, &a, UPSTREAM_IDLE_US) :
@@ -387,6 +388,7 @@
 	out->waiting = exq_count(x->queue);
 	out->slots = att_slots(x->upstream);
 	out->mean_us = (uint64_t)x->mean_us;
+	out->lasting_us = (uint64_t)x->lasting_us;
 	out->link_us = x->link ? pac_time_us(x->link, x->expected_bytes) : 0;
 	out->finished = x->finished;
 	out->failed = x->failed;
--- a/packages/router/src/exr.h
+++ b/packages/router/src/exr.h
@@ -92,6 +92,7 @@
 struct exr_load {
 	uint32_t running, waiting, slots;
 	uint64_t mean_us; /* of the upstream's work on a request */
+	uint64_t lasting_us; /* the same over more requests */
 	uint64_t link_us; /* until all long responses have left */
 	uint64_t finished; /* responses since the start */
 	uint64_t failed; /* of them, failures of the upstream */
--- a/packages/router/src/exr_int.h
+++ b/packages/router/src/exr_int.h
@@ -53,6 +53,7 @@
 	uint64_t end_us; /* of the process, 0 if it does not stop */
 	uint64_t answered_us; /* last response of the upstream */
 	double mean_us;
+	double lasting_us; /* mean over more requests, for the speed */
 	double kind_us[EXR_KINDS];
 	double kind_bytes[EXR_KINDS]; /* of a response */
 	uint64_t expected_bytes; /* of all long responses that have not begun */
--- a/packages/router/src/exr_run.c
+++ b/packages/router/src/exr_run.c
@@ -8,6 +8,11 @@
 
 /* Weight of the newest measurement in a mean. */
 #define MEAN_WEIGHT 0.1
+/*
+ * The same in the mean that tells the speed of an upstream: over 50 requests it
+ * scatters by a tenth, over 10 by a quarter, which moves keys.
+ */
+#define LASTING_WEIGHT 0.02
 /* Longest idle time of a connection that a request is sent on again. */
 #define REUSE_IDEMPOTENT_US (8 * US_PER_S)
 /* Shorter for others: a connection that was dropped unseen may lose one. */
@@ -111,6 +116,7 @@
 	double *bytes = &x->kind_bytes[j->request.kind % EXR_KINDS];
 
 	x->mean_us += (took - x->mean_us) * MEAN_WEIGHT;
+	x->lasting_us += (took - x->lasting_us) * LASTING_WEIGHT;
 	if (*kind == 0)
 		*kind = took;
 	*kind += (took - *kind) * MEAN_WEIGHT;
--- a/packages/router/src/rtr_lead.c
+++ b/packages/router/src/rtr_lead.c
@@ -30,7 +30,7 @@
 	report->running = load.running;
 	report->waiting = load.waiting;
 	if (load.finished > 0)
-		report->mean_us = load.mean_us;
+		report->mean_us = load.lasting_us;
 	report->slow_left_ms =
 		att_slow_left_ms(r->upstream, evl_now_us(r->loop));
 	report->config_version = r->config.version;
