--- a/packages/keys/tests/test_krp.c
+++ b/packages/keys/tests/test_krp.c
@@ -270,21 +270,25 @@
 /* Guards against moves among upstreams that all have more than they can do. */
 static void test_overload_of_all_moves_nothing(void **state)
 {
-	static struct krp_load loads[MANY];
+	static struct krp_load loads[MANY * REPORT_PIECES];
 	static struct krp_target t[MANY];
 	struct krm *k = krm_create();
-	uint32_t keys = KRM_KEYS / MANY;
+	uint32_t keys = KRM_KEYS / (MANY * REPORT_PIECES);
+	uint32_t moved;
 
 	(void)state;
 	make_many(t, 0);
 	krp_plan(k, t, MANY, NULL, 0, 0);
 	release_all(k);
 	/* Between two and four times what they can do. */
-	for (uint32_t i = 0; i < MANY; i++)
-		loads[i] = (struct krp_load){ i * keys, i * keys + keys - 1,
-					      MANY_SLOTS * (2 + i % 3) };
-	assert_int_equal(settle(k, t, MANY, loads, MANY), 0);
+	for (uint32_t i = 0; i < MANY * REPORT_PIECES; i++)
+		loads[i] = (struct krp_load){
+			i * keys, i * keys + keys - 1,
+			MANY_SLOTS * (2 + i / REPORT_PIECES % 3) / REPORT_PIECES
+		};
+	moved = settle(k, t, MANY, loads, MANY * REPORT_PIECES);
 	krm_destroy(k);
+	assert_int_equal(moved, 0);
 }
 
 int main(void)
