--- a/packages/io/tests/test_http.c
+++ b/packages/io/tests/test_http.c
@@ -353,6 +353,47 @@
 	assert_false(f->done || f->failed);
 }
 
+#define ENDLESS_BYTES (1U << 20)
+
+/* Guards against a head without end that fills the memory of the caller. */
+static void test_head_without_end_is_no_response(void **state)
+{
+	struct fixture *f = *state;
+	char *head = malloc(ENDLESS_BYTES + 1);
+
+	memset(head, 'a', ENDLESS_BYTES);
+	head[ENDLESS_BYTES] = '\0';
+	memcpy(head, "HTTP/1.1 200 OK\r\nX: ", 20);
+	f->raw_answer = head;
+	call(f, RAW, "GET / HTTP/1.1\r\n\r\n", 0, true);
+	assert_true(f->failed);
+	assert_int_equal(f->failure, HXC_NO_RESPONSE);
+	free(head);
+}
+
+/* Guards against a body without end that outlives the request. */
+static void test_body_without_end_ends_with_the_request(void **state)
+{
+	struct fixture *f = *state;
+	char *body = malloc(ENDLESS_BYTES + 1);
+	struct hxc *x;
+
+	memset(body, 'a', ENDLESS_BYTES);
+	body[ENDLESS_BYTES] = '\0';
+	memcpy(body, "HTTP/1.1 200 OK\r\n\r\n", 19);
+	f->raw_answer = body;
+	x = call(f, RAW, "GET / HTTP/1.1\r\n\r\n", 0, false);
+	for (int i = 0; i < 50 && buf_len(&f->body) < ENDLESS_BYTES / 2; i++)
+		evl_step(f->loop, 20 * US_PER_MS);
+	assert_true(buf_len(&f->body) >= ENDLESS_BYTES / 2);
+	hxc_cancel(x);
+	for (int i = 0; i < 50 && f->raw; i++)
+		evl_step(f->loop, 20 * US_PER_MS);
+	assert_null(f->raw);
+	assert_false(f->done || f->failed);
+	free(body);
+}
+
 /* Guards against requests that are not freed at the end of a process. */
 static void test_destroyed_server_ends_its_requests(void **state)
 {
@@ -384,6 +425,8 @@
 		CASE(test_garbage_is_no_response),
 		CASE(test_refused_connection),
 		CASE(test_cancel_reaches_the_server),
+		CASE(test_head_without_end_is_no_response),
+		CASE(test_body_without_end_ends_with_the_request),
 		CASE(test_destroyed_server_ends_its_requests),
 	};
 
