Load told to others counts all that waits for the link; bounds of the link

Found in reading, each without a failure seen: the load told to other daemons left out responses on their way when none was expected; short responses that fill a link could keep long ones back without a bound; a turn without memory lost bytes of a response. Names and one comment. Tests: test_short_responses_do_not_starve_long_ones failed before with a debt without bound (2 s of twice the rate), lnk_all_us() in test_time_counts_what_goes_first.

--- a/packages/io/src/lnk.c
+++ b/packages/io/src/lnk.c
@@ -11,6 +11,11 @@
 /* Time of the link that is given to one response at once. */
 #define TURN_US (10 * US_PER_MS)
 #define TURN_BYTES_MIN 4096
+/*
+ * Short responses that fill the link keep long ones back by this many turns at
+ * most, a tenth of a second, so that these are not starved.
+ */
+#define DEBT_TURNS 10.0
 
 struct lnk {
 	uint64_t rate; /* bytes a second for long responses */
@@ -78,6 +83,8 @@
 {
 	count_credit(l, now_us);
 	l->credit -= (double)bytes;
+	if (l->credit < -DEBT_TURNS * (double)l->turn)
+		l->credit = -DEBT_TURNS * (double)l->turn;
 }
 
 /* True if a goes before b. */
@@ -139,3 +146,13 @@
 	}
 	return all * US_PER_S / l->rate;
 }
+
+/* Counts everything. */
+uint64_t lnk_all_us(const struct lnk *l, uint64_t more)
+{
+	const struct lnk_stream *s;
+
+	DL_FOREACH(l->streams, s)
+	more += s->left;
+	return more * US_PER_S / l->rate;
+}
--- a/packages/io/src/lnk.h
+++ b/packages/io/src/lnk.h
@@ -48,4 +48,7 @@
 /* Time in which a response of this length that comes now would be sent. */
 uint64_t lnk_time_us(const struct lnk *l, uint64_t bytes);
 
+/* Time in which all responses and this many bytes more would be sent. */
+uint64_t lnk_all_us(const struct lnk *l, uint64_t more);
+
 #endif
--- a/packages/io/src/pac.c
+++ b/packages/io/src/pac.c
@@ -15,7 +15,13 @@
 /* Sends one turn of a response. */
 static void send_turn(struct pac_response *r, size_t bytes)
 {
-	buf_add(skt_output(r->socket), buf_data(&r->queue), bytes);
+	if (!buf_add(skt_output(r->socket), buf_data(&r->queue), bytes)) {
+		/* Without memory it stays queued until the socket has drained. */
+		r->stream.ready += bytes;
+		r->stream.left += bytes;
+		r->stream.blocked = true;
+		return;
+	}
 	buf_take(&r->queue, bytes);
 	skt_flush(r->socket);
 	r->stream.blocked = buf_len(skt_output(r->socket)) > 0;
@@ -146,3 +152,9 @@
 {
 	return lnk_time_us(p->link, bytes);
 }
+
+/* Tells how long all would take. */
+uint64_t pac_all_us(const struct pac *p, uint64_t more)
+{
+	return lnk_all_us(p->link, more);
+}
--- a/packages/io/src/pac.h
+++ b/packages/io/src/pac.h
@@ -51,4 +51,7 @@
 /* Time in which a response of this length that comes now would be sent. */
 uint64_t pac_time_us(const struct pac *p, uint64_t bytes);
 
+/* Time in which all responses and this many bytes more would be sent. */
+uint64_t pac_all_us(const struct pac *p, uint64_t more);
+
 #endif
--- a/packages/io/tests/test_lnk.c
+++ b/packages/io/tests/test_lnk.c
@@ -159,6 +159,26 @@
 	lnk_destroy(l);
 }
 
+/* Guards against long responses that are starved by short ones. */
+static void test_short_responses_do_not_starve_long_ones(void **state)
+{
+	struct lnk *l = lnk_create(LINK);
+	struct lnk_stream a = { .left = DOWNLOAD, .ready = DOWNLOAD };
+	uint64_t now = 0;
+	uint64_t wait;
+	size_t bytes;
+
+	(void)state;
+	lnk_add(l, &a);
+	/* Twice what the link carries, for two seconds. */
+	for (; now < 2000 * MS; now += MS)
+		lnk_spend(l, 2 * LINK / 1000, now);
+	while (!lnk_next(l, now, &bytes, &wait))
+		now += MS;
+	assert_true(now <= 2200 * MS);
+	lnk_destroy(l);
+}
+
 /* Guards against an admission that does not see what the link has to carry. */
 static void test_time_counts_what_goes_first(void **state)
 {
@@ -172,6 +192,8 @@
 	assert_in_range(lnk_time_us(l, DOWNLOAD), 2 * alone - 2, 2 * alone + 2);
 	lnk_add(l, &b);
 	assert_in_range(lnk_time_us(l, DOWNLOAD), 2 * alone - 2, 2 * alone + 2);
+	assert_in_range(lnk_all_us(l, DOWNLOAD), 12 * alone - 12,
+			12 * alone + 12);
 	lnk_destroy(l);
 }
 
@@ -338,6 +360,7 @@
 			test_short_responses_do_not_wait_for_downloads),
 		cmocka_unit_test(test_most_downloads_are_early_under_overload),
 		cmocka_unit_test(test_hurried_response_goes_first),
+		cmocka_unit_test(test_short_responses_do_not_starve_long_ones),
 		cmocka_unit_test(test_time_counts_what_goes_first),
 		cmocka_unit_test_setup_teardown(
 			test_downloads_leave_at_the_rate_of_the_link, setup,
--- a/packages/router/src/exr.c
+++ b/packages/router/src/exr.c
@@ -389,7 +389,7 @@
 	out->slots = att_slots(x->upstream);
 	out->mean_us = (uint64_t)x->mean_us;
 	out->lasting_us = (uint64_t)x->lasting_us;
-	out->link_us = x->link ? pac_time_us(x->link, x->expected_bytes) : 0;
+	out->link_us = x->link ? pac_all_us(x->link, x->expected_bytes) : 0;
 	out->finished = x->finished;
 	out->failed = x->failed;
 	out->refused = x->refused;
--- a/packages/router/src/exr_int.h
+++ b/packages/router/src/exr_int.h
@@ -45,8 +45,8 @@
 	struct exr_job *running;
 	struct exr_job *held;
 	uint32_t running_count;
-	uint64_t
-		cuts_us[EXR_CUTS]; /* when requests were cut off, 0 if unused */
+	/* When requests were cut off, 0 if unused. */
+	uint64_t cuts_us[EXR_CUTS];
 	size_t next_cut;
 	uint32_t timer;
 	bool closed; /* nothing is sent any more */
--- a/packages/router/src/fwd_try.c
+++ b/packages/router/src/fwd_try.c
@@ -229,14 +229,13 @@
 static void note_times(struct fwd *f, const struct exr_times *t, uint64_t now)
 {
 	struct rts *stats = f->owner->stats;
-	uint64_t passed = now - f->sent_us;
+	uint64_t passed = clk_passed(now, f->sent_us);
 	uint64_t there = t->queue_us + t->run_us;
 
 	f->head_us = now;
 	rts_add_time(stats, f->stats, RTS_QUEUE, t->queue_us);
 	rts_add_time(stats, f->stats, RTS_RUN, t->run_us);
-	rts_add_time(stats, f->stats, RTS_TRANSIT,
-		     passed > there ? passed - there : 0);
+	rts_add_time(stats, f->stats, RTS_TRANSIT, clk_passed(passed, there));
 }
 
 static void on_head(void *arg, const struct hmg *m)
@@ -444,8 +443,8 @@
 	f->sent_us = now;
 	m->outstanding++;
 	if (f->tried_count < FWD_TRIED_MAX)
-		txt_copy(f->tried[f->tried_count++],
-			 sizeof(f->tried[f->tried_count++]), m->life.node);
+		txt_copy(f->tried[f->tried_count++], sizeof(f->tried[0]),
+			 m->life.node);
 	if (strcmp(m->life.node, f->owner->parts.settings->instance) == 0)
 		send_here(f, m);
 	else if (m->pool)
