A response under way is not cut before its time is over

What callers saw: a response whose upstream had ended whole was closed in its middle shortly before the caller's deadline or the route's timeout. Cause: the margin of 5 ms, by which an answer of the daemon itself comes before the deadline, was also applied to responses that had begun; they were cut that much before their time was over.

--- a/packages/router/src/fwd.c
+++ b/packages/router/src/fwd.c
@@ -17,6 +17,8 @@
 #define NO_CONFIG_RETURN_MS 300
 /* The final answer leaves this much before the time it is due. */
 #define ANSWER_MARGIN_US (5 * US_PER_MS)
+/* A response under way is cut off this much after its time is over. */
+#define BEGUN_SLACK_US (20 * US_PER_MS)
 /* Wait of a caller without a deadline on a route without a timeout. */
 #define DEFAULT_TIMEOUT_US (30 * US_PER_S)
 
@@ -94,13 +96,30 @@
 		hsc_reply(c, status, "", "", 0);
 }
 
+/*
+ * An answer of this daemon has to reach the caller in time; a response that is
+ * under way may still end until then.
+ */
+uint64_t fwd_limit_us(const struct fwd *f)
+{
+	if (f->begun)
+		return f->deadline_us + BEGUN_SLACK_US;
+	return f->deadline_us > ANSWER_MARGIN_US ?
+		       f->deadline_us - ANSWER_MARGIN_US :
+		       0;
+}
+
 /* The caller's time or that of the route is over. */
 static void on_deadline(void *arg, uint64_t now_us)
 {
 	struct fwd *f = arg;
 
-	(void)now_us;
 	f->deadline_timer = 0;
+	if (now_us < fwd_limit_us(f)) {
+		f->deadline_timer = tmr_at(evl_timers(f->owner->parts.loop),
+					   fwd_limit_us(f), on_deadline, f);
+		return;
+	}
 	if (f->exchange && hxc_has_sent(f->exchange))
 		f->may_have_run = true;
 	if (f->job && exr_was_sent(f->job))
@@ -128,10 +147,7 @@
 	if (f->route.objective_ms == 0 || f->objective_us > f->deadline_us)
 		f->objective_us = f->deadline_us;
 	f->deadline_timer = tmr_at(evl_timers(f->owner->parts.loop),
-				   f->deadline_us > ANSWER_MARGIN_US ?
-					   f->deadline_us - ANSWER_MARGIN_US :
-					   0,
-				   on_deadline, f);
+				   fwd_limit_us(f), on_deadline, f);
 }
 
 /* Answers what no route or no configuration allows. */
--- a/packages/router/src/fwd_int.h
+++ b/packages/router/src/fwd_int.h
@@ -91,6 +91,9 @@
 void fwd_take_end(struct fwd *f);
 void fwd_drop_response(struct fwd *f);
 
+/* When the request ends without a whole response, at the latest. */
+uint64_t fwd_limit_us(const struct fwd *f);
+
 /* Final answers of this daemon; the request is over. */
 void fwd_refuse(struct fwd *f, enum rts_outcome why);
 void fwd_fail(struct fwd *f, uint16_t status, enum rts_outcome why);
