A stopping daemon ends only after the system has taken its last responses

Cause: a response counted as over once it was written into the buffer of its connection. A daemon ends when nothing counts, 2.3 s after SIGTERM at the earliest, and with it went what the system had not taken yet: of its callers, or of another daemon, whose caller was then cut. Class: work that counts as done when it is handed to a buffer. Excluded: the end of the grace time (3.4 s of 5.4 s had passed). Change: connections with output, and closed ones that still send, count as busy. Test: test_response_is_busy_until_the_system_has_it failed before.

--- a/packages/io/src/hsv.c
+++ b/packages/io/src/hsv.c
@@ -357,18 +357,19 @@
 	}
 }
 
-/* Counts the requests that are being read or answered. */
+/* Counts what would be cut if the process ended now. */
 uint32_t hsv_busy(const struct hsv *s)
 {
-	uint32_t reading = 0;
+	uint32_t others = 0;
 	struct hsc *c;
 
 	DL_FOREACH(s->connections, c)
 	{
-		if (c->phase == PHASE_READ && hps_is_inside(c->parser))
-			reading++;
+		if (c->phase == PHASE_READ &&
+		    (hps_is_inside(c->parser) || hsc_backlog(c) > 0))
+			others++;
 	}
-	return s->busy + reading;
+	return s->busy + others;
 }
 
 /* Lets the response go before others. */
--- a/packages/io/src/hsv.h
+++ b/packages/io/src/hsv.h
@@ -49,7 +49,10 @@
 /* From now on connections are closed behind the response that runs. */
 void hsv_drain(struct hsv *s);
 
-/* Connections with a request that is being read or answered. */
+/*
+ * Connections with a request that is being read or answered, or with output that
+ * the system has not taken yet; see skt_closing() for those that are closed.
+ */
 uint32_t hsv_busy(const struct hsv *s);
 
 /* A long response to the running request goes before others. */
--- a/packages/io/src/skt.c
+++ b/packages/io/src/skt.c
@@ -38,6 +38,9 @@
 	bool dead;
 };
 
+/* Sockets that nobody knows any more, but that still have output. */
+static size_t closing_count;
+
 /* Splits an address with its port. */
 bool skt_parse(const char *text, struct sockaddr_in *address)
 {
@@ -80,6 +83,7 @@
 	if (s->dead)
 		return;
 	s->dead = true;
+	closing_count -= s->closing;
 	ev_io_stop(evl_ev(s->loop), &s->reads);
 	ev_io_stop(evl_ev(s->loop), &s->writes);
 	close(s->fd);
@@ -260,9 +264,16 @@
 		return;
 	}
 	s->closing = true;
+	closing_count++;
 	skt_hold_input(s, false);
 }
 
+/* Returns how many are closing. */
+size_t skt_closing(void)
+{
+	return closing_count;
+}
+
 /* Returns the bytes that were read and not taken. */
 struct buf *skt_input(struct skt *s)
 {
--- a/packages/io/src/skt.h
+++ b/packages/io/src/skt.h
@@ -47,6 +47,9 @@
 /* Closes once the output has been sent; no callback comes any more. */
 void skt_close_after_output(struct skt *s);
 
+/* Number of sockets of this process that close after their output. */
+size_t skt_closing(void);
+
 struct buf *skt_input(struct skt *s);
 
 /* Adds to the output and sends what the system takes now. */
--- a/packages/io/tests/test_lnk.c
+++ b/packages/io/tests/test_lnk.c
@@ -205,6 +205,8 @@
 	struct pac *link;
 	struct hsv *http;
 	uint32_t answered;
+	const char *big;
+	size_t big_len;
 };
 
 /* Answers with a short body for /short, in chunks for /chunks, else long. */
@@ -220,6 +222,10 @@
 		hsc_reply(c, 200, "", "ok", 2);
 		return NULL;
 	}
+	if (span_is(hmg_target(m), "/big")) {
+		hsc_reply(c, 200, "", s->big, s->big_len);
+		return NULL;
+	}
 	hsc_begin(c, 200, "", 0,
 		  span_is(hmg_target(m), "/chunks") ? -1 : DOWNLOAD);
 	for (size_t i = 0; i < DOWNLOAD; i += DOWNLOAD / 9)
@@ -333,6 +339,35 @@
 	assert_int_equal(hsv_busy(s->http), 0);
 }
 
+/* Guards against a process that ends before its last responses have left. */
+static void test_response_is_busy_until_the_system_has_it(void **state)
+{
+	static char bytes[8 << 20];
+	struct server *s = *state;
+	char text[64] = "";
+	size_t all = 0;
+	int fd;
+
+	hsv_set_link(s->http, NULL);
+	for (int drained = 0; drained < 2; drained++) {
+		s->big = bytes;
+		s->big_len = sizeof(bytes);
+		fd = ask("/big");
+		run(s, 50 * MS);
+		/* The caller has not read: most of it is still here. */
+		assert_true(hsv_busy(s->http) + skt_closing() > 0);
+		for (all = 0; all < sizeof(bytes);) {
+			all += take(fd, text, sizeof(text));
+			evl_step(s->loop, MS);
+		}
+		run(s, 20 * MS);
+		assert_int_equal(hsv_busy(s->http) + skt_closing(), 0);
+		close(fd);
+		run(s, 20 * MS);
+		hsv_drain(s->http);
+	}
+}
+
 /* Guards against a caller that leaves amid a download and blocks the link. */
 static void test_gone_caller_frees_the_link(void **state)
 {
@@ -365,6 +400,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_downloads_leave_at_the_rate_of_the_link, setup,
 			teardown),
+		cmocka_unit_test_setup_teardown(
+			test_response_is_busy_until_the_system_has_it, setup,
+			teardown),
 		cmocka_unit_test_setup_teardown(test_gone_caller_frees_the_link,
 						setup, teardown),
 	};
--- a/packages/router/src/rtr.c
+++ b/packages/router/src/rtr.c
@@ -144,6 +144,13 @@
 		       grace * STOP_REFUSE_PCT / PERCENT;
 }
 
+/* Counts the requests and responses that the end of the process would cut. */
+static uint32_t count_busy(const struct rtr *r)
+{
+	return hsv_busy(r->callers) + hsv_busy(r->peers) +
+	       (uint32_t)skt_closing();
+}
+
 /* A stopping process ends then, with whatever is still in flight. */
 static uint64_t end_of_stop_us(const struct rtr *r)
 {
@@ -158,7 +165,7 @@
 {
 	struct rtr *r = arg;
 	uint64_t passed = now_us - r->stop_began_us;
-	uint32_t busy = hsv_busy(r->callers) + hsv_busy(r->peers);
+	uint32_t busy = count_busy(r);
 
 	if (busy == 0 && passed >= STOP_SERVE_US) {
 		evl_stop(r->loop);
@@ -176,8 +183,7 @@
 	if (r->stop_began_us)
 		return;
 	r->stop_began_us = now;
-	log_emit(LOG_DRAIN_BEGUN, "busy=%u",
-		 hsv_busy(r->callers) + hsv_busy(r->peers));
+	log_emit(LOG_DRAIN_BEGUN, "busy=%u", count_busy(r));
 	fwr_stop_at(r->forwards, end_of_stop_us(r));
 	exr_stop_at(r->runner, end_of_stop_us(r));
 	hsv_drain(r->callers);
@@ -270,8 +276,7 @@
 {
 	evl_run(r->loop);
 	log_emit(LOG_DAEMON_STOPPED, "instance=%s busy=%u",
-		 r->settings.instance,
-		 hsv_busy(r->callers) + hsv_busy(r->peers));
+		 r->settings.instance, count_busy(r));
 }
 
 /* Frees the daemon; what is in flight is cut off. */
