Tests draw one random number a statement

Callers saw nothing. The compiler for x86-64 draws the last argument first, the one for arm64 the first. The golden file stays; its order, the key before the node, is now written down.

Each draw is a statement of its own now. Nothing else of the kind was found by a search for two draws in one statement.

--- a/packages/base/tests/test_ctr.c
+++ b/packages/base/tests/test_ctr.c
@@ -75,7 +75,9 @@
 
 	print_message("seed %u\n", SEED);
 	for (int i = 0; i < VALUES; i++) {
-		values[i] = next_random(&s) >> next_random(&s) % 31;
+		uint32_t value = next_random(&s);
+
+		values[i] = value >> next_random(&s) % 31;
 		histogram_add(&h, values[i]);
 	}
 	qsort(values, VALUES, sizeof(values[0]), compare);
--- a/packages/daemon/tests/stranger.c
+++ b/packages/daemon/tests/stranger.c
@@ -39,22 +39,25 @@
 	struct peer_header header = { random_text(texts[0], 50, seed), "x" };
 	struct peer_open a = { .from = stranger,
 			       .to = *to,
-			       .stream = (uint64_t)rand_r(seed) % 4,
-			       .part = (1ull << 32) + (rand_r(seed) % 80),
 			       .service = 1,
-			       .kind = rand_r(seed) % 2 ? "history" : "deposit",
 			       .method = "GET",
-			       .target = random_text(texts[1], 50, seed),
-			       .key = random_text(texts[2], 50, seed),
-			       .request_id = random_text(texts[3], 50, seed),
-			       .traceparent = texts[0],
-			       .deadline_left_ms = (u_int)rand_r(seed),
-			       .content_length = rand_r(seed) % 3 - 1,
-			       .end = rand_r(seed) % 2 };
+			       .traceparent = texts[0] };
+	uint32_t xid;
 
+	/* One draw a statement: the order within an initializer is open. */
+	a.stream = (uint64_t)rand_r(seed) % 4;
+	a.part = (1ull << 32) + (rand_r(seed) % 80);
+	a.kind = rand_r(seed) % 2 ? "history" : "deposit";
+	a.target = random_text(texts[1], 50, seed);
+	a.key = random_text(texts[2], 50, seed);
+	a.request_id = random_text(texts[3], 50, seed);
+	a.deadline_left_ms = (u_int)rand_r(seed);
+	a.content_length = rand_r(seed) % 3 - 1;
+	a.end = rand_r(seed) % 2;
+	xid = (uint32_t)rand_r(seed);
 	a.headers.headers_val = &header;
 	a.headers.headers_len = 1;
-	return rpc_encode_call(out, size, (uint32_t)rand_r(seed), PEER_OPEN,
+	return rpc_encode_call(out, size, xid, PEER_OPEN,
 			       (xdrproc_t)xdr_peer_open, &a, NULL);
 }
 
--- a/packages/daemon/tests/test_differential.c
+++ b/packages/daemon/tests/test_differential.c
@@ -163,10 +163,13 @@
 	FILE *f;
 
 	(void)state;
-	for (size_t i = 0; i < GOLDEN_REQUESTS; i++)
-		record(&kinds[i % KINDS],
-		       draw(&seed, (unsigned int)cluster_nodes(cluster)),
-		       draw(&seed, 50), text, sizeof(text));
+	for (size_t i = 0; i < GOLDEN_REQUESTS; i++) {
+		/* The golden file was recorded with the key drawn first. */
+		unsigned int key = draw(&seed, 50);
+		size_t node = draw(&seed, (unsigned int)cluster_nodes(cluster));
+
+		record(&kinds[i % KINDS], node, key, text, sizeof(text));
+	}
 	for (size_t i = 0; i < REFUSED; i++)
 		record(&refused[i], i, draw(&seed, 50), text, sizeof(text));
 	f = fopen(GOLDEN, rewrite ? "w" : "r");
--- a/packages/place/tests/test_placement.c
+++ b/packages/place/tests/test_placement.c
@@ -115,7 +115,10 @@
 /* Incarnations vary, as they do when processes restart. */
 static struct proc random_proc(struct counted_replica *c)
 {
-	return (struct proc){ random_below(c, 8) + 1, random_below(c, 3) };
+	uint32_t instance = random_below(c, 8) + 1;
+	uint32_t incarnation = random_below(c, 3);
+
+	return (struct proc){ instance, incarnation };
 }
 
 static void apply_random(struct counted_replica *c)
@@ -123,8 +126,8 @@
 	struct member m = { .proc = random_proc(c),
 			    .address = "127.0.0.1",
 			    .service = SERVICE };
-	struct row row = { .part = part_id((uint16_t)random_below(c, 2) + 1,
-					   random_below(c, 16)) };
+	uint16_t service = (uint16_t)(random_below(c, 2) + 1);
+	struct row row = { .part = part_id(service, random_below(c, 16)) };
 	struct replica_entry e = { 0 };
 
 	if (random_below(c, 8) == 0) {
@@ -133,9 +136,10 @@
 		apply_value(c, &e, member_encode(&m));
 		return;
 	}
-	row.set = (struct row_set){ c->writes + 1,
-				    random_proc(c),
-				    { random_proc(c), random_proc(c) } };
+	row.set = (struct row_set){ .version = c->writes + 1 };
+	row.set.owner = random_proc(c);
+	row.set.witness[0] = random_proc(c);
+	row.set.witness[1] = random_proc(c);
 	row.set.owner.incarnation++;
 	row_key(row.part, e.key);
 	apply_value(c, &e, row_encode(&row));
--- a/packages/standins/src/slp_mirror.c
+++ b/packages/standins/src/slp_mirror.c
@@ -11,8 +11,10 @@
 
 static struct proc random_proc(struct slp *s, uint32_t members)
 {
-	return (struct proc){ (uint32_t)(slp_random(s) % members) + 1,
-			      slp_random(s) };
+	uint32_t instance = (uint32_t)(slp_random(s) % members) + 1;
+	uint64_t incarnation = slp_random(s);
+
+	return (struct proc){ instance, incarnation };
 }
 
 static void fill_set(struct slp *s, uint32_t members, struct row_set *set)
--- a/packages/wire/tests/test_rpc.c
+++ b/packages/wire/tests/test_rpc.c
@@ -216,9 +216,11 @@
 
 		memset(&out, 0, sizeof(out));
 		memcpy(copy, buf, len);
-		for (int k = 0; k < 4; k++)
-			copy[(size_t)rand_r(&seed) % len] =
-				(uint8_t)rand_r(&seed);
+		for (int k = 0; k < 4; k++) {
+			size_t at = (size_t)rand_r(&seed) % len;
+
+			copy[at] = (uint8_t)rand_r(&seed);
+		}
 		if (rpc_decode_header(copy, len, &head, NULL) &&
 		    rpc_decode_body(copy, len, head.pos,
 				    (xdrproc_t)xdr_peer_open, &out, NULL)) {
