The age of the configuration is logged and exported

The log says when a configuration came into force, but not how old a daemon's knowledge is that it is still the newest: a daemon that waits for an answer which never comes logs nothing. So a poll that is never answered can't be told from a leader that sends nothing on, or from a daemon that took an old answer.

Each daemon now logs, every 5 s, event 2136 CONFIG_STATUS with the version, the time since the last answer about it, how long the call in progress has waited, and whom it holds to be the leader. The metric geraniumspoke_config_age_ms has the same age. No decision changes.

--- a/packages/router/src/routerd_stats.c
+++ b/packages/router/src/routerd_stats.c
@@ -10,7 +10,7 @@
 #define STATUS_OK 200
 #define STATUS_UNAVAILABLE 503
 
-/* Interval of log lines about the load of the upstream. */
+/* Interval of log lines about the upstream and the configuration. */
 #define PERIOD_US (5 * US_PER_S)
 #define PERCENT 100
 
@@ -32,6 +32,13 @@
 	return n;
 }
 
+/* Returns the time since the last answer about the configuration, in us. */
+static uint64_t config_age_us(const struct routerd *r)
+{
+	return clk_elapsed(evloop_now_us(r->loop),
+			   tblwatch_answered_us(r->config_watch));
+}
+
 /* Serves counters and histograms as text. */
 void *routerd_on_metrics(void *arg, struct httpconn *c, const struct httpmsg *m,
 			 const struct buf *body)
@@ -51,6 +58,7 @@
 	ctr_set(CTR_UPSTREAM_RUNNING, load.running);
 	ctr_set(CTR_UPSTREAM_WAITING, load.waiting);
 	ctr_set(CTR_CONFIG_VERSION, r->config.version);
+	ctr_set(CTR_CONFIG_AGE_MS, config_age_us(r) / US_PER_MS);
 	ctr_set(CTR_PLAN_EPOCH, planview_epoch(r->view));
 	n = ctr_write(text, METRICS_BYTES / 2);
 	n = n < METRICS_BYTES / 2 ? n : strlen(text);
@@ -66,14 +74,12 @@
 }
 
 /* Logs the load of the upstream since the last line, if it had requests. */
-static void log_load(void *arg, uint64_t now_us)
+static void log_load(struct routerd *r)
 {
-	struct routerd *r = arg;
 	const struct reqrun_load *last = &r->stats_last;
 	struct reqrun_load now;
 	uint64_t capacity_us;
 
-	(void)now_us;
 	reqrun_load(r->runner, &now);
 	capacity_us = now.slots * PERIOD_US;
 	if (now.finished != last->finished || now.refused != last->refused)
@@ -94,12 +100,35 @@
 	r->stats_last = now;
 }
 
+/*
+ * Logs which configuration the daemon uses and how old its last answer about it
+ * is; waited_ms is the time for which the call in progress has had no answer.
+ */
+static void log_config(struct routerd *r)
+{
+	log_emit(LOG_CONFIG_STATUS,
+		 "version=%llu age_ms=%llu waited_ms=%llu leader=%s",
+		 (unsigned long long)r->config.version,
+		 (unsigned long long)(config_age_us(r) / US_PER_MS),
+		 (unsigned long long)(tblwatch_waited_us(r->config_watch) /
+				      US_PER_MS),
+		 planview_leader(r->view)->node);
+}
+
+/* Writes the periodic log lines. */
+static void on_period(void *arg, uint64_t now_us)
+{
+	(void)now_us;
+	log_load(arg);
+	log_config(arg);
+}
+
 /* Starts the periodic log lines. */
 void routerd_start_stats(struct routerd *r)
 {
 	r->stats_timer = tmr_every(evloop_timers(r->loop),
 				   evloop_now_us(r->loop) + PERIOD_US,
-				   PERIOD_US, log_load, r);
+				   PERIOD_US, on_period, r);
 }
 
 /* Writes a last log line and stops them. */
@@ -107,6 +136,6 @@
 {
 	if (!r->stats_timer)
 		return;
-	log_load(r, 0);
+	log_load(r);
 	tmr_cancel(evloop_timers(r->loop), r->stats_timer);
 }
--- a/packages/router/src/tblwatch.c
+++ b/packages/router/src/tblwatch.c
@@ -17,6 +17,8 @@
 	uint64_t version;
 	uint64_t backoff_us;
 	uint64_t delay_us;
+	uint64_t called_us; /* start of the call in progress */
+	uint64_t answered_us; /* last answer, 0 if there was none yet */
 	uint32_t timer;
 	bool read_next; /* the next call reads a snapshot, not changes */
 	bool reading; /* the current call reads a snapshot */
@@ -51,6 +53,7 @@
 	if (r->version > f->version || whole)
 		f->version = r->version;
 	f->lost = false;
+	f->answered_us = evloop_now_us(f->loop);
 	f->backoff_us = BACKOFF_MIN_US;
 	f->ops->on_synced(f->arg, whole);
 }
@@ -103,6 +106,7 @@
 	(void)now_us;
 	f->timer = 0;
 	f->calls++;
+	f->called_us = evloop_now_us(f->loop);
 	f->reading = f->read_next;
 	if (f->reading)
 		f->tbl.ops->read(f->tbl.self, f->table, on_answer, f);
@@ -207,6 +211,18 @@
 	return f->reads_begun + 1;
 }
 
+/* Returns the time of the last answer in us, 0 if there was none yet. */
+uint64_t tblwatch_answered_us(const struct tblwatch *f)
+{
+	return f->answered_us;
+}
+
+/* Returns how long the call in progress has waited, in us; 0 between calls. */
+uint64_t tblwatch_waited_us(const struct tblwatch *f)
+{
+	return f->timer ? 0 : clk_elapsed(evloop_now_us(f->loop), f->called_us);
+}
+
 /* Returns the ticket of the last completed read. */
 uint64_t tblwatch_ticket(const struct tblwatch *f)
 {
--- a/packages/router/src/tblwatch.h
+++ b/packages/router/src/tblwatch.h
@@ -40,4 +40,8 @@
 uint64_t tblwatch_request_read(struct tblwatch *f);
 uint64_t tblwatch_ticket(const struct tblwatch *f);
 
+/* Time of the last answer, and how long the call in progress has waited. */
+uint64_t tblwatch_answered_us(const struct tblwatch *f);
+uint64_t tblwatch_waited_us(const struct tblwatch *f);
+
 #endif
