The configuration is confirmed every 1.3 s, by the leader or the store

Cause: a daemon learns of a new configuration by a long poll of 15 s. A poll that was sent while the store did not answer is never answered, and nothing notices before its time limit of 16.5 s, although all other calls succeed again. After an outage from 18 to 26 s, version 6 (28.0 s) reached the five daemons that had been restarted, and no other. The class of fault: a missing answer was taken for "nothing has changed".

Change: a daemon knows as of when its version was the newest one (cfgage). Answers of the store confirm it, and so do the responses of the leader to reports, which name its version and the age of that knowledge. Without a confirmation for 1.3 s the daemon replaces the poll that waits by one that is answered at once. The leader polls every 0.5 s; a daemon that its leader does not confirm every 1 s; all others keep 15 s, so the number of calls does not grow with the number of daemons. A poll after a failed one does not wait either, for any table. Daemons of the previous version neither send nor read the new field; beside them a daemon asks the store itself.

--- a/packages/router/src/peer_headers.c
+++ b/packages/router/src/peer_headers.c
@@ -136,3 +136,29 @@
 	t->run_us = run;
 	return true;
 }
+
+/* Writes the version of the configuration and its age, in microseconds. */
+void peerhdr_write_config(struct buf *out, uint64_t version, uint64_t age_us)
+{
+	buf_printf(out, "%s: %llu %llu\r\n", PEERHDR_CONFIG_FIELD,
+		   (unsigned long long)version, (unsigned long long)age_us);
+}
+
+/*
+ * Reads the version of the configuration and its age, in microseconds. False if
+ * the field is missing or invalid; earlier versions do not send it.
+ */
+bool peerhdr_read_config(const struct httpmsg *m, uint64_t *version,
+			 uint64_t *age_us)
+{
+	char line[LINE_MAX_BYTES];
+	unsigned long long number, age;
+
+	if (!span_copy(httpmsg_find(m, PEERHDR_CONFIG_FIELD), line,
+		       sizeof(line)) ||
+	    sscanf(line, "%llu %llu", &number, &age) != 2 || age > TIME_MAX_US)
+		return false;
+	*version = number;
+	*age_us = age;
+	return true;
+}
--- a/packages/router/src/peer_headers.h
+++ b/packages/router/src/peer_headers.h
@@ -18,6 +18,7 @@
 #define PEERHDR_FAILED_FIELD "Geranium-Failed"
 #define PEERHDR_LOAD_FIELD "Geranium-Load"
 #define PEERHDR_TIMES_FIELD "Geranium-Times"
+#define PEERHDR_CONFIG_FIELD "Geranium-Config"
 
 struct peerhdr_request {
 	char upstream_id[INCARNATION_ID_MAX];
@@ -46,4 +47,9 @@
 
 bool peerhdr_read_load(const struct httpmsg *m, uint32_t *requests);
 
+/* The newest version of the configuration, as known age_us ago. */
+void peerhdr_write_config(struct buf *out, uint64_t version, uint64_t age_us);
+bool peerhdr_read_config(const struct httpmsg *m, uint64_t *version,
+			 uint64_t *age_us);
+
 #endif
--- a/packages/router/src/peer_message.c
+++ b/packages/router/src/peer_message.c
@@ -5,12 +5,12 @@
 /* Longest idle time after which a connection is reused. */
 #define REUSE_US (5 * US_PER_S)
 
-/* Reports the status of a response. */
+/* Reports the head of a response. */
 static void on_head(void *arg, const struct httpmsg *m)
 {
 	const struct peermsg_sender *s = arg;
 
-	s->on_answer(s->arg, m->status);
+	s->on_answer(s->arg, m);
 }
 
 /* Ignores the body of a response. */
@@ -26,13 +26,13 @@
 	(void)arg;
 }
 
-/* Reports a missing or truncated response as status 0. */
+/* Reports a missing or truncated response. */
 static void on_failed(void *arg, enum httpcall_failure failure)
 {
 	const struct peermsg_sender *s = arg;
 
 	(void)failure;
-	s->on_answer(s->arg, 0);
+	s->on_answer(s->arg, NULL);
 }
 
 static const struct httpcall_ops message_ops = { NULL, on_head, on_body,
--- a/packages/router/src/peer_message.h
+++ b/packages/router/src/peer_message.h
@@ -9,8 +9,8 @@
 
 /* Receiver of the responses; must outlive the connections. */
 struct peermsg_sender {
-	/* Called with the status of a response, 0 if there was none. */
-	void (*on_answer)(void *arg, uint16_t status);
+	/* Called with the head of a response, NULL if there was none. */
+	void (*on_answer)(void *arg, const struct httpmsg *m);
 	void *arg;
 };
 
--- a/packages/router/src/routerd.c
+++ b/packages/router/src/routerd.c
@@ -36,11 +36,11 @@
 	routerd_apply_config_row(arg, row);
 }
 
-/* Nothing is left to do, as each row took effect in on_config_row(). */
+/* Each row took effect in on_config_row(). */
 static void on_config_synced(void *arg, bool whole)
 {
-	(void)arg;
 	(void)whole;
+	routerd_config_answered(arg);
 }
 
 /* Logs the failure; the configuration in effect is kept. */
@@ -273,6 +273,7 @@
 	}
 	evloop_on_signal(r->loop, on_signal, r);
 	routerd_start_reports(r);
+	routerd_start_config_checks(r);
 	routerd_start_stats(r);
 	log_emit(LOG_DAEMON_STARTED, "instance=%s data_centre=%s service=%s",
 		 s->instance, s->data_centre, s->service);
@@ -294,6 +295,7 @@
 		return;
 	if (r->loop && r->leader) {
 		routerd_stop_stats(r);
+		routerd_stop_config_checks(r);
 		routerd_stop_reports(r);
 	}
 	if (r->runner)
--- a/packages/router/src/routerd_config.c
+++ b/packages/router/src/routerd_config.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "log.h"
+#include "peer_headers.h"
 #include "peer_message.h"
 #include "routerd_int.h"
 #include "zip.h"
@@ -15,6 +16,8 @@
 #define SENDING_MAX 4
 /* Minimum interval between messages to one daemon: two of its reports. */
 #define SEND_AGAIN_US (1 * US_PER_S)
+/* Interval of checks while the configuration is not confirmed. */
+#define AGE_CHECK_US (200 * US_PER_MS)
 /* Maximum size of a configuration in bytes, far above that of usual ones. */
 #define TEXT_MAX (16U << 20)
 
@@ -64,6 +67,67 @@
 	planner_request_read(r->leader);
 }
 
+/* Asks the table service if nothing has confirmed the configuration in time. */
+static void check_age(void *arg, uint64_t now_us)
+{
+	struct routerd *r = arg;
+	uint64_t due = cfgage_due_us(&r->config_age);
+
+	if (now_us >= due) {
+		tblwatch_set_wait(r->config_watch,
+				  cfgage_poll_ms(&r->config_age,
+						 planner_is_leader(r->leader),
+						 now_us));
+		tblwatch_restart(r->config_watch);
+		due = now_us + AGE_CHECK_US;
+	}
+	r->config_timer = tmr_at(evloop_timers(r->loop), due, check_age, r);
+}
+
+/* Starts the checks; the first answer is expected at once. */
+void routerd_start_config_checks(struct routerd *r)
+{
+	check_age(r, evloop_now_us(r->loop));
+}
+
+void routerd_stop_config_checks(struct routerd *r)
+{
+	tmr_cancel(evloop_timers(r->loop), r->config_timer);
+}
+
+/* The rows of the answer are in effect; the next poll follows. */
+void routerd_config_answered(struct routerd *r)
+{
+	uint64_t now = evloop_now_us(r->loop);
+
+	cfgage_confirm(&r->config_age, tblwatch_answered_us(r->config_watch));
+	tblwatch_set_wait(r->config_watch,
+			  cfgage_poll_ms(&r->config_age,
+					 planner_is_leader(r->leader), now));
+}
+
+/* Takes the leader's version as of the report's start, less the age of it. */
+void routerd_confirm_config(struct routerd *r, const struct httpmsg *m,
+			    uint64_t report_sent_us)
+{
+	uint64_t version, age_us;
+
+	if (peerhdr_read_config(m, &version, &age_us))
+		cfgage_confirm_by_leader(&r->config_age, r->config.version,
+					 version,
+					 clk_elapsed(report_sent_us, age_us),
+					 evloop_now_us(r->loop));
+}
+
+/* Without an answer of the table service, the daemon can confirm nothing. */
+void routerd_write_config_version(const struct routerd *r, struct buf *fields)
+{
+	if (r->config_age.confirmed_us > 0)
+		peerhdr_write_config(fields, r->config.version,
+				     clk_elapsed(evloop_now_us(r->loop),
+						 r->config_age.confirmed_us));
+}
+
 /* Handles a row of the configuration table. */
 void routerd_apply_config_row(struct routerd *r, const struct tbl_row *row)
 {
@@ -88,11 +152,11 @@
 }
 
 /* Counts a message that arrived or was lost; the next report shows which. */
-static void on_sent(void *arg, uint16_t status)
+static void on_sent(void *arg, const struct httpmsg *m)
 {
 	struct routerd *r = arg;
 
-	(void)status;
+	(void)m;
 	r->config_sending--;
 }
 
--- a/packages/router/src/routerd_int.h
+++ b/packages/router/src/routerd_int.h
@@ -8,6 +8,7 @@
 #include "request_runner.h"
 #include "tblwatch.h"
 #include "forward.h"
+#include "cfgage.h"
 #include "cfglag.h"
 #include "planner.h"
 #include "peer_message.h"
@@ -17,6 +18,16 @@
 #include "peer_server.h"
 #include "planview.h"
 
+/* Reports in progress whose send time is known. */
+#define ROUTERD_REPORTS_MAX 8
+
+/* A report to the leader, to which its response belongs. */
+struct routerd_report {
+	struct routerd *owner;
+	uint64_t sent_us;
+	struct peermsg_sender sender;
+};
+
 struct routerd {
 	struct rsettings settings;
 	const char *settings_path;
@@ -26,6 +37,8 @@
 	struct tblwatch *config_watch;
 	struct buf config_text; /* compressed configuration, at the leader */
 	struct cfglag config_lag;
+	struct cfgage config_age;
+	uint32_t config_timer; /* when the configuration has to be confirmed */
 	struct peermsg_sender config_sender;
 	uint32_t config_sending; /* messages in progress */
 	struct planview *view;
@@ -48,7 +61,9 @@
 	bool was_ready;
 	/* Messages to the leader, and leader election. */
 	struct httppool *leader_pool;
-	struct peermsg_sender leader_sender;
+	struct peermsg_sender leader_sender; /* for other messages */
+	struct routerd_report reports[ROUTERD_REPORTS_MAX];
+	size_t next_report;
 	struct elect election; /* for the leader that leader_pool connects to */
 	uint32_t leader_timer;
 	uint32_t claim_timer;
@@ -81,6 +96,21 @@
 bool routerd_apply_config_message(struct routerd *r, const struct buf *body);
 #define ROUTERD_CONFIG_TARGET "/-/config"
 
+/* Starts and stops the checks of the configuration's age. */
+void routerd_start_config_checks(struct routerd *r);
+void routerd_stop_config_checks(struct routerd *r);
+
+/* Handles an answer of the table service about the configuration. */
+void routerd_config_answered(struct routerd *r);
+
+/*
+ * Handles the response of the leader to a report, and adds the version of this
+ * daemon and its age to such a response.
+ */
+void routerd_confirm_config(struct routerd *r, const struct httpmsg *m,
+			    uint64_t report_sent_us);
+void routerd_write_config_version(const struct routerd *r, struct buf *fields);
+
 /*
  * Sends the configuration to a daemon whose report shows that it lags behind.
  */
--- a/packages/router/src/routerd_leader.c
+++ b/packages/router/src/routerd_leader.c
@@ -56,27 +56,51 @@
 }
 
 /* Records a response of the leader; other daemons answer with an error. */
-static void on_answer(void *arg, uint16_t status)
+static void on_answer(void *arg, const struct httpmsg *m)
 {
 	struct routerd *r = arg;
 
-	if (status == STATUS_OK)
+	if (m && m->status == STATUS_OK)
 		elect_leader_responded(&r->election, evloop_now_us(r->loop));
 	else
 		log_emit(LOG_LEADER_UNREACHED, "leader=%s status=%u",
-			 planview_leader(r->view)->node, status);
+			 planview_leader(r->view)->node, m ? m->status : 0);
+}
+
+/* Records the response to a report, with the leader's configuration. */
+static void on_report_answer(void *arg, const struct httpmsg *m)
+{
+	struct routerd_report *x = arg;
+
+	on_answer(x->owner, m);
+	if (m && m->status == STATUS_OK)
+		routerd_confirm_config(x->owner, m, x->sent_us);
 }
 
 /* Sends a message to the leader. */
 static void send_to_leader(struct routerd *r, const char *target,
-			   const char *text)
+			   const char *text, const struct peermsg_sender *s)
 {
 	struct httppool *pool = get_leader_pool(r);
 
-	if (pool && !peermsg_send(pool, target, text, &r->leader_sender))
+	if (pool && !peermsg_send(pool, target, text, s))
 		log_emit(LOG_NO_DESCRIPTOR, "to=leader");
 }
 
+/* Sends a report. Its response is matched to the time of sending. */
+static void send_report(struct routerd *r, const struct noderpt *report)
+{
+	struct routerd_report *x =
+		&r->reports[r->next_report++ % ROUTERD_REPORTS_MAX];
+	char *text = noderpt_format(report);
+
+	x->owner = r;
+	x->sent_us = evloop_now_us(r->loop);
+	x->sender = (struct peermsg_sender){ on_report_answer, x };
+	send_to_leader(r, REPORT_TARGET, text, &x->sender);
+	free(text);
+}
+
 /* Claims leadership if the conditions still hold after the delay. */
 static void claim(void *arg, uint64_t now_us)
 {
@@ -101,7 +125,6 @@
 	struct routerd *r = arg;
 	struct noderpt report;
 	uint64_t wait;
-	char *text;
 
 	if (!planview_is_ready(r->view))
 		return;
@@ -111,11 +134,8 @@
 		planner_add_report(r->leader, &report);
 		return;
 	}
-	if (planview_leader(r->view)->version > 0) {
-		text = noderpt_format(&report);
-		send_to_leader(r, REPORT_TARGET, text);
-		free(text);
-	}
+	if (planview_leader(r->view)->version > 0)
+		send_report(r, &report);
 	if (r->claim_timer || !elect_is_vacant(&r->election, now_us))
 		return;
 	wait = elect_claim_delay_us(evloop_clock(r->loop),
@@ -132,7 +152,7 @@
 	if (planner_is_leader(r->leader))
 		planner_request_read(r->leader);
 	else if (planview_leader(r->view)->version > 0)
-		send_to_leader(r, WAKE_TARGET, "");
+		send_to_leader(r, WAKE_TARGET, "", &r->leader_sender);
 }
 
 /* Handles rows of the plan, a configuration, a report or a wake-up. */
@@ -141,6 +161,7 @@
 				 const struct buf *body)
 {
 	struct noderpt report;
+	struct buf fields = { 0 };
 	uint16_t status = STATUS_NOT_FOUND;
 
 	if (span_is(httpmsg_target(m), ROUTERD_PLAN_TARGET)) {
@@ -156,13 +177,16 @@
 		if (noderpt_parse(buf_data(body), buf_len(body), &report)) {
 			planner_add_report(r->leader, &report);
 			routerd_send_config(r, &report);
+			routerd_write_config_version(r, &fields);
 			status = STATUS_OK;
 		}
 	} else if (span_is(httpmsg_target(m), WAKE_TARGET)) {
 		planner_request_read(r->leader);
 		status = STATUS_OK;
 	}
-	httpconn_reply(c, status, "", "", 0);
+	buf_add(&fields, "", 1);
+	httpconn_reply(c, status, buf_data(&fields), "", 0);
+	buf_free(&fields);
 }
 
 /* Starts the reports after a random delay, to spread those of all daemons. */
--- a/packages/router/src/routerd_push.c
+++ b/packages/router/src/routerd_push.c
@@ -14,11 +14,11 @@
 /*
  * Logs a failure. No retry is needed, as the table watch brings the rows too.
  */
-static void on_answer(void *arg, uint16_t status)
+static void on_answer(void *arg, const struct httpmsg *m)
 {
 	(void)arg;
-	if (status == 0)
-		log_emit(LOG_PLAN_NOT_SENT, "status=%u", status);
+	if (!m)
+		log_emit(LOG_PLAN_NOT_SENT, "status=0");
 }
 
 static const struct peermsg_sender sender = { on_answer, NULL };
--- a/packages/router/src/routerd_stats.c
+++ b/packages/router/src/routerd_stats.c
@@ -32,11 +32,10 @@
 	return n;
 }
 
-/* Returns the time since the last answer about the configuration, in us. */
+/* Returns the time since the configuration was last confirmed, in us. */
 static uint64_t config_age_us(const struct routerd *r)
 {
-	return clk_elapsed(evloop_now_us(r->loop),
-			   tblwatch_answered_us(r->config_watch));
+	return clk_elapsed(evloop_now_us(r->loop), r->config_age.confirmed_us);
 }
 
 /* Serves counters and histograms as text. */
@@ -101,15 +100,20 @@
 }
 
 /*
- * Logs which configuration the daemon uses and how old its last answer about it
- * is; waited_ms is the time for which the call in progress has had no answer.
+ * Logs which configuration the daemon uses, for how long nothing has confirmed
+ * it, and for how long the table service has not; waited_ms is the time for which the call in progress has had no answer.
  */
 static void log_config(struct routerd *r)
 {
 	log_emit(LOG_CONFIG_STATUS,
-		 "version=%llu age_ms=%llu waited_ms=%llu leader=%s",
+		 "version=%llu age_ms=%llu table_age_ms=%llu waited_ms=%llu "
+		 "leader=%s",
 		 (unsigned long long)r->config.version,
 		 (unsigned long long)(config_age_us(r) / US_PER_MS),
+		 (unsigned long long)(clk_elapsed(evloop_now_us(r->loop),
+						  tblwatch_answered_us(
+							  r->config_watch)) /
+				      US_PER_MS),
 		 (unsigned long long)(tblwatch_waited_us(r->config_watch) /
 				      US_PER_MS),
 		 planview_leader(r->view)->node);
--- a/packages/router/src/tbl.h
+++ b/packages/router/src/tbl.h
@@ -55,7 +55,10 @@
 	void (*read)(void *self, const char *table, tbl_fn fn, void *arg);
 	void (*write)(void *self, const struct tbl_change *changes,
 		      size_t count, tbl_fn fn, void *arg);
-	/* Reads the changes after a version; waits up to wait_ms for one. */
+	/*
+	 * Reads the changes after a version; waits up to wait_ms for one, or
+	 * answers at once if it is 0.
+	 */
 	void (*watch)(void *self, const char *table, uint64_t after,
 		      uint32_t wait_ms, tbl_fn fn, void *arg);
 };
--- a/packages/router/src/tblwatch.c
+++ b/packages/router/src/tblwatch.c
@@ -2,12 +2,18 @@
 
 #include <stdlib.h>
 
-/* Maximum time that one watch call waits for a change. */
+/* Time that one watch call waits for a change, unless it is set. */
 #define WATCH_WAIT_MS 15000
 /* Exponential backoff after a failure, with random jitter. */
 #define BACKOFF_MIN_US (50 * US_PER_MS)
 #define BACKOFF_MAX_US (600 * US_PER_MS)
 
+/* A call of the watch; a requested read is not one. */
+struct watch_call {
+	struct tblwatch *watch;
+	uint64_t number;
+};
+
 struct tblwatch {
 	struct evloop *loop;
 	struct tbl tbl;
@@ -19,9 +25,13 @@
 	uint64_t delay_us;
 	uint64_t called_us; /* start of the call in progress */
 	uint64_t answered_us; /* last answer, 0 if there was none yet */
+	uint64_t number; /* of the current call; others were replaced */
+	uint32_t wait_ms;
 	uint32_t timer;
 	bool read_next; /* the next call reads a snapshot, not changes */
 	bool reading; /* the current call reads a snapshot */
+	bool check_next; /* the next call does not wait for a change */
+	bool waiting; /* the current call waits for a change */
 	bool reading_again; /* a requested read, parallel to the watch */
 	bool read_wanted; /* another read was requested meanwhile */
 	uint32_t read_timer;
@@ -44,16 +54,22 @@
 	return true;
 }
 
-/* Passes the rows of an answer to the user. */
+/*
+ * Passes the rows of an answer to the user. A poll that has waited is complete
+ * as of its answer, any other call as of its start.
+ */
 static void deliver_rows(struct tblwatch *f, const struct tbl_result *r,
-			 bool whole)
+			 bool whole, bool waited)
 {
+	uint64_t as_of = waited ? evloop_now_us(f->loop) : r->sent_us;
+
 	for (size_t i = 0; i < r->count; i++)
 		f->ops->on_row(f->arg, &r->rows[i]);
 	if (r->version > f->version || whole)
 		f->version = r->version;
 	f->lost = false;
-	f->answered_us = evloop_now_us(f->loop);
+	if (as_of > f->answered_us)
+		f->answered_us = as_of;
 	f->backoff_us = BACKOFF_MIN_US;
 	f->ops->on_synced(f->arg, whole);
 }
@@ -67,6 +83,8 @@
 	if (!f->lost)
 		f->ops->on_lost(f->arg, r->reason);
 	f->lost = true;
+	/* The table service may be back, or the connection dead. */
+	f->check_next = true;
 	f->backoff_us = f->backoff_us * 2 < BACKOFF_MAX_US ? f->backoff_us * 2 :
 							     BACKOFF_MAX_US;
 	f->timer = tmr_at(evloop_timers(f->loop), evloop_now_us(f->loop) + wait,
@@ -76,15 +94,22 @@
 /* Handles the answer of a watch call or of a snapshot. */
 static void on_answer(void *arg, const struct tbl_result *r)
 {
-	struct tblwatch *f = arg;
-	bool whole = f->reading;
+	struct watch_call *call = arg;
+	struct tblwatch *f = call->watch;
+	bool replaced = call->number != f->number;
+	bool waited = f->waiting;
 
+	free(call);
 	f->calls--;
-	if (free_if_dead(f))
+	if (free_if_dead(f) || replaced)
 		return;
+	f->waiting = false;
 	if (r->status == TBL_OK) {
+		bool whole = f->reading;
+
 		f->read_next = false;
-		deliver_rows(f, r, whole);
+		f->check_next = false;
+		deliver_rows(f, r, whole, waited);
 		f->timer = tmr_at(evloop_timers(f->loop),
 				  evloop_now_us(f->loop) + f->delay_us,
 				  call_next, f);
@@ -102,17 +127,23 @@
 static void call_next(void *arg, uint64_t now_us)
 {
 	struct tblwatch *f = arg;
+	struct watch_call *call = malloc(sizeof(*call));
 
 	(void)now_us;
+	if (!call)
+		abort();
+	call->watch = f;
+	call->number = ++f->number;
 	f->timer = 0;
 	f->calls++;
 	f->called_us = evloop_now_us(f->loop);
 	f->reading = f->read_next;
+	f->waiting = !f->reading && !f->check_next;
 	if (f->reading)
-		f->tbl.ops->read(f->tbl.self, f->table, on_answer, f);
+		f->tbl.ops->read(f->tbl.self, f->table, on_answer, call);
 	else
 		f->tbl.ops->watch(f->tbl.self, f->table, f->version,
-				  WATCH_WAIT_MS, on_answer, f);
+				  f->waiting ? f->wait_ms : 0, on_answer, call);
 }
 
 /* Starts with a snapshot; NULL if out of memory. */
@@ -128,6 +159,7 @@
 	f->tbl = tbl;
 	f->table = table;
 	f->delay_us = delay_us;
+	f->wait_ms = WATCH_WAIT_MS;
 	f->ops = ops;
 	f->arg = arg;
 	f->read_next = true;
@@ -142,6 +174,21 @@
 	f->delay_us = delay_us;
 }
 
+/* Sets the time that a poll waits for a change, from the next call on. */
+void tblwatch_set_wait(struct tblwatch *f, uint32_t wait_ms)
+{
+	f->wait_ms = wait_ms;
+}
+
+/* Replaces a waiting poll by one that is answered at once. */
+void tblwatch_restart(struct tblwatch *f)
+{
+	if (!f->waiting)
+		return;
+	f->check_next = true;
+	call_next(f, 0);
+}
+
 /* Stops the watch; the result of a call in progress is discarded. */
 void tblwatch_destroy(struct tblwatch *f)
 {
@@ -186,7 +233,7 @@
 	f->reading_again = false;
 	if (f->read_wanted)
 		begin_read(f);
-	deliver_rows(f, r, true);
+	deliver_rows(f, r, true, false);
 }
 
 /* Starts a requested read; a retry keeps its ticket. */
@@ -211,7 +258,7 @@
 	return f->reads_begun + 1;
 }
 
-/* Returns the time of the last answer in us, 0 if there was none yet. */
+/* Returns the time of the last answer's rows in us, 0 without an answer. */
 uint64_t tblwatch_answered_us(const struct tblwatch *f)
 {
 	return f->answered_us;
--- a/packages/router/src/tblwatch.h
+++ b/packages/router/src/tblwatch.h
@@ -33,6 +33,16 @@
 /* Changes delay_us, from the next answer on. */
 void tblwatch_set_delay(struct tblwatch *f, uint64_t delay_us);
 
+/* Changes how long a poll waits for a change, from the next call on. */
+void tblwatch_set_wait(struct tblwatch *f, uint32_t wait_ms);
+
+/*
+ * Replaces a poll that waits for a change by one that is answered at once; its
+ * own answer, if it ever comes, is ignored. Has no effect during other calls
+ * and while a retry is scheduled, as these are short.
+ */
+void tblwatch_restart(struct tblwatch *f);
+
 /*
  * Reads a new snapshot while the watch goes on. Returns a ticket: the read is
  * complete once tblwatch_ticket() is equal to it or greater.
@@ -40,7 +50,10 @@
 uint64_t tblwatch_request_read(struct tblwatch *f);
 uint64_t tblwatch_ticket(const struct tblwatch *f);
 
-/* Time of the last answer, and how long the call in progress has waited. */
+/*
+ * Time as of which the last answer is known to be complete, and how long the
+ * call in progress has waited.
+ */
 uint64_t tblwatch_answered_us(const struct tblwatch *f);
 uint64_t tblwatch_waited_us(const struct tblwatch *f);
 
--- a/packages/router/tests/fake_table.c
+++ b/packages/router/tests/fake_table.c
@@ -118,9 +118,9 @@
 }
 
 /*
- * Watches for changes. The watch is answered only by faketbl_close(), or at
- * once without changes if hasty is set: tests need no notification of their own
- * writes.
+ * Watches for changes. A watch that waits is answered only by faketbl_close(),
+ * or at once without changes if hasty is set: tests need no notification of
+ * their own writes.
  */
 static void faketbl_watch(void *self, const char *table, uint64_t after,
 			  uint32_t wait_ms, tbl_fn fn, void *arg)
@@ -129,9 +129,9 @@
 
 	(void)table;
 	(void)after;
-	(void)wait_ms;
 	f->watches++;
-	if (f->hasty) {
+	f->watch_wait_ms = wait_ms;
+	if (f->hasty || wait_ms == 0) {
 		schedule_answer(f, fn, arg);
 		return;
 	}
--- a/packages/router/tests/fake_table.h
+++ b/packages/router/tests/fake_table.h
@@ -41,6 +41,7 @@
 	bool down; /* all calls fail */
 	bool hasty; /* watches return without changes and do not wait */
 	uint32_t reads, writes, watches;
+	uint32_t watch_wait_ms; /* of the last watch */
 };
 
 void faketbl_open(struct fake *f, struct evloop *l);
--- a/packages/router/tests/test_upstr.c
+++ b/packages/router/tests/test_upstr.c
@@ -159,11 +159,11 @@
 static const struct httpsrv_ops server_ops = { on_request, on_request_gone,
 					       NULL };
 
-static void on_answer(void *arg, uint16_t status)
+static void on_answer(void *arg, const struct httpmsg *m)
 {
 	struct fixture *f = arg;
 
-	f->status = status;
+	f->status = m ? m->status : 0;
 }
 
 /* Announces the upstream and runs the loop; the answer may be delayed. */
