A daemon that takes the lead reads the configuration that it has to send

Callers of a daemon whose own read of the configuration is late or fails were served by an old version after a change of the leader.

Cause: the leader keeps the text of a version only if it led when it applied it, so one that takes over has nothing to send until the next version. It also took no notice of a report with a newer version than its own.

Change: a leader without the text reads the configuration again when a report arrives, and keeps the text of the version in effect. A report with a newer version makes it ask the store at once.

--- a/packages/router/src/routerd_config.c
+++ b/packages/router/src/routerd_config.c
@@ -23,7 +23,8 @@
 
 /*
  * Stores the compressed configuration for messages to other daemons. Only the
- * leader sends them, so the others save the processor time.
+ * leader sends them, so the others save the processor time and the memory; a
+ * daemon that takes the lead reads the text again.
  */
 static void store_compressed(struct routerd *r, const char *text, size_t len)
 {
@@ -52,6 +53,9 @@
 		return;
 	}
 	if (config.version <= r->config.version) {
+		if (config.version == r->config.version &&
+		    buf_len(&r->config_text) == 0)
+			store_compressed(r, text, len);
 		rconfig_free(&config);
 		return;
 	}
@@ -160,8 +164,16 @@
 	r->config_sending--;
 }
 
+/* Reads the text of the version in effect, unless a read is in progress. */
+static void request_text(struct routerd *r)
+{
+	if (tblwatch_ticket(r->config_watch) >= r->config_read)
+		r->config_read = tblwatch_request_read(r->config_watch);
+}
+
 /*
- * Sends the configuration to a daemon whose report shows that it lags behind.
+ * Sends the configuration to a daemon whose report shows that it lags behind. A
+ * report of a newer version shows that this daemon does.
  */
 void routerd_send_config(struct routerd *r, const struct noderpt *report)
 {
@@ -169,6 +181,10 @@
 		membs_find(planview_members(r->view), report->incarnation.node);
 	uint64_t now = evloop_now_us(r->loop);
 
+	if (report->config_version > r->config.version)
+		tblwatch_restart(r->config_watch);
+	else if (buf_len(&r->config_text) == 0 && r->config.version > 0)
+		request_text(r);
 	if (!m || !m->pool || buf_len(&r->config_text) == 0 ||
 	    r->config_sending >= SENDING_MAX || now < m->config_next_us ||
 	    !cfglag_is_late(&r->config_lag, report->config_version, now))
--- a/packages/router/src/routerd_int.h
+++ b/packages/router/src/routerd_int.h
@@ -36,6 +36,7 @@
 	struct rconfig config;
 	struct tblwatch *config_watch;
 	struct buf config_text; /* compressed configuration, at the leader */
+	uint64_t config_read; /* ticket of the last read of that text */
 	struct cfglag config_lag;
 	struct cfgage config_age;
 	uint32_t config_timer; /* when the configuration has to be confirmed */
