A poll of the plan is replaced when the store answers again

The plan is watched by the same long poll as the configuration, so a poll that was waiting when the store went away is not answered for up to 16.5 s. Until then a daemon depends on the messages of the leader alone.

Change: when the lease is renewed after a failed call, polls of the plan and of the configuration that wait are replaced by ones that are answered at once.

Measured: poll_of_the_plan_is_replaced_after_an_outage (test_upstr) fails without the call and passes with it; test_planner and test_cfgage pass.

--- a/packages/router/src/nodelease.c
+++ b/packages/router/src/nodelease.c
@@ -59,9 +59,11 @@
 	r->clock.sent_us = result->sent_us;
 	r->clock.received_us = evloop_now_us(r->loop);
 	r->clock.known = true;
-	if (r->lost)
-		log_emit(LOG_TABLE_BACK, "table=%s", NODEROW_TABLE);
+	if (!r->lost)
+		return;
+	log_emit(LOG_TABLE_BACK, "table=%s", NODEROW_TABLE);
 	r->lost = false;
+	r->ops->on_table_back(r->arg);
 }
 
 /* Reports the loss of the lease, unless it was reported already. */
--- a/packages/router/src/nodelease.h
+++ b/packages/router/src/nodelease.h
@@ -26,6 +26,8 @@
 	 * must be read after the next renewal and before the next grant.
 	 */
 	void (*on_lapsed)(void *arg, const char *reason);
+	/* The table service answers again after a failed call. */
+	void (*on_table_back)(void *arg);
 };
 
 /* row contains node, data centre, peer address and process. */
--- a/packages/router/src/planview.c
+++ b/packages/router/src/planview.c
@@ -211,6 +211,12 @@
 	return tblwatch_request_read(v->watch);
 }
 
+/* Replaces a poll that may never be answered. */
+void planview_restart_watch(struct planview *v)
+{
+	tblwatch_restart(v->watch);
+}
+
 /* Applies the current rows returned with a conflict. */
 void planview_apply_conflict(struct planview *v, const struct tbl_result *r)
 {
--- a/packages/router/src/planview.h
+++ b/packages/router/src/planview.h
@@ -47,6 +47,9 @@
 uint64_t planview_request_read(struct planview *v);
 uint64_t planview_ticket(const struct planview *v);
 
+/* Calls tblwatch_restart() for the plan table. */
+void planview_restart_watch(struct planview *v);
+
 /*
  * Applies the current rows of the plan from the result of a write that failed
  * with TBL_CONFLICT. After other failures use planview_request_read().
--- a/packages/router/src/routerd.c
+++ b/packages/router/src/routerd.c
@@ -92,8 +92,17 @@
 	r->has_lease = false;
 }
 
-static const struct nodelease_ops lease_ops = { on_found, on_renewed,
-						on_lapsed };
+/* Polls that were sent before or during the outage may never be answered. */
+static void on_table_back(void *arg)
+{
+	struct routerd *r = arg;
+
+	planview_restart_watch(r->view);
+	tblwatch_restart(r->config_watch);
+}
+
+static const struct nodelease_ops lease_ops = { on_found, on_renewed, on_lapsed,
+						on_table_back };
 
 /* Writes the state of the upstream to the row, then notifies the leader. */
 static void on_upstream(void *arg)
--- a/packages/router/tests/fake_table.c
+++ b/packages/router/tests/fake_table.c
@@ -135,8 +135,10 @@
 		schedule_answer(f, fn, arg);
 		return;
 	}
-	f->watch_fn = fn;
-	f->watch_arg = arg;
+	if (f->watch_count == FAKETBL_CALLS_MAX)
+		abort();
+	f->waiting[f->watch_count].fn = fn;
+	f->waiting[f->watch_count++].arg = arg;
 }
 
 static const struct tbl_ops fake_ops = { faketbl_read, faketbl_write,
@@ -150,14 +152,16 @@
 }
 
 /*
- * Ends the pending watch with a failure, so that its user can be freed. The
- * loop has to run once more after it.
+ * Ends the pending watches with a failure, so that their users can be freed.
+ * The loop has to run once more after it.
  */
 void faketbl_close(struct fake *f)
 {
 	struct tbl_result none = { .status = TBL_REFUSED };
 
-	if (f->watch_fn)
-		f->watch_fn(f->watch_arg, &none);
-	f->watch_fn = NULL;
+	size_t count = f->watch_count;
+
+	f->watch_count = 0;
+	for (size_t i = 0; i < count; i++)
+		f->waiting[i].fn(f->waiting[i].arg, &none);
 }
--- a/packages/router/tests/fake_table.h
+++ b/packages/router/tests/fake_table.h
@@ -36,8 +36,11 @@
 	size_t row_count;
 	uint64_t version;
 	struct faketbl_call calls[FAKETBL_CALLS_MAX];
-	tbl_fn watch_fn;
-	void *watch_arg;
+	struct {
+		tbl_fn fn;
+		void *arg;
+	} waiting[FAKETBL_CALLS_MAX]; /* watches, in the order of the calls */
+	size_t watch_count;
 	bool down; /* all calls fail */
 	bool hasty; /* watches return without changes and do not wait */
 	uint32_t reads, writes, watches;
--- a/packages/router/tests/test_cfgage.c
+++ b/packages/router/tests/test_cfgage.c
@@ -119,8 +119,6 @@
 	struct tbl_result late = { .status = TBL_REFUSED };
 	struct fake db = { 0 };
 	struct tblwatch *w;
-	tbl_fn fn;
-	void *arg;
 
 	(void)state;
 	losses = 0;
@@ -129,8 +127,6 @@
 	run_loop(l, 20);
 	assert_int_equal(db.watches, 1);
 	assert_int_equal(db.watch_wait_ms, 15000);
-	fn = db.watch_fn;
-	arg = db.watch_arg;
 	run_loop(l, 50);
 	tblwatch_set_wait(w, 700);
 	tblwatch_restart(w);
@@ -143,7 +139,8 @@
 	assert_int_equal(db.watch_wait_ms, 700);
 	assert_true(evloop_now_us(l) - tblwatch_answered_us(w) < 40 * MS);
 	/* The replaced poll fails at last. */
-	fn(arg, &late);
+	db.waiting[0].fn(db.waiting[0].arg, &late);
+	db.waiting[0] = db.waiting[--db.watch_count];
 	run_loop(l, 20);
 	assert_int_equal(losses, 0);
 	assert_int_equal(db.watches, 3);
--- a/packages/router/tests/test_upstr.c
+++ b/packages/router/tests/test_upstr.c
@@ -89,8 +89,15 @@
 	(void)reason;
 }
 
-static const struct nodelease_ops lease_ops = { on_found, on_renewed,
-						on_lapsed };
+static void on_table_back(void *arg)
+{
+	struct fixture *f = arg;
+
+	planview_restart_watch(f->view);
+}
+
+static const struct nodelease_ops lease_ops = { on_found, on_renewed, on_lapsed,
+						on_table_back };
 
 static void on_rows(void *arg, const struct tbl_change *rows, size_t count,
 		    uint64_t version)
@@ -562,6 +569,30 @@
 	fx->db.hasty = false;
 }
 
+/*
+ * Guards against a plan that stays old after an outage, as the poll that was
+ * waiting when it began is never answered.
+ */
+static void poll_of_the_plan_is_replaced_after_an_outage(void **state)
+{
+	uint32_t polls;
+
+	(void)state;
+	start_parts(fx);
+	run(50);
+	polls = fx->db.watches;
+	assert_true(fx->db.watch_wait_ms > 0);
+	fx->db.down = true;
+	run(2300);
+	assert_false(nodelease_table_reachable(fx->lease));
+	assert_int_equal(fx->db.watches, polls);
+	fx->db.down = false;
+	run(800);
+	assert_true(nodelease_table_reachable(fx->lease));
+	/* One that is answered at once, and the next one. */
+	assert_int_equal(fx->db.watches, polls + 2);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
 
 int main(void)
@@ -575,6 +606,7 @@
 		TEST(cancelled_request_keeps_its_slot),
 		TEST(silent_upstream_gets_no_work),
 		TEST(table_calls_are_rate_limited),
+		TEST(poll_of_the_plan_is_replaced_after_an_outage),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
