--- a/packages/router/src/forward.c
+++ b/packages/router/src/forward.c
@@ -202,7 +202,7 @@
 		reply_without_route(w, c, m);
 		return NULL;
 	}
-	retry_count_request(w->retries);
+	svcretry_count_request(w->retries);
 	ctr_add(CTR_REQUESTS, 1);
 	f->owner = w;
 	f->connection = c;
@@ -210,6 +210,7 @@
 	f->body = body;
 	f->route = *route;
 	f->stats = rstats_find_route(w->stats, route->name);
+	f->retries = svcretry_find_service(w->retries, name);
 	txt_copy(f->service, sizeof(f->service), name);
 	w->parts.platform->ops->read_request(m, &f->request);
 	f->keyed = service && service->keyed && f->request.key != PLAT_NO_KEY;
@@ -277,7 +278,7 @@
 	if (!w)
 		return;
 	rstats_destroy(w->stats);
-	retry_budget_destroy(w->retries);
+	svcretry_destroy(w->retries);
 	free(w);
 }
 
@@ -290,7 +291,7 @@
 		return NULL;
 	w->parts = *parts;
 	w->next_sequence = clk_random(evloop_clock(parts->loop));
-	w->retries = retry_budget_create();
+	w->retries = svcretry_create(parts->loop);
 	w->stats = rstats_create(parts->loop);
 	if (!w->retries || !w->stats) {
 		fwd_destroy(w);
--- a/packages/router/src/forward_attempt.c
+++ b/packages/router/src/forward_attempt.c
@@ -148,8 +148,14 @@
 
 	if (f->route.attempts_max > 0 && f->attempts >= f->route.attempts_max)
 		return false;
-	return retry_allowed(f->owner->retries, &r, outcome,
-			     evloop_now_us(f->owner->parts.loop));
+	return svcretry_allow(f->owner->retries, f->retries, &r, outcome);
+}
+
+/* Counts an attempt that has reached an upstream. */
+void fwd_count_attempt(struct fwd_request *f)
+{
+	f->attempts++;
+	svcretry_count_arrival(f->owner->retries, f->retries, f->attempts);
 }
 
 /* Handles a rejected attempt; the request has not run there. */
@@ -166,7 +172,7 @@
 			fwd_reject(f, RSTATS_BUSY);
 		return;
 	case REQRUN_SHED:
-		f->attempts++;
+		fwd_count_attempt(f);
 		if (may_retry(f, RETRY_NOT_RUN))
 			wait_for_plan(f, now);
 		else
@@ -203,7 +209,7 @@
 	} else if (outcome == FWD_UNREACHABLE) {
 		fwd_start_attempt(f);
 	} else {
-		f->attempts++;
+		fwd_count_attempt(f);
 		f->may_have_run = true;
 		if (may_retry(f, RETRY_UNKNOWN))
 			fwd_start_attempt(f);
--- a/packages/router/src/forward_int.h
+++ b/packages/router/src/forward_int.h
@@ -7,8 +7,8 @@
 #include "forward.h"
 #include "peer_headers.h"
 #include "httppool.h"
-#include "retry.h"
 #include "route_stats.h"
+#include "service_retries.h"
 
 #define FWD_TRIED_MAX 3
 
@@ -31,6 +31,7 @@
 	char service[RCONFIG_NAME_MAX];
 	bool keyed; /* runs only at the owner of its key */
 	uint32_t stats; /* handle of its route in the statistics */
+	uint32_t retries; /* handle of its service in the retries */
 	uint64_t arrival_us;
 	uint64_t deadline_us;
 	uint64_t objective_us;
@@ -67,7 +68,7 @@
 /* The forwarder. */
 struct fwd {
 	struct fwd_parts parts;
-	struct retry_budget *retries;
+	struct svcretry *retries;
 	struct rstats *stats;
 	struct fwd_request *waiting; /* for a change of the plan */
 	uint64_t end_us; /* end of the process, 0 if it is not stopping */
@@ -79,6 +80,7 @@
 void fwd_start_attempt(struct fwd_request *f);
 void fwd_send(struct fwd_request *f, struct memb *m);
 void fwd_cancel_attempt(struct fwd_request *f);
+void fwd_count_attempt(struct fwd_request *f);
 void fwd_end_attempt(struct fwd_request *f, enum fwd_outcome outcome);
 
 void fwd_on_response_head(struct fwd_request *f, const struct httpmsg *m);
--- a/packages/router/src/forward_response.c
+++ b/packages/router/src/forward_response.c
@@ -87,8 +87,7 @@
 	if (f->head_sent || f->status < STATUS_FAILURE_MIN ||
 	    !f->route.idempotent || f->attempts >= f->route.attempts_max)
 		return false;
-	return retry_allowed(f->owner->retries, &r, RETRY_UNKNOWN,
-			     evloop_now_us(f->owner->parts.loop));
+	return svcretry_allow(f->owner->retries, f->retries, &r, RETRY_UNKNOWN);
 }
 
 /* Records the outcome and the latency of a complete response. */
@@ -110,7 +109,7 @@
 {
 	struct httpconn *c = f->connection;
 
-	f->attempts++;
+	fwd_count_attempt(f);
 	if (should_retry(f)) {
 		log_emit(LOG_REQUEST_RETRIED, "request=%s status=%u target=%s",
 			 f->request.id, f->status,
