Retries are counted over ten seconds, without a saved burst

Cause, first part (hypothesis 2): the budget of a daemon was a bucket of up to 10 retries, full at the start of a process. 84 daemons could repeat 840 requests at once, beyond their tenth, where the platform allows 208; a restart filled the bucket again. Class of fault: a limit for the whole fleet was enforced at each daemon as if it were alone.

Change: a daemon may repeat a tenth of the requests of the last 10 s, and 1 more (the partition daemon keeps 10). A new process knows of no requests. Only requests that have reached an upstream count, as the calls of a repeated run count as repetitions at the service that is called: a tenth of the runs makes at most a tenth of the calls, and both together a fifth (hypothesis 3).

--- a/packages/daemon/src/ing.c
+++ b/packages/daemon/src/ing.c
@@ -149,7 +149,7 @@
 	tracer_start_span(i->n->traces, websrv_header(r, "traceparent"),
 			  &c->span);
 	tracer_format_traceparent(&c->span, c->traceparent);
-	retry_count_request(i->retries);
+	retry_count_request(i->retries, nod_now_us(i->n));
 	c->content_length = websrv_content_length(r);
 	c->body_end = c->content_length == 0;
 	if (!match(c) || !check_length(c))
@@ -222,7 +222,7 @@
 	i->n = n;
 	i->next_stream = 1;
 	i->routes = route_cache_create(n->replica);
-	i->retries = retry_budget_create();
+	i->retries = retry_budget_create(ING_RETRY_BURST);
 	if (i->routes && i->retries)
 		i->server =
 			websrv_create(n->loop, &params, &server_ops, i, err);
--- a/packages/daemon/src/ing.h
+++ b/packages/daemon/src/ing.h
@@ -5,6 +5,9 @@
 
 #include "nod.h"
 
+/* Retries beyond the share of the requests, for services with few of them. */
+#define ING_RETRY_BURST 10
+
 struct ing *ing_create(struct nod *n, struct err *err);
 void ing_destroy(struct ing *i);
 
--- a/packages/daemon/tests/test_overload.c
+++ b/packages/daemon/tests/test_overload.c
@@ -16,6 +16,7 @@
 
 #include "burst.h"
 #include "cluster.h"
+#include "ing.h"
 #include "retry.h"
 
 #define TARGET "/bookings/clients/k%zu/history?n=%zu"
@@ -75,7 +76,7 @@
 static size_t bound(size_t offered)
 {
 	return offered + offered * RETRY_BUDGET_PCT / 100 +
-	       RETRY_BURST * cluster_nodes(cluster);
+	       ING_RETRY_BURST * cluster_nodes(cluster);
 }
 
 static uint64_t next_death_ms;
--- a/packages/route/src/retry.h
+++ b/packages/route/src/retry.h
@@ -8,7 +8,7 @@
 
 #define RETRY_ATTEMPTS_MAX 3 /* of a request, with the first */
 #define RETRY_BUDGET_PCT 10 /* retries per 100 requests */
-#define RETRY_BURST 10 /* retries that the budget can accumulate */
+#define RETRY_WINDOW_S 10 /* time in which both are counted */
 
 /* What is known about a failed attempt. */
 enum retry_outcome {
@@ -28,11 +28,15 @@
 
 struct retry_budget;
 
-struct retry_budget *retry_budget_create(void);
+/*
+ * burst is the number of retries that are allowed in any RETRY_WINDOW_S beyond
+ * the share of the requests. A new budget knows of no requests.
+ */
+struct retry_budget *retry_budget_create(uint32_t burst);
 void retry_budget_destroy(struct retry_budget *r);
 
-/* Adds RETRY_BUDGET_PCT percent of a retry to the budget; call per request. */
-void retry_count_request(struct retry_budget *r);
+/* Counts a request, of which RETRY_BUDGET_PCT percent may be retried. */
+void retry_count_request(struct retry_budget *r, uint64_t now_us);
 
 /*
  * Returns true if the request may be retried, and charges one retry to the
--- a/packages/route/tests/test_retry.c
+++ b/packages/route/tests/test_retry.c
@@ -9,6 +9,8 @@
 
 #define OFFERED 20000
 #define STEPS 10
+#define BURST 10
+#define S US_PER_S
 
 static struct retry_request request(bool idempotent)
 {
@@ -24,7 +26,7 @@
 					  [RETRY_SHED] = false,
 					  [RETRY_MOVED] = true,
 					  [RETRY_UNKNOWN] = false };
-	struct retry_budget *r = retry_budget_create();
+	struct retry_budget *r = retry_budget_create(BURST);
 	struct retry_request idempotent_request = request(true),
 			     not_idempotent = request(false);
 
@@ -40,7 +42,7 @@
 
 PLAIN(no_retry_without_body_time_or_attempts)
 {
-	struct retry_budget *r = retry_budget_create();
+	struct retry_budget *r = retry_budget_create(BURST);
 	struct retry_request q = request(true);
 
 	assert_false(retry_allowed(r, &q, RETRY_NOT_RUN, 1000));
@@ -58,17 +60,17 @@
 
 PLAIN(moved_is_free_and_the_budget_is_limited)
 {
-	struct retry_budget *r = retry_budget_create();
+	struct retry_budget *r = retry_budget_create(BURST);
 	struct retry_request q = request(true);
 	int allowed = 0;
 
-	for (int i = 0; i < 10 * RETRY_BURST; i++) {
+	for (int i = 0; i < 10 * BURST; i++) {
 		assert_true(retry_allowed(r, &q, RETRY_MOVED, 0));
 		allowed += retry_allowed(r, &q, RETRY_NOT_RUN, 0);
 	}
-	assert_int_equal(allowed, RETRY_BURST);
+	assert_int_equal(allowed, BURST);
 	for (int i = 0; i < 100 / RETRY_BUDGET_PCT; i++)
-		retry_count_request(r);
+		retry_count_request(r, 0);
 	assert_true(retry_allowed(r, &q, RETRY_NOT_RUN, 0));
 	assert_false(retry_allowed(r, &q, RETRY_NOT_RUN, 0));
 	retry_budget_destroy(r);
@@ -86,7 +88,7 @@
 	for (int i = 0; i < OFFERED; i++) {
 		struct retry_request q = request(true);
 
-		retry_count_request(r);
+		retry_count_request(r, 0);
 		executed++;
 		while (prng_below(seed, 100) < failing_pct &&
 		       retry_allowed(r, &q, RETRY_UNKNOWN, 0)) {
@@ -104,12 +106,12 @@
 PLAIN(failing_upstream_gets_no_more_than_the_budget)
 {
 	const uint32_t bound =
-		OFFERED + OFFERED * RETRY_BUDGET_PCT / 100 + RETRY_BURST;
+		OFFERED + OFFERED * RETRY_BUDGET_PCT / 100 + BURST;
 	uint64_t seed = PRNG_SEED;
 
 	print_message("seed %u\n", PRNG_SEED);
 	for (uint32_t step = 0; step <= STEPS; step++) {
-		struct retry_budget *r = retry_budget_create();
+		struct retry_budget *r = retry_budget_create(BURST);
 		uint32_t pct = step * 100 / STEPS;
 		uint32_t executed = send_requests(r, pct, &seed);
 
@@ -120,6 +122,141 @@
 	}
 }
 
+/* Guards against retries of an earlier time that are saved up. */
+PLAIN(requests_and_retries_count_for_ten_seconds)
+{
+	struct retry_budget *r = retry_budget_create(1);
+	struct retry_request q = request(true);
+	uint32_t allowed = 0;
+
+	q.deadline_us = UINT64_MAX;
+	for (int i = 0; i < 1000; i++)
+		retry_count_request(r, 100 * S);
+	for (int i = 0; i < 1000; i++)
+		allowed += retry_allowed(r, &q, RETRY_NOT_RUN, 105 * S);
+	assert_int_equal(allowed, 101);
+	/* The requests have left the window, the retries have not. */
+	assert_false(retry_allowed(r, &q, RETRY_NOT_RUN, 111 * S));
+	assert_false(retry_allowed(r, &q, RETRY_NOT_RUN, 115 * S));
+	assert_true(retry_allowed(r, &q, RETRY_NOT_RUN, 116 * S));
+	assert_false(retry_allowed(r, &q, RETRY_NOT_RUN, 117 * S));
+	assert_true(retry_allowed(r, &q, RETRY_NOT_RUN, 500 * S));
+	retry_budget_destroy(r);
+}
+
+#define DAEMONS 84
+#define SIM_S 60
+#define STEPS_PER_S 10
+#define WINDOW_STEPS (RETRY_WINDOW_S * STEPS_PER_S)
+#define TIMES_MAX (SIM_S * STEPS_PER_S)
+#define CALL_PCT 70 /* runs of the first service that call the second one */
+#define ALLOWED_PCT 20 /* share of the requests that may be repeated */
+
+struct fleet {
+	struct retry_budget *budgets[DAEMONS][2];
+	uint32_t requests[2][TIMES_MAX];
+	uint32_t repeats[2][TIMES_MAX];
+	uint32_t failing_pct[2];
+	uint64_t seed;
+};
+
+/* Sends a request of a daemon until it succeeds or may not be repeated. */
+static void send_request(struct fleet *f, uint32_t daemon, uint32_t service,
+			 uint32_t time, bool is_repeat)
+{
+	struct retry_budget *r = f->budgets[daemon][service];
+	struct retry_request q = request(true);
+	uint64_t now = (uint64_t)time * S / STEPS_PER_S;
+
+	q.deadline_us = UINT64_MAX;
+	f->requests[service][time]++;
+	f->repeats[service][time] += is_repeat;
+	retry_count_request(r, now);
+	for (;;) {
+		bool repeats = q.attempts > 1;
+
+		if (repeats)
+			f->repeats[service][time]++;
+		if (service == 0 && prng_below(&f->seed, 100) < CALL_PCT)
+			send_request(f, prng_below(&f->seed, DAEMONS), 1, time,
+				     repeats);
+		if (prng_below(&f->seed, 100) >= f->failing_pct[service] ||
+		    !retry_allowed(r, &q, RETRY_UNKNOWN, now))
+			return;
+		q.attempts++;
+	}
+}
+
+static uint32_t sum(const uint32_t *counts, int first)
+{
+	uint32_t n = 0;
+
+	for (int i = first < 0 ? 0 : first;
+	     i < first + WINDOW_STEPS && i < TIMES_MAX; i++)
+		n += counts[i];
+	return n;
+}
+
+/* A window, the one before it or the one half a window before: the most. */
+static uint32_t most_requests(const uint32_t *counts, int first)
+{
+	uint32_t most = 0;
+
+	for (int back = 0; back <= WINDOW_STEPS; back += WINDOW_STEPS / 2) {
+		uint32_t n = sum(counts, first - back);
+
+		most = n > most ? n : most;
+	}
+	return most;
+}
+
+/*
+ * Guards against repetitions that stay within the share at each daemon and pass
+ * it for the fleet, with the calls of repeated runs and restarts of daemons.
+ */
+PLAIN(fleet_repeats_no_more_than_a_fifth)
+{
+	static struct fleet f;
+
+	f.seed = PRNG_SEED;
+	for (uint32_t d = 0; d < DAEMONS; d++) {
+		for (int s = 0; s < 2; s++)
+			f.budgets[d][s] = retry_budget_create(1);
+	}
+	for (uint32_t time = 0; time < TIMES_MAX; time++) {
+		uint32_t second = time / STEPS_PER_S;
+
+		/* Each service fails for a time, then both; load varies. */
+		f.failing_pct[0] = second >= 20 && second < 50 ? 80 : 2;
+		f.failing_pct[1] = second < 15 || second >= 35 ? 90 : 2;
+		for (uint32_t d = 0; d < DAEMONS; d++) {
+			uint32_t load = 1 + second % 7;
+
+			while (prng_below(&f.seed, 10) < load)
+				send_request(&f, d, 0, time, false);
+			if (prng_below(&f.seed, 10) < load)
+				send_request(&f, d, 1, time, false);
+			if (time % 100 == 99 && d % 2 == 0) {
+				retry_budget_destroy(f.budgets[d][1]);
+				f.budgets[d][1] = retry_budget_create(1);
+			}
+		}
+	}
+	for (int first = 0; first + WINDOW_STEPS <= TIMES_MAX; first++) {
+		for (int s = 0; s < 2; s++) {
+			uint32_t allowed = most_requests(f.requests[s], first) *
+						   ALLOWED_PCT / 100 +
+					   DAEMONS * 5 / 2;
+
+			assert_in_range(sum(f.repeats[s], first), 0, allowed);
+		}
+	}
+	for (uint32_t d = 0; d < DAEMONS; d++) {
+		for (int s = 0; s < 2; s++)
+			retry_budget_destroy(f.budgets[d][s]);
+	}
+}
+
 PLAIN(delay_grows_and_has_jitter)
 {
 	uint64_t seed = PRNG_SEED;
@@ -144,6 +281,8 @@
 		cmocka_unit_test(no_retry_without_body_time_or_attempts),
 		cmocka_unit_test(moved_is_free_and_the_budget_is_limited),
 		cmocka_unit_test(failing_upstream_gets_no_more_than_the_budget),
+		cmocka_unit_test(requests_and_retries_count_for_ten_seconds),
+		cmocka_unit_test(fleet_repeats_no_more_than_a_fifth),
 		cmocka_unit_test(delay_grows_and_has_jitter),
 	};
 
--- a/packages/router/src/forward.c
+++ b/packages/router/src/forward.c
@@ -202,7 +202,6 @@
 		reply_without_route(w, c, m);
 		return NULL;
 	}
-	svcretry_count_request(w->retries);
 	ctr_add(CTR_REQUESTS, 1);
 	f->owner = w;
 	f->connection = c;
--- a/packages/router/src/service_retries.c
+++ b/packages/router/src/service_retries.c
@@ -12,6 +12,11 @@
 /* Services with their own entry; the others share the last one. */
 #define SERVICES_MAX 64
 #define OTHER_SERVICES "(others)"
+/*
+ * Retries of a daemon beyond its share of the requests. The bursts of all
+ * daemons add up, so a restart or an idle time must not bring a larger one.
+ */
+#define BURST 1
 
 struct service {
 	char name[RCONFIG_NAME_MAX];
@@ -55,7 +60,7 @@
 	if (!s)
 		return NULL;
 	s->loop = l;
-	s->budget = retry_budget_create();
+	s->budget = retry_budget_create(BURST);
 	if (!s->budget) {
 		free(s);
 		return NULL;
@@ -94,18 +99,19 @@
 	return s->count++;
 }
 
-/* Adds to the budget. */
-void svcretry_count_request(struct svcretry *s)
-{
-	retry_count_request(s->budget);
-}
-
+/*
+ * Only a request that has reached an upstream adds to the budget. The calls that
+ * a repeated run makes are repetitions at the service that is called: with a
+ * tenth of all runs repeated, they are at most a tenth of the calls there.
+ */
 void svcretry_count_arrival(struct svcretry *s, uint32_t service,
 			    uint32_t attempts)
 {
 	s->services[service].arrived++;
 	if (attempts > 1)
 		s->services[service].repeated++;
+	else
+		retry_count_request(s->budget, evloop_now_us(s->loop));
 }
 
 /* Counts a retry that is not allowed. */
--- a/packages/router/src/service_retries.h
+++ b/packages/router/src/service_retries.h
@@ -20,9 +20,6 @@
 
 uint32_t svcretry_find_service(struct svcretry *s, const char *name);
 
-/* Counts a request of a caller. */
-void svcretry_count_request(struct svcretry *s);
-
 /* Counts a request that has reached an upstream, after this many attempts. */
 void svcretry_count_arrival(struct svcretry *s, uint32_t service,
 			    uint32_t attempts);
--- a/packages/standins/src/slp_route.c
+++ b/packages/standins/src/slp_route.c
@@ -13,6 +13,7 @@
 #define SERVICE_US 2000
 #define DEADLINE_US 1000000
 #define BODY_MAX 32768
+#define BUDGET_BURST 10
 
 struct routes {
 	struct route_cache *route_cache;
@@ -142,7 +143,7 @@
 				     .body_replayable = true,
 				     .deadline_us = 10 };
 
-	retry_count_request(arg);
+	retry_count_request(arg, 1);
 	retry_allowed(arg, &req, RETRY_NOT_RUN, 1);
 }
 
@@ -212,7 +213,7 @@
 
 static bool measure_budget(struct slp *s)
 {
-	struct retry_budget *r = retry_budget_create();
+	struct retry_budget *r = retry_budget_create(BUDGET_BURST);
 
 	if (!r)
 		return false;
