Each service has a retry budget of its own

Cause, second part (hypothesis 1): a daemon had one budget for all services, filled by a tenth of all its requests. When one service fails, all of it is spent there: with three times as many requests to a sound service, four tenths of the requests to the failing one are repeated.

Change: the retries by service (svcretry, now in route, as it does no I/O) hold a budget for each service.

--- a/packages/router/src/service_retries.c
+++ b/packages/route/src/service_retries.c
@@ -3,8 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "clk.h"
 #include "log.h"
-#include "routing_config.h"
 #include "txt.h"
 
 /* Interval of the log lines; one for each service that had requests. */
@@ -12,14 +12,11 @@
 /* Services with their own entry; the others share the last one. */
 #define SERVICES_MAX 64
 #define OTHER_SERVICES "(others)"
-/*
- * Retries of a daemon beyond its share of the requests. The bursts of all
- * daemons add up, so a restart or an idle time must not bring a larger one.
- */
-#define BURST 1
+#define NAME_MAX_BYTES 64
 
 struct service {
-	char name[RCONFIG_NAME_MAX];
+	char name[NAME_MAX_BYTES];
+	struct retry_budget *budget;
 	/* Since the last log line. */
 	uint32_t arrived; /* requests that reached an upstream */
 	uint32_t repeated; /* arrivals after the first one of their request */
@@ -27,8 +24,8 @@
 };
 
 struct svcretry {
-	struct evloop *loop;
-	struct retry_budget *budget;
+	struct tmr *timers;
+	uint32_t burst;
 	struct service services[SERVICES_MAX];
 	uint32_t count;
 	uint32_t timer;
@@ -53,21 +50,17 @@
 }
 
 /* Creates a table without services. Returns NULL when memory is exhausted. */
-struct svcretry *svcretry_create(struct evloop *l)
+struct svcretry *svcretry_create(struct tmr *timers, uint32_t burst,
+				 uint64_t now_us)
 {
 	struct svcretry *s = calloc(1, sizeof(*s));
 
 	if (!s)
 		return NULL;
-	s->loop = l;
-	s->budget = retry_budget_create(BURST);
-	if (!s->budget) {
-		free(s);
-		return NULL;
-	}
-	s->timer =
-		tmr_every(evloop_timers(l), evloop_now_us(l) + LOG_INTERVAL_US,
-			  LOG_INTERVAL_US, on_period, s);
+	s->timers = timers;
+	s->burst = burst;
+	s->timer = tmr_every(timers, now_us + LOG_INTERVAL_US, LOG_INTERVAL_US,
+			     on_period, s);
 	return s;
 }
 
@@ -77,24 +70,30 @@
 	if (!s)
 		return;
 	on_period(s, 0);
-	tmr_cancel(evloop_timers(s->loop), s->timer);
-	retry_budget_destroy(s->budget);
+	tmr_cancel(s->timers, s->timer);
+	for (uint32_t i = 0; i < s->count; i++)
+		retry_budget_destroy(s->services[i].budget);
 	free(s);
 }
 
 /*
  * Returns the handle of a service, which is added if it is new. Services over
- * the limit of SERVICES_MAX share the last handle.
+ * the limit of SERVICES_MAX share the last handle. Without memory for its
+ * budget, a service has no retries.
  */
 uint32_t svcretry_find_service(struct svcretry *s, const char *name)
 {
+	struct service *x;
+
 	for (uint32_t i = 0; i < s->count; i++) {
 		if (strcmp(s->services[i].name, name) == 0)
 			return i;
 	}
 	if (s->count == SERVICES_MAX)
 		return SERVICES_MAX - 1;
-	txt_copy(s->services[s->count].name, sizeof(s->services[0].name),
+	x = &s->services[s->count];
+	x->budget = retry_budget_create(s->burst);
+	txt_copy(x->name, sizeof(x->name),
 		 s->count == SERVICES_MAX - 1 ? OTHER_SERVICES : name);
 	return s->count++;
 }
@@ -105,22 +104,26 @@
  * tenth of all runs repeated, they are at most a tenth of the calls there.
  */
 void svcretry_count_arrival(struct svcretry *s, uint32_t service,
-			    uint32_t attempts)
+			    uint32_t attempts, uint64_t now_us)
 {
-	s->services[service].arrived++;
+	struct service *x = &s->services[service];
+
+	x->arrived++;
 	if (attempts > 1)
-		s->services[service].repeated++;
-	else
-		retry_count_request(s->budget, evloop_now_us(s->loop));
+		x->repeated++;
+	else if (x->budget)
+		retry_count_request(x->budget, now_us);
 }
 
 /* Counts a retry that is not allowed. */
 bool svcretry_allow(struct svcretry *s, uint32_t service,
 		    const struct retry_request *request,
-		    enum retry_outcome outcome)
+		    enum retry_outcome outcome, uint64_t now_us)
 {
-	if (retry_allowed(s->budget, request, outcome, evloop_now_us(s->loop)))
+	struct service *x = &s->services[service];
+
+	if (x->budget && retry_allowed(x->budget, request, outcome, now_us))
 		return true;
-	s->services[service].denied++;
+	x->denied++;
 	return false;
 }
--- a/packages/router/src/forward.c
+++ b/packages/router/src/forward.c
@@ -19,6 +19,11 @@
 #define REPLY_MARGIN_US (5 * US_PER_MS)
 /* A started response is aborted this long after the deadline. */
 #define RESPONSE_GRACE_US (20 * US_PER_MS)
+/*
+ * Retries of a daemon for each service, beyond its share of the requests. Those
+ * of all daemons add up, so one has no more.
+ */
+#define RETRY_BURST 1
 /* Applies if neither the request nor its route sets a limit. */
 #define DEFAULT_TIMEOUT_US (30 * US_PER_S)
 
@@ -290,7 +295,8 @@
 		return NULL;
 	w->parts = *parts;
 	w->next_sequence = clk_random(evloop_clock(parts->loop));
-	w->retries = svcretry_create(parts->loop);
+	w->retries = svcretry_create(evloop_timers(parts->loop), RETRY_BURST,
+				     evloop_now_us(parts->loop));
 	w->stats = rstats_create(parts->loop);
 	if (!w->retries || !w->stats) {
 		fwd_destroy(w);
--- a/packages/router/src/forward_attempt.c
+++ b/packages/router/src/forward_attempt.c
@@ -148,14 +148,16 @@
 
 	if (f->route.attempts_max > 0 && f->attempts >= f->route.attempts_max)
 		return false;
-	return svcretry_allow(f->owner->retries, f->retries, &r, outcome);
+	return svcretry_allow(f->owner->retries, f->retries, &r, outcome,
+			      evloop_now_us(f->owner->parts.loop));
 }
 
 /* Counts an attempt that has reached an upstream. */
 void fwd_count_attempt(struct fwd_request *f)
 {
 	f->attempts++;
-	svcretry_count_arrival(f->owner->retries, f->retries, f->attempts);
+	svcretry_count_arrival(f->owner->retries, f->retries, f->attempts,
+			       evloop_now_us(f->owner->parts.loop));
 }
 
 /* Handles a rejected attempt; the request has not run there. */
--- a/packages/router/src/forward_response.c
+++ b/packages/router/src/forward_response.c
@@ -87,7 +87,8 @@
 	if (f->head_sent || f->status < STATUS_FAILURE_MIN ||
 	    !f->route.idempotent || f->attempts >= f->route.attempts_max)
 		return false;
-	return svcretry_allow(f->owner->retries, f->retries, &r, RETRY_UNKNOWN);
+	return svcretry_allow(f->owner->retries, f->retries, &r, RETRY_UNKNOWN,
+			      evloop_now_us(f->owner->parts.loop));
 }
 
 /* Records the outcome and the latency of a complete response. */
