The partition daemon has a retry budget for each service, too

Change: the module for the requests of callers uses the retries by service. Requests that match no kind no longer count.

--- a/packages/daemon/src/ing.c
+++ b/packages/daemon/src/ing.c
@@ -50,6 +50,7 @@
 			  placement_partition_of_key(m->key, m->key_len,
 						     m->service->partitions));
 	c->route.part = c->part;
+	c->retries = svcretry_find_service(c->ing->retries, m->service->name);
 	snprintf(c->kind, sizeof(c->kind), "%s", kind->name);
 	snprintf(c->key, sizeof(c->key), "%.*s", (int)sizeof(c->key) - 1,
 		 m->key);
@@ -149,11 +150,11 @@
 	tracer_start_span(i->n->traces, websrv_header(r, "traceparent"),
 			  &c->span);
 	tracer_format_traceparent(&c->span, c->traceparent);
-	retry_count_request(i->retries, nod_now_us(i->n));
 	c->content_length = websrv_content_length(r);
 	c->body_end = c->content_length == 0;
 	if (!match(c) || !check_length(c))
 		return;
+	svcretry_count_arrival(i->retries, c->retries, 1, nod_now_us(i->n));
 	if (c->body_end)
 		ing_attempt(c);
 }
@@ -222,7 +223,7 @@
 	i->n = n;
 	i->next_stream = 1;
 	i->routes = route_cache_create(n->replica);
-	i->retries = retry_budget_create(ING_RETRY_BURST);
+	i->retries = svcretry_create(n->timers, ING_RETRY_BURST, nod_now_us(n));
 	if (i->routes && i->retries)
 		i->server =
 			websrv_create(n->loop, &params, &server_ops, i, err);
@@ -242,7 +243,7 @@
 	if (i->server)
 		websrv_destroy(i->server);
 	route_cache_destroy(i->routes);
-	retry_budget_destroy(i->retries);
+	svcretry_destroy(i->retries);
 	free(i);
 }
 
--- a/packages/daemon/src/ing_call.h
+++ b/packages/daemon/src/ing_call.h
@@ -7,8 +7,8 @@
 #include "websrv.h"
 #include "ing.h"
 #include "peer.h"
-#include "retry.h"
 #include "route.h"
+#include "service_retries.h"
 
 #define ING_KEY_MAX 64 /* bytes of the key that travel, with the NUL */
 
@@ -42,6 +42,7 @@
 	char target[PEER_TARGET_MAX + 1];
 	const char *request_id;
 	struct retry_request retry;
+	uint32_t retries; /* handle of its service in the retries */
 	struct route_search route;
 	uint32_t forwards;
 	uint32_t timer;
@@ -81,7 +82,7 @@
 	struct nod *n;
 	struct websrv *server;
 	struct route_cache *routes;
-	struct retry_budget *retries;
+	struct svcretry *retries;
 	size_t count;
 	uint64_t next_stream;
 };
--- a/packages/daemon/src/ing_try.c
+++ b/packages/daemon/src/ing_try.c
@@ -314,8 +314,11 @@
 	}
 	c->retry.attempts++;
 	if (now + CLOSE_TO_DEADLINE_US < c->deadline_us &&
-	    retry_allowed(c->ing->retries, &c->retry, outcome, now)) {
+	    svcretry_allow(c->ing->retries, c->retries, &c->retry, outcome,
+			   now)) {
 		ctr_add(CTR_RETRIES, 1);
+		svcretry_count_arrival(c->ing->retries, c->retries,
+				       c->retry.attempts + 1, now);
 		forget_tries(c);
 		c->timer = tmr_at(n->timers,
 				  now + retry_delay_us(c->retry.attempts,
