A retry budget saves one retry, not a tenth of the last ten seconds

Cause: a daemon that counts over ten seconds may spend the tenth of the time before a failure at once, and a process that is restarted has a second such burst, as it does not know what the one before has spent.

Change: the budget is a bucket again, of one retry for each service and empty at the start; a tenth of a retry comes with each request that reaches an upstream. So repetitions in any time are a tenth of the requests in that time and 1 for each daemon. The partition daemon keeps its 10, from the start on.

The tests test_retries, test_overload and test_unavailable pass.

--- a/packages/daemon/src/ing.c
+++ b/packages/daemon/src/ing.c
@@ -154,7 +154,7 @@
 	c->body_end = c->content_length == 0;
 	if (!match(c) || !check_length(c))
 		return;
-	svcretry_count_arrival(i->retries, c->retries, 1, nod_now_us(i->n));
+	svcretry_count_arrival(i->retries, c->retries, 1);
 	if (c->body_end)
 		ing_attempt(c);
 }
@@ -223,7 +223,8 @@
 	i->n = n;
 	i->next_stream = 1;
 	i->routes = route_cache_create(n->replica);
-	i->retries = svcretry_create(n->timers, ING_RETRY_BURST, nod_now_us(n));
+	i->retries = svcretry_create(n->timers, ING_RETRY_BURST,
+				     ING_RETRY_BURST, nod_now_us(n));
 	if (i->routes && i->retries)
 		i->server =
 			websrv_create(n->loop, &params, &server_ops, i, err);
--- a/packages/daemon/src/ing.h
+++ b/packages/daemon/src/ing.h
@@ -5,7 +5,7 @@
 
 #include "nod.h"
 
-/* Retries beyond the share of the requests, for services with few of them. */
+/* Retries that a daemon saves, for services with few requests. */
 #define ING_RETRY_BURST 10
 
 struct ing *ing_create(struct nod *n, struct err *err);
--- a/packages/daemon/src/ing_try.c
+++ b/packages/daemon/src/ing_try.c
@@ -318,7 +318,7 @@
 			   now)) {
 		ctr_add(CTR_RETRIES, 1);
 		svcretry_count_arrival(c->ing->retries, c->retries,
-				       c->retry.attempts + 1, now);
+				       c->retry.attempts + 1);
 		forget_tries(c);
 		c->timer = tmr_at(n->timers,
 				  now + retry_delay_us(c->retry.attempts,
--- a/packages/route/src/retry.h
+++ b/packages/route/src/retry.h
@@ -8,7 +8,6 @@
 
 #define RETRY_ATTEMPTS_MAX 3 /* of a request, with the first */
 #define RETRY_BUDGET_PCT 10 /* retries per 100 requests */
-#define RETRY_WINDOW_S 10 /* time in which both are counted */
 
 /* What is known about a failed attempt. */
 enum retry_outcome {
@@ -29,14 +28,14 @@
 struct retry_budget;
 
 /*
- * burst is the number of retries that are allowed in any RETRY_WINDOW_S beyond
- * the share of the requests. A new budget knows of no requests.
+ * Starts with initial retries and holds up to burst of them. Where many daemons
+ * serve one service, their bursts add up, after a restart as well.
  */
-struct retry_budget *retry_budget_create(uint32_t burst);
+struct retry_budget *retry_budget_create(uint32_t initial, uint32_t burst);
 void retry_budget_destroy(struct retry_budget *r);
 
-/* Counts a request, of which RETRY_BUDGET_PCT percent may be retried. */
-void retry_count_request(struct retry_budget *r, uint64_t now_us);
+/* Adds RETRY_BUDGET_PCT percent of a retry to the budget; call per request. */
+void retry_count_request(struct retry_budget *r);
 
 /*
  * Returns true if the request may be retried, and charges one retry to the
--- a/packages/route/src/service_retries.c
+++ b/packages/route/src/service_retries.c
@@ -25,6 +25,7 @@
 
 struct svcretry {
 	struct tmr *timers;
+	uint32_t initial;
 	uint32_t burst;
 	struct service services[SERVICES_MAX];
 	uint32_t count;
@@ -50,14 +51,15 @@
 }
 
 /* Creates a table without services. Returns NULL when memory is exhausted. */
-struct svcretry *svcretry_create(struct tmr *timers, uint32_t burst,
-				 uint64_t now_us)
+struct svcretry *svcretry_create(struct tmr *timers, uint32_t initial,
+				 uint32_t burst, uint64_t now_us)
 {
 	struct svcretry *s = calloc(1, sizeof(*s));
 
 	if (!s)
 		return NULL;
 	s->timers = timers;
+	s->initial = initial;
 	s->burst = burst;
 	s->timer = tmr_every(timers, now_us + LOG_INTERVAL_US, LOG_INTERVAL_US,
 			     on_period, s);
@@ -92,7 +94,7 @@
 	if (s->count == SERVICES_MAX)
 		return SERVICES_MAX - 1;
 	x = &s->services[s->count];
-	x->budget = retry_budget_create(s->burst);
+	x->budget = retry_budget_create(s->initial, s->burst);
 	txt_copy(x->name, sizeof(x->name),
 		 s->count == SERVICES_MAX - 1 ? OTHER_SERVICES : name);
 	return s->count++;
@@ -104,7 +106,7 @@
  * tenth of all runs repeated, they are at most a tenth of the calls there.
  */
 void svcretry_count_arrival(struct svcretry *s, uint32_t service,
-			    uint32_t attempts, uint64_t now_us)
+			    uint32_t attempts)
 {
 	struct service *x = &s->services[service];
 
@@ -112,7 +114,7 @@
 	if (attempts > 1)
 		x->repeated++;
 	else if (x->budget)
-		retry_count_request(x->budget, now_us);
+		retry_count_request(x->budget);
 }
 
 /* Counts a retry that is not allowed. */
--- a/packages/route/src/service_retries.h
+++ b/packages/route/src/service_retries.h
@@ -16,9 +16,9 @@
 
 struct svcretry;
 
-/* burst: retries for each service beyond its share; see retry.h. */
-struct svcretry *svcretry_create(struct tmr *timers, uint32_t burst,
-				 uint64_t now_us);
+/* initial and burst: retries of each service; see retry_budget_create(). */
+struct svcretry *svcretry_create(struct tmr *timers, uint32_t initial,
+				 uint32_t burst, uint64_t now_us);
 void svcretry_destroy(struct svcretry *s);
 
 /* Returns the handle of a service. */
@@ -26,7 +26,7 @@
 
 /* Counts a request that has reached an upstream, after this many attempts. */
 void svcretry_count_arrival(struct svcretry *s, uint32_t service,
-			    uint32_t attempts, uint64_t now_us);
+			    uint32_t attempts);
 
 /* True if the request may be sent once more; see retry_allowed(). */
 bool svcretry_allow(struct svcretry *s, uint32_t service,
--- a/packages/router/src/forward.c
+++ b/packages/router/src/forward.c
@@ -20,10 +20,11 @@
 /* A started response is aborted this long after the deadline. */
 #define RESPONSE_GRACE_US (20 * US_PER_MS)
 /*
- * Retries of a daemon for each service, beyond its share of the requests. Those
- * of all daemons add up, so one has no more.
+ * Retries that a daemon saves for each service. Those of all daemons add up, so
+ * one has no more, and none at its start.
  */
 #define RETRY_BURST 1
+#define RETRY_INITIAL 0
 /* Applies if neither the request nor its route sets a limit. */
 #define DEFAULT_TIMEOUT_US (30 * US_PER_S)
 
@@ -295,8 +296,8 @@
 		return NULL;
 	w->parts = *parts;
 	w->next_sequence = clk_random(evloop_clock(parts->loop));
-	w->retries = svcretry_create(evloop_timers(parts->loop), RETRY_BURST,
-				     evloop_now_us(parts->loop));
+	w->retries = svcretry_create(evloop_timers(parts->loop), RETRY_INITIAL,
+				     RETRY_BURST, evloop_now_us(parts->loop));
 	w->stats = rstats_create(parts->loop);
 	if (!w->retries || !w->stats) {
 		fwd_destroy(w);
--- a/packages/router/src/forward_attempt.c
+++ b/packages/router/src/forward_attempt.c
@@ -156,8 +156,7 @@
 void fwd_count_attempt(struct fwd_request *f)
 {
 	f->attempts++;
-	svcretry_count_arrival(f->owner->retries, f->retries, f->attempts,
-			       evloop_now_us(f->owner->parts.loop));
+	svcretry_count_arrival(f->owner->retries, f->retries, f->attempts);
 }
 
 /* Handles a rejected attempt; the request has not run there. */
