Limits and leaves that upstreams name in answers are decoded and logged

Nothing read Server-Limit or Server-Leaving, and no log line told of them. An answer that may be that of another upstream (421) says nothing. No decision changes.

--- a/packages/router/src/plat.h
+++ b/packages/router/src/plat.h
@@ -47,6 +47,10 @@
 	bool other_upstream; /* not the expected one, or without the key */
 	bool has_load;
 	uint32_t running, waiting, slots; /* if has_load */
+	/* Requests per second from all instances together that it takes. */
+	bool has_limit;
+	double limit_per_s; /* if has_limit; 0 or more */
+	bool leaving; /* the upstream is going to end */
 };
 
 /* A range of keys that an upstream holds. */
--- a/packages/router/src/request_runner_exchange.c
+++ b/packages/router/src/request_runner_exchange.c
@@ -83,6 +83,30 @@
 	return HTTPCALL_MATCH;
 }
 
+/*
+ * Records what the upstream says of itself in a response. A response that may
+ * be that of another upstream says nothing.
+ */
+static void record_state(struct reqrun_job *j, const struct plat_response *r)
+{
+	struct reqrun *x = j->owner;
+
+	if (r->other_upstream)
+		return;
+	if (r->has_limit != x->limited ||
+	    (r->has_limit && r->limit_per_s != x->limit_per_s))
+		log_emit(LOG_UPSTREAM_LIMIT,
+			 "id=%s limited=%d limit_per_s=%.2f request=%s",
+			 j->request.upstream_id, r->has_limit, r->limit_per_s,
+			 j->request.request.id);
+	x->limited = r->has_limit;
+	x->limit_per_s = r->limit_per_s;
+	if (r->leaving && !x->leaving)
+		log_emit(LOG_UPSTREAM_LEAVING, "id=%s request=%s",
+			 j->request.upstream_id, j->request.request.id);
+	x->leaving = r->leaving;
+}
+
 /* Passes the response head on, unless the upstream rejected the request. */
 static void on_head(void *arg, const struct httpmsg *m)
 {
@@ -92,6 +116,7 @@
 	j->owner->platform->ops->read_response(m, j->request.request.id, &r);
 	j->owner->last_response_us = evloop_now_us(j->owner->loop);
 	reqrun_clear_expected(j);
+	record_state(j, &r);
 	j->refused = r.not_run || r.other_upstream;
 	j->not_owner = r.other_upstream;
 	j->failed_status = m->status >= STATUS_FAILURE_MIN;
--- a/packages/router/src/request_runner_int.h
+++ b/packages/router/src/request_runner_int.h
@@ -52,6 +52,9 @@
 	bool closed; /* no request is sent to the upstream */
 	uint64_t end_us; /* end of the process, 0 if it is not stopping */
 	uint64_t last_response_us; /* time of the last response head */
+	bool limited; /* the upstream has named a limit */
+	double limit_per_s; /* if limited */
+	bool leaving; /* an answer says that the upstream leaves */
 	double mean_us;
 	double long_mean_us; /* mean over more requests, for placing keys */
 	double kind_run_us[REQRUN_KINDS]; /* mean run time, 0 if not measured */
