An upstream gets no more requests than the limit that it names

Cause: the daemon beside an upstream used all of its free slots, whatever the upstream said.

Change: the runner takes a token for each request from a bucket of the named rate, with a quarter of a second saved. All requests to an upstream pass through this one place, so no share for each daemon is needed. A request that would wait too long for its token is refused on arrival, with the predicted wait as its delay; a limited upstream looks full to those who choose among upstreams, and its reported work for each request grows so that the plan moves keys away. Until the first answer of an upstream a process uses 2 of its slots, as the limit may have been named to the process before. An answer without the field lifts it.

--- a/packages/router/src/peer_headers.c
+++ b/packages/router/src/peer_headers.c
@@ -94,9 +94,12 @@
 {
 	uint64_t on_link =
 		load->mean_us > 0 ? load->link_us / load->mean_us : 0;
+	uint32_t requests = load->running + load->waiting + (uint32_t)on_link;
 
-	buf_printf(out, "%s: %u\r\n", PEERHDR_LOAD_FIELD,
-		   load->running + load->waiting + (uint32_t)on_link);
+	/* One that may not start a request is as good as full. */
+	if (load->limited)
+		requests += load->slots;
+	buf_printf(out, "%s: %u\r\n", PEERHDR_LOAD_FIELD, requests);
 }
 
 /* Reads the load of the upstream. False if the field is missing or invalid. */
--- a/packages/router/src/request_queue.c
+++ b/packages/router/src/request_queue.c
@@ -188,6 +188,20 @@
 			   slot_fraction(q, item, false));
 }
 
+/* Returns the number of queued requests that start before this one. */
+uint32_t rqueue_ahead(const struct rqueue *q, const struct rqueue_item *item,
+		      uint64_t now_us)
+{
+	const struct rqueue_item *i;
+	uint32_t n = 0;
+
+	DL_FOREACH(q->items, i)
+	{
+		n += !precedes(item, i, now_us);
+	}
+	return n;
+}
+
 /* Returns the latest time at which the response is still of use. */
 static uint64_t latest_finish_us(const struct rqueue_item *i)
 {
--- a/packages/router/src/request_queue.h
+++ b/packages/router/src/request_queue.h
@@ -31,6 +31,9 @@
 			uint32_t running, uint32_t slots, uint64_t mean_us,
 			uint64_t now_us);
 
+uint32_t rqueue_ahead(const struct rqueue *q, const struct rqueue_item *item,
+		      uint64_t now_us);
+
 bool rqueue_should_admit(const struct rqueue_item *item, uint64_t wait_us,
 			 uint64_t now_us);
 
--- a/packages/router/src/request_runner.c
+++ b/packages/router/src/request_runner.c
@@ -34,6 +34,8 @@
  * A request that is sent earlier may find all slots occupied.
  */
 #define CANCEL_NOTICE_US (20 * US_PER_MS)
+/* Slots that are used before the first answer of an upstream. */
+#define UNHEARD_SLOTS 2
 /* Retry delay of a request that is rejected without a predicted wait. */
 #define RETRY_AFTER_US (150 * US_PER_MS)
 
@@ -100,6 +102,21 @@
 	return n;
 }
 
+/*
+ * Returns the slots that may be used. An upstream may have named a limit to an
+ * earlier process, so until its first answer only some of its slots are used.
+ * The limit of an earlier upstream does not bind.
+ */
+static uint32_t usable_slots(struct reqrun *x)
+{
+	uint32_t slots = upstr_slots(x->upstream);
+
+	if (strcmp(x->heard_id, upstr_incarnation(x->upstream)->id) == 0)
+		return slots;
+	ratelimit_clear(&x->limit);
+	return slots < UNHEARD_SLOTS ? slots : UNHEARD_SLOTS;
+}
+
 /* Returns whether the upstream holds the key of the request. */
 static enum upstr_key_state key_state(const struct reqrun_job *j,
 				      uint64_t now_us)
@@ -140,7 +157,7 @@
 void reqrun_dispatch(struct reqrun *x)
 {
 	uint64_t now = evloop_now_us(x->loop);
-	uint32_t slots = upstr_slots(x->upstream);
+	uint32_t slots = usable_slots(x);
 	struct rqueue_item *item;
 
 	if (x->closed || rqueue_count(x->queue) == 0)
@@ -151,10 +168,10 @@
 		return;
 	}
 	/* A request that fails at once dispatches others: count every time. */
-	while (count_busy_slots(x, evloop_now_us(x->loop)) < slots) {
+	while (rqueue_count(x->queue) > 0 &&
+	       count_busy_slots(x, evloop_now_us(x->loop)) < slots &&
+	       ratelimit_take(&x->limit, now)) {
 		item = rqueue_pop(x->queue, now);
-		if (!item)
-			return;
 		reqrun_send((struct reqrun_job *)item);
 	}
 }
@@ -167,7 +184,11 @@
 	uint32_t running = count_busy_slots(x, now_us);
 	uint64_t wait = rqueue_wait_us(x->queue, &j->item, running, slots,
 				       (uint64_t)x->mean_us, now_us);
+	uint64_t limit_wait = ratelimit_wait_us(
+		&x->limit, rqueue_ahead(x->queue, &j->item, now_us), now_us);
 
+	if (limit_wait > wait)
+		wait = limit_wait;
 	if (j->request.request.key != PLAT_NO_KEY)
 		keysample_add(x->samples, j->request.request.key,
 			      j->item.estimate_us, now_us);
@@ -432,6 +453,12 @@
 	out->slots = upstr_slots(x->upstream);
 	out->mean_us = (uint64_t)x->mean_us;
 	out->long_mean_us = (uint64_t)x->long_mean_us;
+	out->limited = ratelimit_wait_us(&x->limit, out->waiting,
+					 evloop_now_us(x->loop)) > 0;
+	if (x->limit.active &&
+	    x->limit.per_s * x->long_mean_us < (double)out->slots * US_PER_S)
+		out->long_mean_us = (uint64_t)((double)out->slots * US_PER_S /
+					       x->limit.per_s);
 	out->link_us =
 		x->link ? pacer_total_time_us(x->link, x->expected_bytes) : 0;
 	out->finished = x->finished;
--- a/packages/router/src/request_runner.h
+++ b/packages/router/src/request_runner.h
@@ -82,7 +82,12 @@
 struct reqrun_load {
 	uint32_t running, waiting, slots;
 	uint64_t mean_us; /* run time of a request at the upstream */
-	uint64_t long_mean_us; /* the same, averaged over more requests */
+	/*
+	 * The same, averaged over more requests; longer if the upstream limits
+	 * its requests, as if they took so long that its slots kept the limit.
+	 */
+	uint64_t long_mean_us;
+	bool limited; /* another request would have to wait for the limit */
 	uint64_t link_us; /* time to send all pending long responses */
 	uint64_t finished; /* requests that ran, since the start */
 	uint64_t failed; /* those of them that failed */
--- a/packages/router/src/request_runner_exchange.c
+++ b/packages/router/src/request_runner_exchange.c
@@ -5,6 +5,7 @@
 
 #include "request_runner_int.h"
 #include "log.h"
+#include "txt.h"
 
 /* Weight of the newest measurement in a moving average. */
 #define MEAN_WEIGHT 0.1
@@ -90,17 +91,23 @@
 static void record_state(struct reqrun_job *j, const struct plat_response *r)
 {
 	struct reqrun *x = j->owner;
+	double before = x->limit.active ? x->limit.per_s : -1;
+	double after;
 
 	if (r->other_upstream)
 		return;
-	if (r->has_limit != x->limited ||
-	    (r->has_limit && r->limit_per_s != x->limit_per_s))
+	txt_copy(x->heard_id, sizeof(x->heard_id), j->request.upstream_id);
+	if (r->has_limit)
+		ratelimit_set(&x->limit, r->limit_per_s,
+			      evloop_now_us(x->loop));
+	else
+		ratelimit_clear(&x->limit);
+	after = x->limit.active ? x->limit.per_s : -1;
+	if (before != after)
 		log_emit(LOG_UPSTREAM_LIMIT,
 			 "id=%s limited=%d limit_per_s=%.2f request=%s",
 			 j->request.upstream_id, r->has_limit, r->limit_per_s,
 			 j->request.request.id);
-	x->limited = r->has_limit;
-	x->limit_per_s = r->limit_per_s;
 	if (r->leaving && !x->leaving)
 		log_emit(LOG_UPSTREAM_LEAVING, "id=%s request=%s",
 			 j->request.upstream_id, j->request.request.id);
--- a/packages/router/src/request_runner_int.h
+++ b/packages/router/src/request_runner_int.h
@@ -5,6 +5,7 @@
 
 #include "request_runner.h"
 #include "httppool.h"
+#include "ratelimit.h"
 
 #define REQRUN_KINDS 64
 /* Number of recently cancelled requests that still count as in flight. */
@@ -52,8 +53,8 @@
 	bool closed; /* no request is sent to the upstream */
 	uint64_t end_us; /* end of the process, 0 if it is not stopping */
 	uint64_t last_response_us; /* time of the last response head */
-	bool limited; /* the upstream has named a limit */
-	double limit_per_s; /* if limited */
+	struct ratelimit limit; /* that the upstream has named */
+	char heard_id[INCARNATION_ID_MAX]; /* upstream of the last response */
 	bool leaving; /* an answer says that the upstream leaves */
 	double mean_us;
 	double long_mean_us; /* mean over more requests, for placing keys */
