A leave that an upstream tells in its answers ends its requests

Callers' requests reached upstreams after these had said in their answers that they leave.

Cause: only announcements were read. One that leaves may announce itself as ready for some time, and a process that starts anew beside it took it for ready, so that all others sent to it again.

Change: an answer with the field begins the drain as an announced shutdown does, and announcements don't cancel it. The row of the daemon says so (left), so that the next process sends nothing more. Each daemon that has passed such an answer on remembers it for that incarnation and sends nothing there when the drain time is over, whatever the process beside the upstream believes. Rows of earlier versions lack the field and are read as before.

--- a/packages/router/src/forward_attempt.c
+++ b/packages/router/src/forward_attempt.c
@@ -65,7 +65,10 @@
 
 	if (f->keyed) {
 		m = find_owner(f);
-		return m && now_us >= m->avoid_until_us ? m : NULL;
+		return m && now_us >= m->avoid_until_us &&
+				       memb_is_open(m, now_us) ?
+			       m :
+			       NULL;
 	}
 	for (uint32_t i = 0; i < f->tried_count; i++)
 		tried[i] = f->tried[i];
@@ -232,6 +235,18 @@
 	fwd_end_attempt(f, FWD_UNREACHABLE);
 }
 
+/* Records that the upstream of the attempt says that it leaves. */
+static void record_leave(struct fwd_request *f, const struct httpmsg *m)
+{
+	struct plat_response r;
+
+	f->owner->parts.platform->ops->read_response(m, f->request.id, &r);
+	if (r.leaving && f->target->drain_end_us == 0)
+		f->target->drain_end_us =
+			upstr_drain_end_us(f->owner->parts.settings,
+					   evloop_now_us(f->owner->parts.loop));
+}
+
 /* Records the queueing, run and transit times up to the response head. */
 static void record_times(struct fwd_request *f, const struct reqrun_times *t,
 			 uint64_t now)
@@ -254,6 +269,7 @@
 
 	reqrun_times(f->job, &t);
 	record_times(f, &t, evloop_now_us(f->owner->parts.loop));
+	record_leave(f, m);
 	fwd_on_response_head(arg, m);
 }
 
@@ -342,8 +358,10 @@
 	f->peer_failed = httpmsg_find(m, PEERHDR_FAILED_FIELD).text != NULL;
 	if (peerhdr_read_times(m, &times))
 		record_times(f, &times, now);
-	if (!f->peer_refused && !f->peer_failed)
+	if (!f->peer_refused && !f->peer_failed) {
+		record_leave(f, m);
 		fwd_on_response_head(f, m);
+	}
 }
 
 /* Passes bytes of the body on, unless the other daemon made the response. */
--- a/packages/router/src/membs.c
+++ b/packages/router/src/membs.c
@@ -128,6 +128,9 @@
 		}
 		m->list[m->count++] = r;
 	}
+	if (strcmp(r->incarnation.id, id) != 0 ||
+	    r->incarnation.start_unix_ms != born)
+		r->drain_end_us = 0;
 	r->listed =
 		txt_copy(r->incarnation.id, sizeof(r->incarnation.id), id) &&
 		txt_copy(r->data_centre, sizeof(r->data_centre), dc) &&
@@ -223,6 +226,7 @@
 		if (!r->listed || !r->takes_work ||
 		    r->incarnation.id[0] == '\0' ||
 		    strcmp(r->service, service) != 0 ||
+		    !memb_is_open(r, now_us) ||
 		    was_tried(r, tried, tried_count))
 			continue;
 		cost = memb_utilisation(r, now_us);
@@ -256,3 +260,9 @@
 	m->failures = 0;
 	m->avoid_until_us = 0;
 }
+
+/* False once the drain time of an upstream that leaves is over. */
+bool memb_is_open(const struct memb *m, uint64_t now_us)
+{
+	return m->drain_end_us == 0 || now_us < m->drain_end_us;
+}
--- a/packages/router/src/membs.h
+++ b/packages/router/src/membs.h
@@ -34,6 +34,12 @@
 	uint64_t told_us; /* time of that report */
 	uint64_t avoid_until_us;
 	uint32_t failures; /* consecutive */
+	/*
+	 * Last time to send requests to an upstream that has said in an answer
+	 * to this daemon that it leaves, 0 if it has not. It binds although the
+	 * member's daemon may have restarted and forgotten it.
+	 */
+	uint64_t drain_end_us;
 	uint64_t config_next_us; /* earliest time to send a configuration */
 	bool listed; /* in the newest plan */
 };
@@ -71,6 +77,9 @@
 /* Records an answer: the member is no longer avoided. */
 void memb_record_answer(struct memb *m);
 
+/* True if requests may be sent to the member's upstream. */
+bool memb_is_open(const struct memb *m, uint64_t now_us);
+
 /* Returns the estimated requests at the member as a share of its slots. */
 double memb_utilisation(const struct memb *m, uint64_t now_us);
 
--- a/packages/router/src/nodelease.c
+++ b/packages/router/src/nodelease.c
@@ -232,12 +232,13 @@
 void nodelease_set_upstream(struct nodelease *r,
 			    const struct incarnation *incarnation,
 			    const char *service, uint32_t slots,
-			    bool takes_work)
+			    bool takes_work, bool left)
 {
 	r->row.incarnation = *incarnation;
 	strncpy(r->row.service, service, sizeof(r->row.service) - 1);
 	r->row.slots = slots;
 	r->row.takes_work = takes_work;
+	r->row.left = left;
 	r->changes++;
 	if (r->found_reported)
 		make_call(r, evloop_now_us(r->loop));
--- a/packages/router/src/nodelease.h
+++ b/packages/router/src/nodelease.h
@@ -40,7 +40,7 @@
 void nodelease_set_upstream(struct nodelease *r,
 			    const struct incarnation *incarnation,
 			    const char *service, uint32_t slots,
-			    bool takes_work);
+			    bool takes_work, bool left);
 
 /* Returns the end of the lease by the clock of the loop, 0 if it is lost. */
 uint64_t nodelease_end_us(const struct nodelease *r);
--- a/packages/router/src/noderow.c
+++ b/packages/router/src/noderow.c
@@ -9,14 +9,15 @@
 char *noderow_format(const struct noderow *n)
 {
 	json_t *root = json_pack(
-		"{s:s,s:s,s:s,s:I,s:I,s:b,s:s,s:I,s:I,s:s,s:I,s:b}", "node",
+		"{s:s,s:s,s:s,s:I,s:I,s:b,s:s,s:I,s:I,s:s,s:I,s:b,s:b}", "node",
 		n->node, "dc", n->data_centre, "peer", n->peer_address,
 		"process", (json_int_t)n->process, "until",
 		(json_int_t)n->lease_until_ms, "expired", n->expired, "id",
 		n->incarnation.id, "born",
 		(json_int_t)n->incarnation.start_unix_ms, "attached",
 		(json_int_t)n->incarnation.attached, "service", n->service,
-		"slots", (json_int_t)n->slots, "takes_work", n->takes_work);
+		"slots", (json_int_t)n->slots, "takes_work", n->takes_work,
+		"left", n->left);
 	char *text = json_dumps(root, JSON_COMPACT);
 
 	json_decref(root);
@@ -30,16 +31,19 @@
 	const char *node, *dc, *peer, *id, *service;
 	json_int_t process, until, born, attached, slots;
 	int expired, takes_work;
+	int left = 0;
 	bool ok;
 
 	memset(n, 0, sizeof(*n));
 	ok = root &&
 	     json_unpack(
-		     root, "{s:s,s:s,s:s,s:I,s:I,s:b,s:s,s:I,s:I,s:s,s:I,s:b}",
+		     root,
+		     "{s:s,s:s,s:s,s:I,s:I,s:b,s:s,s:I,s:I,s:s,s:I,s:b,s?b}",
 		     "node", &node, "dc", &dc, "peer", &peer, "process",
 		     &process, "until", &until, "expired", &expired, "id", &id,
 		     "born", &born, "attached", &attached, "service", &service,
-		     "slots", &slots, "takes_work", &takes_work) == 0 &&
+		     "slots", &slots, "takes_work", &takes_work, "left",
+		     &left) == 0 &&
 	     until >= 0 && slots >= 0 &&
 	     txt_copy(n->node, sizeof(n->node), node) &&
 	     txt_copy(n->incarnation.node, sizeof(n->incarnation.node), node) &&
@@ -55,6 +59,8 @@
 		n->incarnation.attached = attached;
 		n->slots = (uint32_t)slots;
 		n->takes_work = takes_work != 0;
+		/* Rows of earlier versions lack it. */
+		n->left = left != 0;
 	}
 	json_decref(root);
 	return ok;
--- a/packages/router/src/noderow.h
+++ b/packages/router/src/noderow.h
@@ -24,6 +24,7 @@
 	char service[RCONFIG_NAME_MAX];
 	uint32_t slots;
 	bool takes_work; /* the upstream is up and not draining */
+	bool left; /* the upstream has said that it ends, which is final */
 };
 
 /* Returns the row as JSON, which the caller frees. */
--- a/packages/router/src/request_runner_exchange.c
+++ b/packages/router/src/request_runner_exchange.c
@@ -108,10 +108,11 @@
 			 "id=%s limited=%d limit_per_s=%.2f request=%s",
 			 j->request.upstream_id, r->has_limit, r->limit_per_s,
 			 j->request.request.id);
-	if (r->leaving && !x->leaving)
+	if (r->leaving && !upstr_has_left(x->upstream)) {
 		log_emit(LOG_UPSTREAM_LEAVING, "id=%s request=%s",
 			 j->request.upstream_id, j->request.request.id);
-	x->leaving = r->leaving;
+		upstr_record_leave(x->upstream, j->request.upstream_id);
+	}
 }
 
 /* Passes the response head on, unless the upstream rejected the request. */
--- a/packages/router/src/request_runner_int.h
+++ b/packages/router/src/request_runner_int.h
@@ -55,7 +55,6 @@
 	uint64_t last_response_us; /* time of the last response head */
 	struct ratelimit limit; /* that the upstream has named */
 	char heard_id[INCARNATION_ID_MAX]; /* upstream of the last response */
-	bool leaving; /* an answer says that the upstream leaves */
 	double mean_us;
 	double long_mean_us; /* mean over more requests, for placing keys */
 	double kind_run_us[REQRUN_KINDS]; /* mean run time, 0 if not measured */
--- a/packages/router/src/routerd.c
+++ b/packages/router/src/routerd.c
@@ -113,7 +113,8 @@
 	r->wake_leader = true;
 	nodelease_set_upstream(r->lease, upstr_incarnation(r->upstream),
 			       upstr_service(r->upstream),
-			       upstr_slots(r->upstream), takes_work);
+			       upstr_slots(r->upstream), takes_work,
+			       upstr_has_left(r->upstream));
 }
 
 /* Resumes requests that wait for a grant. */
--- a/packages/router/src/upstr.c
+++ b/packages/router/src/upstr.c
@@ -7,12 +7,12 @@
 #include "log.h"
 #include "txt.h"
 
+/* Requests end this long before the drain time of the settings is over. */
+#define DRAIN_MARGIN_US (300 * US_PER_MS)
 /* Delay of an answer that changes nothing. */
 #define ANSWER_DELAY_US (450 * US_PER_MS)
 /* A grant with less time left than this is renewed at once. */
 #define RENEW_GRANT_BELOW_US (2500 * US_PER_MS)
-/* Requests end this long before the drain time of the settings is over. */
-#define DRAIN_MARGIN_US (300 * US_PER_MS)
 /* Missed announcements after which the upstream is probed. */
 #define PROBE_AFTER_MISSED 2
 /* Missed announcements after which the upstream gets no more requests. */
@@ -110,9 +110,9 @@
 }
 
 /* Returns the last time to send requests, if a drain began at began_us. */
-static uint64_t drain_end_us(const struct upstr *a, uint64_t began_us)
+uint64_t upstr_drain_end_us(const struct rsettings *s, uint64_t began_us)
 {
-	uint64_t drain_us = (uint64_t)a->parts.settings->drain_ms * US_PER_MS;
+	uint64_t drain_us = (uint64_t)s->drain_ms * US_PER_MS;
 
 	return began_us +
 	       (drain_us > DRAIN_MARGIN_US ? drain_us - DRAIN_MARGIN_US : 1);
@@ -132,7 +132,9 @@
 	a->drain_end_us = 0;
 	if (draining)
 		a->drain_end_us =
-			known_before ? drain_end_us(a, now_us) : now_us;
+			known_before ?
+				upstr_drain_end_us(a->parts.settings, now_us) :
+				now_us;
 	log_emit(LOG_UPSTREAM_DRAINING, "id=%s draining=%d", a->incarnation.id,
 		 draining);
 }
@@ -157,10 +159,19 @@
 		return;
 	a->left = true;
 	a->draining = true;
-	a->drain_end_us = drain_end_us(a, a->unknown_left_us);
+	a->drain_end_us =
+		upstr_drain_end_us(a->parts.settings, a->unknown_left_us);
 	log_emit(LOG_UPSTREAM_DRAINING, "id=%s draining=1", a->incarnation.id);
 }
 
+/* The drain time began under the earlier process: no more requests are sent. */
+static void restore_leave(struct upstr *a)
+{
+	a->left = true;
+	a->draining = true;
+	a->drain_end_us = evloop_now_us(a->parts.loop);
+}
+
 /*
  * Restores the upstream that an earlier process knew. If the same incarnation
  * has already announced itself to this process, it gets the attach number of
@@ -177,6 +188,8 @@
 		return;
 	if (a->announced && same) {
 		a->incarnation.attached = row->incarnation.attached;
+		if (row->left)
+			restore_leave(a);
 		a->ops->on_upstream(a->arg);
 		return;
 	}
@@ -186,6 +199,8 @@
 	a->slots = row->slots;
 	a->draining = !row->takes_work;
 	a->last_announce_us = evloop_now_us(a->parts.loop);
+	if (row->left)
+		restore_leave(a);
 	log_emit(LOG_UPSTREAM_FOUND, "id=%s born=%lld service=%s",
 		 a->incarnation.id, (long long)a->incarnation.start_unix_ms,
 		 a->service);
@@ -404,6 +419,24 @@
 	return a->incarnation.id[0] != '\0' && !a->draining && !a->silent;
 }
 
+/* Begins the drain, unless it has begun; announcements do not cancel it. */
+void upstr_record_leave(struct upstr *a, const char *id)
+{
+	uint64_t now = evloop_now_us(a->parts.loop);
+
+	if (a->left || strcmp(id, a->incarnation.id) != 0)
+		return;
+	a->left = true;
+	set_draining(a, true, true, now);
+	a->ops->on_upstream(a->arg);
+}
+
+/* True if the upstream has announced its end, or an answer has said so. */
+bool upstr_has_left(const struct upstr *a)
+{
+	return a->left;
+}
+
 /* True while requests may be sent to the upstream. */
 bool upstr_is_open(const struct upstr *a, uint64_t now_us)
 {
--- a/packages/router/src/upstr.h
+++ b/packages/router/src/upstr.h
@@ -21,6 +21,12 @@
 
 struct upstr;
 
+/*
+ * Returns the time after which no request is sent to an upstream that began to
+ * drain at began_us; it is shorter than the drain time of the settings.
+ */
+uint64_t upstr_drain_end_us(const struct rsettings *s, uint64_t began_us);
+
 struct upstr_ops {
 	/* The incarnation or its state has changed. */
 	void (*on_upstream)(void *arg);
@@ -68,6 +74,12 @@
 uint32_t upstr_slots(const struct upstr *a);
 bool upstr_accepts_work(const struct upstr *a);
 
+/* Handles an answer of this upstream which says that it is going to end. */
+void upstr_record_leave(struct upstr *a, const char *id);
+
+/* True if it has said that it is going to end, in any way. */
+bool upstr_has_left(const struct upstr *a);
+
 /* True while requests may be sent to it, which includes its drain time. */
 bool upstr_is_open(const struct upstr *a, uint64_t now_us);
 
