Test: no part of a response is passed on as whole

Other operators reported that clients got a 200 with an empty or short body, framed as whole, when a backend stopped in the middle of the head of its answer and closed. No code changes.

--- a/packages/io/tests/test_http.c
+++ b/packages/io/tests/test_http.c
@@ -307,6 +307,54 @@
 	assert_int_equal(f->failure, HTTPCALL_TRUNCATED);
 }
 
+/*
+ * Guards against a response that is cut off anywhere, in its head too, and is
+ * passed on as whole, with an empty or a short body.
+ */
+static void test_no_part_of_a_response_is_whole(void **state)
+{
+	static const char *const wholes[] = {
+		"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n"
+		"\r\n5\r\nhello\r\n0\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nContent-Length: 5\r\nId: mine\r\n\r\nhello",
+	};
+	struct fixture *f = *state;
+	char part[128];
+
+	for (size_t i = 0; i < sizeof(wholes) / sizeof(wholes[0]); i++) {
+		for (size_t len = 1; len < strlen(wholes[i]); len++) {
+			snprintf(part, sizeof(part), "%.*s", (int)len,
+				 wholes[i]);
+			f->raw_response = part;
+			f->raw_closes = true;
+			call(f, RAW_ADDRESS, "GET / HTTP/1.1\r\n\r\n", 0, true);
+			assert_true(f->failed && !f->done);
+		}
+		f->raw_response = wholes[i];
+		call(f, RAW_ADDRESS, "GET / HTTP/1.1\r\n\r\n", 0, true);
+		assert_true(f->done);
+		assert_true(body_is(&f->body, "hello"));
+	}
+}
+
+/* A head that is cut off is no response, even if its body may end by a close. */
+static void test_part_of_a_head_is_no_response(void **state)
+{
+	static const char whole[] = "HTTP/1.1 200 OK\r\nId: mine\r\n\r\n";
+	struct fixture *f = *state;
+	char part[64];
+
+	for (size_t len = 1; len < strlen(whole); len++) {
+		snprintf(part, sizeof(part), "%.*s", (int)len, whole);
+		f->raw_response = part;
+		f->raw_closes = true;
+		call(f, RAW_ADDRESS, "GET / HTTP/1.1\r\n\r\n", 0, true);
+		assert_true(f->failed && !f->done);
+		assert_int_equal(f->failure, HTTPCALL_NO_RESPONSE);
+	}
+}
+
 /* An orderly close ends a body without a length. */
 static void test_body_until_close(void **state)
 {
@@ -427,6 +475,8 @@
 		CASE(test_response_to_other_request_is_skipped),
 		CASE(test_excess_bytes_close_connection),
 		CASE(test_short_body_is_truncated),
+		CASE(test_no_part_of_a_response_is_whole),
+		CASE(test_part_of_a_head_is_no_response),
 		CASE(test_body_until_close),
 		CASE(test_malformed_response),
 		CASE(test_refused_connection),
