A copy of an earlier refusal is not taken for that of a request that runs

Other operators reported that clients were told "not run, try again" for requests that a backend had run or was running, or that such a request ran at a second one: a faulty backend had written an earlier refusal once more on a kept connection.

It could happen here in two ways. A refusal without an id was taken for that of the request in progress, on any connection. And a request that was refused may be sent once more to the same upstream on the same connection, where a copy of the first refusal has the right id. A copy with the id of another request was skipped already.

Change: a refusal without an id counts on a new connection only; on one that has carried other requests the response is invalid, and the request may have run. A request that the upstream has refused or failed (the last 256 are remembered) is sent on a new connection.

Measured (test_upstr): refused_request_is_not_sent_on_the_same_connection failed before on the second arrival, and passes; refusal_without_an_id_counts_on_a_new_connection_only checks the decision.

--- a/packages/io/src/httppool.c
+++ b/packages/io/src/httppool.c
@@ -360,6 +360,12 @@
 	tcpsock_pause_input(x->socket, paused);
 }
 
+/* True if the connection has carried another call before. */
+bool httpcall_is_reused(const struct httpcall *x)
+{
+	return x->used;
+}
+
 /* True if bytes of this request may have been sent. */
 bool httpcall_has_sent(const struct httpcall *x)
 {
--- a/packages/io/src/httppool.h
+++ b/packages/io/src/httppool.h
@@ -66,6 +66,9 @@
 /* Pauses or resumes reading of the response. */
 void httpcall_pause(struct httpcall *x, bool paused);
 
+/* True if the connection has carried another call before. */
+bool httpcall_is_reused(const struct httpcall *x);
+
 /* True if any byte of the request may have been sent. */
 bool httpcall_has_sent(const struct httpcall *x);
 
--- a/packages/router/src/request_runner_exchange.c
+++ b/packages/router/src/request_runner_exchange.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <strings.h>
 #include <utlist.h>
+#include <xxhash.h>
 
 #include "request_runner_int.h"
 #include "log.h"
@@ -68,6 +69,21 @@
 	buf_add_text(out, "\r\n");
 }
 
+/*
+ * A refusal without an id is that of this request only if the connection has
+ * carried no other: a faulty upstream may write an earlier one once more.
+ */
+enum httpcall_match reqrun_match(const struct plat_response *r, bool reused)
+{
+	if (r->has_id && !r->id_matches)
+		return HTTPCALL_MISMATCH;
+	if (r->not_run || r->other_upstream)
+		return r->has_id || !reused ? HTTPCALL_MATCH : HTTPCALL_INVALID;
+	if (!r->has_id || !r->is_signed)
+		return HTTPCALL_INVALID;
+	return HTTPCALL_MATCH;
+}
+
 /* Checks whether a response belongs to the request and is valid. */
 static enum httpcall_match match_response(void *arg, const struct httpmsg *m)
 {
@@ -75,13 +91,7 @@
 	struct plat_response r;
 
 	j->owner->platform->ops->read_response(m, j->request.request.id, &r);
-	if (r.has_id && !r.id_matches)
-		return HTTPCALL_MISMATCH;
-	if (r.not_run || r.other_upstream)
-		return HTTPCALL_MATCH;
-	if (!r.has_id || !r.is_signed)
-		return HTTPCALL_INVALID;
-	return HTTPCALL_MATCH;
+	return reqrun_match(&r, httpcall_is_reused(j->exchange));
 }
 
 /*
@@ -164,6 +174,36 @@
 		x->failed++;
 }
 
+static uint64_t hash_id(const struct reqrun_job *j)
+{
+	return XXH3_64bits(j->request.request.id,
+			   strlen(j->request.request.id));
+}
+
+/* Remembers a request that may be sent again. */
+static void remember_rejected(struct reqrun_job *j)
+{
+	struct reqrun *x = j->owner;
+
+	x->rejected_ids[x->next_rejected++ % REQRUN_REJECTED_MAX] = hash_id(j);
+}
+
+/*
+ * True if the upstream has answered this request before. A copy of that answer,
+ * which a faulty upstream may write once more on its connection, would be taken
+ * for the answer to this attempt.
+ */
+static bool was_rejected(const struct reqrun_job *j)
+{
+	uint64_t hash = hash_id(j);
+
+	for (size_t i = 0; i < REQRUN_REJECTED_MAX; i++) {
+		if (j->owner->rejected_ids[i] == hash)
+			return true;
+	}
+	return false;
+}
+
 /* Completes a job after its whole response. */
 static void on_done(void *arg)
 {
@@ -174,6 +214,8 @@
 
 	j->exchange = NULL;
 	reqrun_remove_job(j);
+	if (j->refused || j->failed_status)
+		remember_rejected(j);
 	if (j->refused) {
 		log_emit(LOG_UPSTREAM_SHED,
 			 "request=%s not_owner=%d running=%u",
@@ -237,6 +279,8 @@
 	r.expect_no_body = strcmp(j->request.message->method, "HEAD") == 0;
 	r.reuse_us =
 		j->request.idempotent ? REUSE_IDEMPOTENT_US : REUSE_OTHERS_US;
+	if (was_rejected(j))
+		r.reuse_us = 0;
 	j->exchange = httpcall_start(x->pool, &r, &exchange_ops, j);
 	buf_free(&head);
 	if (!j->exchange) {
--- a/packages/router/src/request_runner_int.h
+++ b/packages/router/src/request_runner_int.h
@@ -11,6 +11,9 @@
 /* Number of recently cancelled requests that still count as in flight. */
 #define REQRUN_CANCELLED_MAX 64
 
+/* Number of requests, refused or failed by the upstream, that are remembered. */
+#define REQRUN_REJECTED_MAX 256
+
 enum reqrun_state {
 	REQRUN_QUEUED, /* in the queue */
 	REQRUN_AWAITING_KEY, /* waits until the upstream is granted the key */
@@ -49,6 +52,9 @@
 	/* Ring of the times of the last cancellations, 0 if unused. */
 	uint64_t cancelled_us[REQRUN_CANCELLED_MAX];
 	size_t next_cancelled;
+	/* Ring of the hashes of the ids of the last ones, 0 if unused. */
+	uint64_t rejected_ids[REQRUN_REJECTED_MAX];
+	size_t next_rejected;
 	uint32_t timer;
 	bool closed; /* no request is sent to the upstream */
 	uint64_t end_us; /* end of the process, 0 if it is not stopping */
@@ -66,6 +72,12 @@
 	uint64_t total_run_us;
 };
 
+/*
+ * Decides whether a response belongs to the request and is valid; reused is
+ * true if its connection has carried other requests before.
+ */
+enum httpcall_match reqrun_match(const struct plat_response *r, bool reused);
+
 void reqrun_send(struct reqrun_job *j);
 void reqrun_dispatch(struct reqrun *x);
 void reqrun_reject(struct reqrun_job *j, enum reqrun_rejection why,
--- a/packages/router/tests/test_upstr.c
+++ b/packages/router/tests/test_upstr.c
@@ -15,7 +15,7 @@
 #include <cmocka.h>
 
 #include "upstr.h"
-#include "request_runner.h"
+#include "request_runner_int.h"
 #include "fake_table.h"
 #include "httpsrv.h"
 #include "peer_message.h"
@@ -26,6 +26,8 @@
 #define ANNOUNCE_MS 300
 #define WORK_MS 250
 #define KIND 1
+#define CONNECTIONS_MAX 8
+#define STATUS_REFUSED 503
 
 struct fixture {
 	struct evloop *loop;
@@ -48,6 +50,9 @@
 	uint32_t reply_timer;
 	bool working; /* the upstream runs a request */
 	uint32_t overlaps; /* requests that arrived meanwhile */
+	bool refuses; /* the upstream refuses requests */
+	char request_id[16]; /* of the next request */
+	const struct httpconn *connections[CONNECTIONS_MAX]; /* by arrival */
 };
 
 static struct fixture *fx;
@@ -136,7 +141,7 @@
 {
 	(void)now_us;
 	fx->working = false;
-	httpconn_reply(arg, 200, "", "ok", 2);
+	httpconn_reply(arg, fx->refuses ? STATUS_REFUSED : 200, "", "ok", 2);
 }
 
 static void *on_request(void *arg, struct httpconn *c, const struct httpmsg *m,
@@ -146,6 +151,8 @@
 
 	(void)m;
 	(void)body;
+	if (f->arrived < CONNECTIONS_MAX)
+		f->connections[f->arrived] = c;
 	f->arrived++;
 	f->overlaps += f->working;
 	f->last_arrival_us = evloop_now_us(f->loop);
@@ -209,10 +216,10 @@
 static void read_response(const struct httpmsg *m, const char *request_id,
 			  struct plat_response *r)
 {
-	(void)m;
 	(void)request_id;
 	memset(r, 0, sizeof(*r));
 	r->has_id = r->id_matches = r->is_signed = true;
+	r->not_run = m->status == STATUS_REFUSED;
 }
 
 static const struct plat_ops platform_ops = { .write_grant = write_grant,
@@ -267,6 +274,7 @@
 	struct reqrun_request r = { .message = &message,
 				    .body = &body,
 				    .request = { .key = PLAT_NO_KEY },
+				    .idempotent = true,
 				    .upstream_id =
 					    upstr_incarnation(fx->upstream)->id,
 				    .caller_service = "c",
@@ -279,6 +287,7 @@
 		message.target_len = 2;
 		message.method = "GET";
 	}
+	snprintf(r.request.id, sizeof(r.request.id), "%s", fx->request_id);
 	reqrun_start(fx->runner, &r, &job_ops, fx, &job);
 	return job;
 }
@@ -593,6 +602,62 @@
 	assert_int_equal(fx->db.watches, polls + 2);
 }
 
+/*
+ * Guards against a copy of an earlier refusal, written once more by a faulty
+ * upstream, that is taken for the response to the request's next attempt: it
+ * would be told as not run while it runs.
+ */
+static void refused_request_is_not_sent_on_the_same_connection(void **state)
+{
+	(void)state;
+	start_parts(fx);
+	run(50);
+	announce("u-1", PLAT_READY, false, 1000);
+	run(50);
+	snprintf(fx->request_id, sizeof(fx->request_id), "x1");
+	fx->refuses = true;
+	start_request();
+	run(2 * WORK_MS + 50);
+	assert_int_equal(fx->refused, 1);
+	fx->refuses = false;
+	start_request();
+	run(2 * WORK_MS + 50);
+	assert_int_equal(fx->arrived, 2);
+	assert_ptr_not_equal(fx->connections[0], fx->connections[1]);
+	/* Others keep to the connections that there are. */
+	announce("u-1", PLAT_READY, false, 1000);
+	snprintf(fx->request_id, sizeof(fx->request_id), "x2");
+	start_request();
+	run(2 * WORK_MS + 50);
+	assert_int_equal(fx->arrived, 3);
+	assert_true(fx->connections[2] == fx->connections[0] ||
+		    fx->connections[2] == fx->connections[1]);
+}
+
+/*
+ * Guards against a refusal that names no request and is taken for the response
+ * to the one that runs: it may be a copy of an earlier refusal.
+ */
+static void refusal_without_an_id_counts_on_a_new_connection_only(void **state)
+{
+	struct plat_response r = { .not_run = true };
+
+	(void)state;
+	assert_int_equal(reqrun_match(&r, false), HTTPCALL_MATCH);
+	assert_int_equal(reqrun_match(&r, true), HTTPCALL_INVALID);
+	r.other_upstream = true;
+	r.not_run = false;
+	assert_int_equal(reqrun_match(&r, true), HTTPCALL_INVALID);
+	r.has_id = true;
+	assert_int_equal(reqrun_match(&r, true), HTTPCALL_MISMATCH);
+	r.id_matches = true;
+	assert_int_equal(reqrun_match(&r, true), HTTPCALL_MATCH);
+	r = (struct plat_response){ .is_signed = true };
+	assert_int_equal(reqrun_match(&r, false), HTTPCALL_INVALID);
+	r.has_id = r.id_matches = true;
+	assert_int_equal(reqrun_match(&r, true), HTTPCALL_MATCH);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
 
 int main(void)
@@ -607,6 +672,8 @@
 		TEST(silent_upstream_gets_no_work),
 		TEST(table_calls_are_rate_limited),
 		TEST(poll_of_the_plan_is_replaced_after_an_outage),
+		TEST(refused_request_is_not_sent_on_the_same_connection),
+		TEST(refusal_without_an_id_counts_on_a_new_connection_only),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
