--- a/packages/router/src/cfgage.c
+++ b/packages/router/src/cfgage.c
@@ -35,6 +35,7 @@
 	a->leader_us = now_us;
 }
 
+/* Returns the time at which the last confirmation is too old, in us. */
 uint64_t cfgage_due_us(const struct cfgage *a)
 {
 	return a->confirmed_us + AGE_MAX_US;
--- a/packages/router/src/ratelimit.c
+++ b/packages/router/src/ratelimit.c
@@ -46,11 +46,13 @@
 	l->updated_us = now_us;
 }
 
+/* Lifts the limit. */
 void ratelimit_clear(struct ratelimit *l)
 {
 	l->active = false;
 }
 
+/* Takes a token, unless less than one has come. */
 bool ratelimit_take(struct ratelimit *l, uint64_t now_us)
 {
 	double tokens;
@@ -65,6 +67,7 @@
 	return true;
 }
 
+/* A request starts when it and all ahead of it have a token. */
 uint64_t ratelimit_wait_us(const struct ratelimit *l, uint32_t ahead,
 			   uint64_t now_us)
 {
--- a/packages/router/src/routerd_config.c
+++ b/packages/router/src/routerd_config.c
@@ -88,12 +88,13 @@
 	r->config_timer = tmr_at(evloop_timers(r->loop), due, check_age, r);
 }
 
-/* Starts the checks; the first answer is expected at once. */
+/* Starts the checks. The watch has begun with a read. */
 void routerd_start_config_checks(struct routerd *r)
 {
 	check_age(r, evloop_now_us(r->loop));
 }
 
+/* Stops the checks. */
 void routerd_stop_config_checks(struct routerd *r)
 {
 	tmr_cancel(evloop_timers(r->loop), r->config_timer);
