A response of the store that keeps arriving is not cut off

Callers were served by an old configuration for seconds after a new one had been acknowledged, on grown sites with thousands of routes.

Cause: a call of the store had 1.2 s for its whole response, and a poll that nothing had confirmed for 1.3 s was replaced while its answer arrived. 4,220 routes take 1.2 MB on a link of 14 Mbit/s that also carries downloads, so the same bytes were requested again and again, and each attempt delayed the others.

--- a/packages/router/src/tbl.h
+++ b/packages/router/src/tbl.h
@@ -61,6 +61,8 @@
 	 */
 	void (*watch)(void *self, const char *table, uint64_t after,
 		      uint32_t wait_ms, tbl_fn fn, void *arg);
+	/* True if the answer to the call with this arg is arriving. */
+	bool (*is_arriving)(void *self, const void *arg);
 };
 
 struct tbl {
--- a/packages/router/src/tblwatch.c
+++ b/packages/router/src/tblwatch.c
@@ -26,6 +26,7 @@
 	uint64_t called_us; /* start of the call in progress */
 	uint64_t answered_us; /* last answer, 0 if there was none yet */
 	uint64_t number; /* of the current call; others were replaced */
+	const struct watch_call *call; /* the current call, if in progress */
 	uint32_t wait_ms;
 	uint32_t timer;
 	bool read_next; /* the next call reads a snapshot, not changes */
@@ -104,6 +105,7 @@
 	if (free_if_dead(f) || replaced)
 		return;
 	f->waiting = false;
+	f->call = NULL;
 	if (r->status == TBL_OK) {
 		bool whole = f->reading;
 
@@ -132,6 +134,7 @@
 	(void)now_us;
 	if (!call)
 		abort();
+	f->call = call;
 	call->watch = f;
 	call->number = ++f->number;
 	f->timer = 0;
@@ -180,10 +183,13 @@
 	f->wait_ms = wait_ms;
 }
 
-/* Replaces a waiting poll by one that is answered at once. */
+/*
+ * Replaces a waiting poll by one that is answered at once. A poll whose answer
+ * is arriving goes on: a large one would never arrive if it were begun again.
+ */
 void tblwatch_restart(struct tblwatch *f)
 {
-	if (!f->waiting)
+	if (!f->waiting || f->tbl.ops->is_arriving(f->tbl.self, f->call))
 		return;
 	f->check_next = true;
 	call_next(f, 0);
--- a/packages/router/tests/fake_table.c
+++ b/packages/router/tests/fake_table.c
@@ -141,8 +141,16 @@
 	f->waiting[f->watch_count++].arg = arg;
 }
 
+/* Answers arrive as a whole. */
+static bool faketbl_is_arriving(void *self, const void *arg)
+{
+	(void)self;
+	(void)arg;
+	return false;
+}
+
 static const struct tbl_ops fake_ops = { faketbl_read, faketbl_write,
-					 faketbl_watch };
+					 faketbl_watch, faketbl_is_arriving };
 
 /* Opens a zeroed table service without rows. */
 void faketbl_open(struct fake *f, struct evloop *l)
