Routes are found by a hash of host and prefix

Cause: each request compared its path with every route, and each route takes a kilobyte. With 3,520 routes a lookup takes 0.037 ms of processor time, so 0.4 ms on a tenth of a core, for every request that a daemon receives from its callers.

--- a/packages/router/src/routing_config.h
+++ b/packages/router/src/routing_config.h
@@ -38,10 +38,19 @@
 	bool keyed; /* upstreams own keys */
 };
 
+/* Finds routes by host and prefix. */
+struct rconfig_index {
+	uint32_t *slots; /* hash table of positions + 1, 0 if unused */
+	size_t slot_count; /* a power of two */
+	uint16_t lengths[RCONFIG_PREFIX_MAX]; /* of prefixes, longest first */
+	size_t length_count;
+};
+
 struct rconfig {
 	uint64_t version;
 	struct rconfig_route *routes;
 	size_t route_count;
+	struct rconfig_index index;
 	struct rconfig_service *services;
 	size_t service_count;
 	uint32_t header_bytes_max;
@@ -52,6 +61,9 @@
 
 void rconfig_free(struct rconfig *c);
 
+/* To be called once all routes are set. False if out of memory. */
+bool rconfig_build_index(struct rconfig *c);
+
 const struct rconfig_route *rconfig_find_route(const struct rconfig *c,
 					       struct span host,
 					       struct span target);
