The configuration in effect is not decoded again

A daemon that gets the same version from the store and from the leader decoded it twice. The decoding of 3,520 routes takes 35 ms of processor time (read_config, arm64), a third of a second on a tenth of a core, in which the daemon serves nobody. The text in effect is now recognised by its hash, 0.1 ms.

--- a/packages/router/src/routerd_config.c
+++ b/packages/router/src/routerd_config.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "log.h"
 #include "peer_headers.h"
 #include "peer_message.h"
@@ -40,27 +42,36 @@
 	free(packed);
 }
 
-/* Applies a configuration if it is valid and newer than the one in effect. */
+/*
+ * Applies a configuration if it is valid and newer than the one in effect. The
+ * text of the one in effect, which may come from the table and from the leader,
+ * is not decoded again: that of thousands of routes takes a daemon with a tenth
+ * of a core half a second.
+ */
 static void apply_config(struct routerd *r, const char *text, size_t len,
 			 const char *from)
 {
+	uint64_t hash = XXH3_64bits(text, len);
 	struct rconfig config = { 0 };
 	struct err err = { 0 };
 
+	if (r->config.version > 0 && hash == r->config_hash) {
+		if (buf_len(&r->config_text) == 0)
+			store_compressed(r, text, len);
+		return;
+	}
 	if (!r->platform.ops->read_config(text, len, &config, &err)) {
 		log_emit(LOG_CONFIG_REFUSED, "in_force=%llu reason=\"%s\"",
 			 (unsigned long long)r->config.version, err.text);
 		return;
 	}
 	if (config.version <= r->config.version) {
-		if (config.version == r->config.version &&
-		    buf_len(&r->config_text) == 0)
-			store_compressed(r, text, len);
 		rconfig_free(&config);
 		return;
 	}
 	rconfig_free(&r->config);
 	r->config = config;
+	r->config_hash = hash;
 	log_emit(LOG_CONFIG_IN_FORCE,
 		 "version=%llu routes=%zu services=%zu from=%s",
 		 (unsigned long long)config.version, config.route_count,
--- a/packages/router/src/routerd_int.h
+++ b/packages/router/src/routerd_int.h
@@ -34,6 +34,7 @@
 	struct evloop *loop;
 	struct plat platform;
 	struct rconfig config;
+	uint64_t config_hash; /* of the text of the configuration in effect */
 	struct tblwatch *config_watch;
 	struct buf config_text; /* compressed configuration, at the leader */
 	uint64_t config_read; /* ticket of the last read of that text */
