A request that crashes its upstreams is refused after three of them

Cause: nothing recognised a request that comes again under a new id. Each daemon saw one crash and forgot it, and a restarted one knew nothing.

A daemon whose upstream crashes now tells the leader a fingerprint of the requests that ran there: method, host, target and body, without the id. The leader keeps the list in the plan, from where each daemon has it, also one that has just started. A request is refused once three incarnations have ended under it; one that any upstream completes is removed, as it only ran beside the cause. Ends that follow a leave do not count, and the same end counts once, so that messages can be repeated until the plan shows them.

--- a/packages/router/src/forward.h
+++ b/packages/router/src/forward.h
@@ -26,6 +26,7 @@
 	struct planview *view;
 	struct reqrun *runner; /* of the local upstream */
 	struct upstr *upstream;
+	const struct crashwatch *crashes; /* NULL if there is none */
 };
 
 struct fwd *fwd_create(const struct fwd_parts *parts);
--- a/packages/router/src/forward_attempt.c
+++ b/packages/router/src/forward_attempt.c
@@ -22,6 +22,8 @@
 #define CONNECT_TIMEOUT_US (250 * US_PER_MS)
 /* Retry delay of a request that found no upstream. */
 #define NO_TARGET_RETRY_AFTER_US (300 * US_PER_MS)
+/* Retry delay of a request that has crashed its upstreams. */
+#define CRASHES_RETRY_AFTER_US (30 * US_PER_S)
 #define TIMEOUT_MIN_US (1 * US_PER_MS)
 #define STATUS_BAD_GATEWAY 502
 
@@ -131,6 +133,12 @@
 
 	tmr_cancel(evloop_timers(f->owner->parts.loop), f->retry_timer);
 	f->retry_timer = 0;
+	if (f->owner->parts.crashes &&
+	    crashwatch_refuses(f->owner->parts.crashes, f->message, f->body)) {
+		f->retry_after_us = CRASHES_RETRY_AFTER_US;
+		fwd_reject(f, RSTATS_CRASHES);
+		return;
+	}
 	m = find_target(f, now);
 	if (m)
 		fwd_send(f, m);
--- a/packages/router/src/planner.c
+++ b/packages/router/src/planner.c
@@ -27,6 +27,7 @@
 #define CHANGES_MAX 90
 #define EXPIRIES_MAX 20
 #define REPORTS_MAX 2048
+#define CRASHES_PENDING_MAX 256
 
 /* State of the planner for one service. */
 struct planner_service {
@@ -38,6 +39,12 @@
 	uint64_t settled; /* next fence at least SETTLE_US ago */
 };
 
+/* A change of the list of crashes; see planner_add_crash(). */
+struct crash_change {
+	uint64_t fingerprint;
+	uint64_t ended;
+};
+
 struct planner {
 	struct planner_parts parts;
 	struct planner_service services[PLANVIEW_SERVICES_MAX];
@@ -46,6 +53,9 @@
 	size_t node_count;
 	struct planner_report *reports;
 	size_t report_count;
+	struct crash_change crashes[CRASHES_PENDING_MAX]; /* not yet planned */
+	size_t crash_count;
+	uint64_t table_now_ms; /* clock of the table service at the last read */
 	char *texts[CHANGES_MAX]; /* values of the write in progress */
 	char keys[CHANGES_MAX][PLANVIEW_KEY_MAX];
 	struct tbl_change changes[CHANGES_MAX];
@@ -282,6 +292,40 @@
 	}
 }
 
+/*
+ * Adds the list of crashes to the write if it has changed. Changes that are not
+ * written, as another write was faster, are sent again by their daemons.
+ */
+static void plan_crashes(struct planner *l)
+{
+	struct crashes list = *planview_crashes(l->parts.view);
+	char *before, *text;
+
+	if (list.count == 0 && l->crash_count == 0)
+		return;
+	before = crashes_format(&list);
+	crashes_expire(&list, l->table_now_ms);
+	for (size_t i = 0; i < l->crash_count; i++) {
+		const struct crash_change *c = &l->crashes[i];
+
+		if (c->ended == 0)
+			crashes_remove(&list, c->fingerprint);
+		else
+			crashes_add(&list, c->fingerprint, c->ended,
+				    l->table_now_ms);
+	}
+	l->crash_count = 0;
+	text = crashes_format(&list);
+	if (strcmp(before, text) != 0) {
+		log_emit(LOG_CRASHES_PLANNED, "requests=%zu", list.count);
+		add_change(l, PLANVIEW_TABLE, PLANVIEW_CRASHES,
+			   planview_crashes_version(l->parts.view), text);
+		text = NULL;
+	}
+	free(text);
+	free(before);
+}
+
 /* Computes the plan from the rows of all daemons and writes its changes. */
 static void plan(struct planner *l)
 {
@@ -294,6 +338,7 @@
 		   planview_leader(l->parts.view)->version, NULL);
 	plan_expiries(l);
 	plan_members(l, &in);
+	plan_crashes(l);
 	for (size_t i = 0; i < config->service_count; i++) {
 		if (config->services[i].keyed)
 			plan_service(l, &in, config->services[i].name);
@@ -321,6 +366,7 @@
 		return;
 	}
 	l->read_us = evloop_now_us(l->parts.loop);
+	l->table_now_ms = r->now_ms;
 	l->node_count = planner_parse_nodes(r, l->nodes, PLANNER_NODES_MAX);
 	plan(l);
 }
@@ -450,6 +496,15 @@
 	k->at_us = evloop_now_us(l->parts.loop);
 }
 
+/* Adds a change to the next plan, which is made soon. */
+void planner_add_crash(struct planner *l, uint64_t fingerprint, uint64_t ended)
+{
+	if (l->crash_count == CRASHES_PENDING_MAX)
+		return;
+	l->crashes[l->crash_count].fingerprint = fingerprint;
+	l->crashes[l->crash_count++].ended = ended;
+}
+
 /* Schedules a read of the rows after READ_SOON_US. */
 void planner_request_read(struct planner *l)
 {
--- a/packages/router/src/planner.h
+++ b/packages/router/src/planner.h
@@ -46,6 +46,12 @@
 /* Stores the report of a daemon. */
 void planner_add_report(struct planner *l, const struct noderpt *r);
 
+/*
+ * Adds to the plan that an incarnation ended under a request, or, if ended is
+ * 0, that a run of it was completed. The plan shows when it was written.
+ */
+void planner_add_crash(struct planner *l, uint64_t fingerprint, uint64_t ended);
+
 /* Must be called after a change: reads the rows of the daemons soon. */
 void planner_request_read(struct planner *l);
 
--- a/packages/router/src/planview.c
+++ b/packages/router/src/planview.c
@@ -29,6 +29,8 @@
 	struct planview_leader leader;
 	struct service_map maps[PLANVIEW_SERVICES_MAX];
 	size_t map_count;
+	struct crashes crashes;
+	uint64_t crashes_version;
 	planview_changed_fn fn;
 	void *arg;
 	struct evloop *loop;
@@ -104,6 +106,18 @@
 	json_decref(root);
 }
 
+/* Applies the row of the requests that crash upstreams. */
+static void apply_crashes(struct planview *v, const char *value, size_t len,
+			  uint64_t version)
+{
+	if (version <= v->crashes_version)
+		return;
+	if (!crashes_parse(value, len, &v->crashes))
+		log_emit(LOG_ROW_INVALID, "key=%s version=%llu",
+			 PLANVIEW_CRASHES, (unsigned long long)version);
+	v->crashes_version = version;
+}
+
 /* Applies one row of the plan; rows with an unknown key are ignored. */
 void planview_apply_row(struct planview *v, const char *key, const char *value,
 			size_t len, uint64_t version)
@@ -120,6 +134,8 @@
 		free(v->members_text);
 		v->members_text = strndup(value, len);
 		v->changed = true;
+	} else if (strcmp(key, PLANVIEW_CRASHES) == 0) {
+		apply_crashes(v, value, len, version);
 	} else if (strncmp(key, PLANVIEW_KEYS_PREFIX,
 			   strlen(PLANVIEW_KEYS_PREFIX)) == 0) {
 		apply_map(v, key, value, len, version);
@@ -282,6 +298,18 @@
 	return NULL;
 }
 
+/* Returns the requests that crash upstreams. */
+const struct crashes *planview_crashes(const struct planview *v)
+{
+	return &v->crashes;
+}
+
+/* Returns the version of their row, 0 if there is none. */
+uint64_t planview_crashes_version(const struct planview *v)
+{
+	return v->crashes_version;
+}
+
 /* Returns the number of changes of the plan. */
 uint64_t planview_epoch(const struct planview *v)
 {
--- a/packages/router/src/planview.h
+++ b/packages/router/src/planview.h
@@ -11,12 +11,14 @@
 #include <stdint.h>
 
 #include "tblwatch.h"
+#include "crashes.h"
 #include "keymap.h"
 #include "membs.h"
 
 #define PLANVIEW_TABLE "geraniumspoke-plan"
 #define PLANVIEW_LEADER "leader"
 #define PLANVIEW_MEMBERS "members"
+#define PLANVIEW_CRASHES "crashes"
 #define PLANVIEW_KEYS_PREFIX "keys/"
 #define PLANVIEW_SERVICES_MAX 64
 #define PLANVIEW_KEY_MAX (RCONFIG_NAME_MAX + 8)
@@ -74,6 +76,10 @@
 const struct keymap *planview_map(const struct planview *v, const char *service,
 				  uint64_t *version);
 
+/* Returns the requests that crash upstreams, and the version of their row. */
+const struct crashes *planview_crashes(const struct planview *v);
+uint64_t planview_crashes_version(const struct planview *v);
+
 /* Returns a counter that increases with each change of the plan. */
 uint64_t planview_epoch(const struct planview *v);
 
--- a/packages/router/src/request_runner.h
+++ b/packages/router/src/request_runner.h
@@ -10,6 +10,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "crashwatch.h"
 #include "upstr.h"
 #include "request_queue.h"
 #include "pacer.h"
@@ -61,6 +62,9 @@
 			     const char *address);
 void reqrun_destroy(struct reqrun *x);
 
+/* From now on the runner reports its runs to this watch. */
+void reqrun_set_crashwatch(struct reqrun *x, struct crashwatch *w);
+
 void reqrun_start(struct reqrun *x, const struct reqrun_request *r,
 		  const struct reqrun_ops *ops, void *arg,
 		  struct reqrun_job **job);
--- a/packages/router/src/request_runner_exchange.c
+++ b/packages/router/src/request_runner_exchange.c
@@ -225,6 +225,9 @@
 		reqrun_reject(j, REQRUN_SHED, SHED_RETRY_AFTER_US);
 	} else {
 		update_estimates(j);
+		if (x->crashes)
+			crashwatch_run_completed(x->crashes, j->request.message,
+						 j->request.body);
 		free(j);
 		ops->on_done(user);
 	}
@@ -250,6 +253,9 @@
 	} else {
 		x->finished++;
 		x->failed++;
+		if (x->crashes)
+			crashwatch_run_lost(x->crashes, j->request.message,
+					    j->request.body, j->ran_at);
 		free(j);
 		ops->on_failed(user, failure == HTTPCALL_TRUNCATED ?
 					     REQRUN_TRUNCATED :
@@ -270,6 +276,7 @@
 
 	j->started_us = evloop_now_us(x->loop);
 	j->state = REQRUN_RUNNING;
+	j->ran_at = crashes_hash_incarnation(upstr_incarnation(x->upstream));
 	DL_APPEND(x->running, j);
 	x->running_count++;
 	write_request_head(j, j->started_us, &head);
--- a/packages/router/src/request_runner_int.h
+++ b/packages/router/src/request_runner_int.h
@@ -30,6 +30,7 @@
 	enum reqrun_state state;
 	struct httpcall *exchange;
 	uint64_t started_us;
+	uint64_t ran_at; /* hash of the incarnation that it was sent to */
 	uint64_t arrival_us;
 	uint64_t bytes; /* received of the response body */
 	uint64_t expected_bytes; /* of a long response without a head yet */
@@ -43,6 +44,7 @@
 	const struct plat *platform;
 	struct upstr *upstream;
 	const struct pacer *link;
+	struct crashwatch *crashes; /* NULL if there is none */
 	struct httppool *pool;
 	struct rqueue *queue;
 	struct keysample *samples;
--- a/packages/router/src/route_stats.c
+++ b/packages/router/src/route_stats.c
@@ -24,6 +24,7 @@
 	[RSTATS_NO_OWNER] = "no upstream owns the key",
 	[RSTATS_NO_UPSTREAM] = "no upstream accepts requests",
 	[RSTATS_SHED] = "refused by the upstream",
+	[RSTATS_CRASHES] = "it crashes its upstreams",
 	[RSTATS_NOT_SENT] = "not sent in time",
 	[RSTATS_LOST] = "the response was lost",
 	[RSTATS_TRUNCATED] = "the response was cut off",
@@ -56,23 +57,25 @@
 	const uint32_t *n = r->counts;
 	const struct histogram *t = r->times;
 
-	log_emit(LOG_ROUTE_LOAD,
-		 "route=%s on_time=%u late=%u upstream_failure=%u busy=%u "
-		 "no_owner=%u no_upstream=%u shed=%u not_sent=%u lost=%u "
-		 "cut=%u no_response=%u gone=%u queue_ms=%u/%u run_ms=%u/%u "
-		 "transit_ms=%u/%u body_ms=%u/%u",
-		 r->name, n[RSTATS_ON_TIME], n[RSTATS_LATE],
-		 n[RSTATS_UPSTREAM_FAILURE], n[RSTATS_BUSY], n[RSTATS_NO_OWNER],
-		 n[RSTATS_NO_UPSTREAM], n[RSTATS_SHED], n[RSTATS_NOT_SENT],
-		 n[RSTATS_LOST], n[RSTATS_TRUNCATED], n[RSTATS_NO_RESPONSE],
-		 n[RSTATS_CALLER_CLOSED], quantile_ms(&t[RSTATS_QUEUE], MEDIAN),
-		 quantile_ms(&t[RSTATS_QUEUE], TAIL),
-		 quantile_ms(&t[RSTATS_RUN], MEDIAN),
-		 quantile_ms(&t[RSTATS_RUN], TAIL),
-		 quantile_ms(&t[RSTATS_TRANSIT], MEDIAN),
-		 quantile_ms(&t[RSTATS_TRANSIT], TAIL),
-		 quantile_ms(&t[RSTATS_BODY], MEDIAN),
-		 quantile_ms(&t[RSTATS_BODY], TAIL));
+	log_emit(
+		LOG_ROUTE_LOAD,
+		"route=%s on_time=%u late=%u upstream_failure=%u busy=%u "
+		"no_owner=%u no_upstream=%u shed=%u crashes=%u not_sent=%u "
+		"lost=%u cut=%u no_response=%u gone=%u queue_ms=%u/%u run_ms=%u/%u "
+		"transit_ms=%u/%u body_ms=%u/%u",
+		r->name, n[RSTATS_ON_TIME], n[RSTATS_LATE],
+		n[RSTATS_UPSTREAM_FAILURE], n[RSTATS_BUSY], n[RSTATS_NO_OWNER],
+		n[RSTATS_NO_UPSTREAM], n[RSTATS_SHED], n[RSTATS_CRASHES],
+		n[RSTATS_NOT_SENT], n[RSTATS_LOST], n[RSTATS_TRUNCATED],
+		n[RSTATS_NO_RESPONSE], n[RSTATS_CALLER_CLOSED],
+		quantile_ms(&t[RSTATS_QUEUE], MEDIAN),
+		quantile_ms(&t[RSTATS_QUEUE], TAIL),
+		quantile_ms(&t[RSTATS_RUN], MEDIAN),
+		quantile_ms(&t[RSTATS_RUN], TAIL),
+		quantile_ms(&t[RSTATS_TRANSIT], MEDIAN),
+		quantile_ms(&t[RSTATS_TRANSIT], TAIL),
+		quantile_ms(&t[RSTATS_BODY], MEDIAN),
+		quantile_ms(&t[RSTATS_BODY], TAIL));
 }
 
 /* Logs and resets the counts of all routes. */
--- a/packages/router/src/route_stats.h
+++ b/packages/router/src/route_stats.h
@@ -20,6 +20,7 @@
 	RSTATS_NO_OWNER, /* no upstream owns the key */
 	RSTATS_NO_UPSTREAM, /* no upstream accepts requests */
 	RSTATS_SHED, /* rejected by the upstream */
+	RSTATS_CRASHES, /* it has crashed each upstream that ran it */
 	RSTATS_NOT_SENT, /* the time limit passed before it was sent */
 	/* Failed; the request may have run. */
 	RSTATS_LOST, /* the connection ended without a response */
--- a/packages/router/src/routerd.c
+++ b/packages/router/src/routerd.c
@@ -128,7 +128,18 @@
 		reqrun_keys_changed(r->runner);
 }
 
-static const struct upstr_ops upstream_ops = { on_upstream, on_keys };
+/* Finds the requests that the upstream ran when it crashed. */
+static void on_crashed(void *arg, const struct incarnation *ended)
+{
+	struct routerd *r = arg;
+
+	crashwatch_upstream_ended(r->crashes, ended);
+}
+
+static const struct upstr_ops upstream_ops = { on_upstream, on_crashed,
+					       on_keys };
+
+static const struct crashwatch_ops crash_ops = { routerd_send_crashes };
 
 /* Reloads the settings that can change at run time; addresses cannot. */
 static void reload(struct routerd *r)
@@ -235,6 +246,7 @@
 	r->lease = nodelease_create(r->loop, tbl, &row, &lease_ops, r);
 	r->releases =
 		relqueue_create(r->loop, tbl, r->view, routerd_publish_rows, r);
+	r->crashes = crashwatch_create(r->loop, r->view, &crash_ops, r);
 	struct upstr_parts upstr = { r->loop,  &r->platform, &r->settings,
 				     r->lease, r->view,	     r->releases };
 	r->upstream = upstr_create(&upstr, &upstream_ops, r);
@@ -242,9 +254,11 @@
 		r->link = pacer_create(r->loop, r->settings.link_bytes_s);
 	r->runner = reqrun_create(r->loop, &r->platform, r->upstream, r->link,
 				  r->settings.upstream_address);
-	struct fwd_parts fwd = { r->loop,    &r->platform, &r->settings,
-				 &r->config, r->view,	   r->runner,
-				 r->upstream };
+	if (r->runner)
+		reqrun_set_crashwatch(r->runner, r->crashes);
+	struct fwd_parts fwd = { r->loop,     &r->platform, &r->settings,
+				 &r->config,  r->view,	    r->runner,
+				 r->upstream, r->crashes };
 	r->forwards = fwd_create(&fwd);
 	r->forwarded = peersrv_create(r->loop, &r->platform, r->runner);
 	struct planner_parts planner = { r->loop,    tbl,
@@ -255,9 +269,10 @@
 	r->config_watch =
 		tblwatch_create(r->loop, tbl, r->platform.ops->config_table,
 				CONFIG_WATCH_DELAY_US, &config_ops, r);
-	if (!r->view || !r->lease || !r->releases || !r->upstream ||
-	    !r->runner || !r->forwards || !r->forwarded || !r->leader ||
-	    !r->config_watch || (r->settings.link_bytes_s > 0 && !r->link))
+	if (!r->view || !r->lease || !r->releases || !r->crashes ||
+	    !r->upstream || !r->runner || !r->forwards || !r->forwarded ||
+	    !r->leader || !r->config_watch ||
+	    (r->settings.link_bytes_s > 0 && !r->link))
 		return err_set(err, ERR_DAEMON, IO_NO_MEMORY, "out of memory");
 	return true;
 }
@@ -319,6 +334,7 @@
 	fwd_destroy(r->forwards);
 	reqrun_destroy(r->runner);
 	upstr_destroy(r->upstream);
+	crashwatch_destroy(r->crashes);
 	relqueue_destroy(r->releases);
 	nodelease_destroy(r->lease);
 	planview_destroy(r->view);
--- a/packages/router/src/routerd_int.h
+++ b/packages/router/src/routerd_int.h
@@ -46,6 +46,7 @@
 	struct planview *view;
 	struct nodelease *lease;
 	struct relqueue *releases;
+	struct crashwatch *crashes;
 	struct upstr *upstream;
 	struct reqrun *runner;
 	struct fwd *forwards;
@@ -121,6 +122,14 @@
 /* Must be called after a change of owners, members or the leader. */
 void routerd_plan_changed(void *arg);
 
+/*
+ * Sends changes of the list of requests that crash upstreams to the leader, and
+ * applies those of another daemon; false if they cannot be parsed.
+ */
+void routerd_send_crashes(void *arg, const struct crashwatch_change *changes,
+			  size_t count);
+bool routerd_apply_crashes_message(struct routerd *r, const struct buf *body);
+
 /* Requests that the leader reads the rows of the daemons now. */
 void routerd_wake_leader(struct routerd *r);
 
--- a/packages/router/src/routerd_leader.c
+++ b/packages/router/src/routerd_leader.c
@@ -1,6 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <jansson.h>
+
 #include "log.h"
 #include "peer_message.h"
 #include "routerd_int.h"
@@ -12,6 +14,7 @@
 
 #define REPORT_TARGET "/-/report"
 #define WAKE_TARGET "/-/wake"
+#define CRASHES_TARGET "/-/crashes"
 #define STATUS_OK 200
 #define STATUS_NOT_FOUND 404
 #define STATUS_NOT_LEADER 409
@@ -155,6 +158,56 @@
 		send_to_leader(r, WAKE_TARGET, "", &r->leader_sender);
 }
 
+/* Sends changes to the leader; the watch sends them again if they are lost. */
+void routerd_send_crashes(void *arg, const struct crashwatch_change *changes,
+			  size_t count)
+{
+	struct routerd *r = arg;
+	json_t *list;
+	char *text;
+
+	if (planner_is_leader(r->leader)) {
+		for (size_t i = 0; i < count; i++)
+			planner_add_crash(r->leader, changes[i].fingerprint,
+					  changes[i].ended);
+		return;
+	}
+	if (planview_leader(r->view)->version == 0)
+		return;
+	list = json_array();
+	for (size_t i = 0; i < count; i++)
+		json_array_append_new(
+			list,
+			json_pack("[I,I]", (json_int_t)changes[i].fingerprint,
+				  (json_int_t)changes[i].ended));
+	text = json_dumps(list, JSON_COMPACT);
+	json_decref(list);
+	send_to_leader(r, CRASHES_TARGET, text, &r->leader_sender);
+	free(text);
+}
+
+/* Adds the changes of a message to the plan; false if it is no list. */
+bool routerd_apply_crashes_message(struct routerd *r, const struct buf *body)
+{
+	json_t *list = buf_len(body) ? json_loadb(buf_data(body), buf_len(body),
+						  0, NULL) :
+				       NULL;
+	bool ok = json_is_array(list);
+	json_t *item;
+	size_t i;
+
+	json_array_foreach(list, i, item) {
+		json_int_t fingerprint, ended;
+
+		if (json_unpack(item, "[I,I!]", &fingerprint, &ended) == 0 &&
+		    fingerprint >= 0 && ended >= 0)
+			planner_add_crash(r->leader, (uint64_t)fingerprint,
+					  (uint64_t)ended);
+	}
+	json_decref(list);
+	return ok;
+}
+
 /* Handles rows of the plan, a configuration, a report or a wake-up. */
 void routerd_handle_peer_message(struct routerd *r, struct httpconn *c,
 				 const struct httpmsg *m,
@@ -183,6 +236,9 @@
 	} else if (span_is(httpmsg_target(m), WAKE_TARGET)) {
 		planner_request_read(r->leader);
 		status = STATUS_OK;
+	} else if (span_is(httpmsg_target(m), CRASHES_TARGET)) {
+		if (routerd_apply_crashes_message(r, body))
+			status = STATUS_OK;
 	}
 	buf_add(&fields, "", 1);
 	httpconn_reply(c, status, buf_data(&fields), "", 0);
--- a/packages/router/src/upstr.c
+++ b/packages/router/src/upstr.c
@@ -222,6 +222,8 @@
 	log_emit(LOG_UPSTREAM_ENDED, "id=%s born=%lld reason=\"%s\"",
 		 a->incarnation.id, (long long)a->incarnation.start_unix_ms,
 		 reason);
+	if (proved && !a->left && !a->draining)
+		a->ops->on_crashed(a->arg, &a->incarnation);
 	if (proved) {
 		a->ended_born_ms = a->incarnation.start_unix_ms;
 		txt_copy(a->ended_id, sizeof(a->ended_id), a->incarnation.id);
--- a/packages/router/src/upstr.h
+++ b/packages/router/src/upstr.h
@@ -30,6 +30,8 @@
 struct upstr_ops {
 	/* The incarnation or its state has changed. */
 	void (*on_upstream)(void *arg);
+	/* An incarnation has ended without having said that it leaves. */
+	void (*on_crashed)(void *arg, const struct incarnation *ended);
 	/* The keys whose requests the upstream may get have changed. */
 	void (*on_keys)(void *arg);
 };
--- a/packages/router/tests/test_upstr.c
+++ b/packages/router/tests/test_upstr.c
@@ -73,7 +73,13 @@
 		reqrun_keys_changed(f->runner);
 }
 
-static const struct upstr_ops upstream_ops = { on_event, on_event };
+static void on_crashed(void *arg, const struct incarnation *ended)
+{
+	(void)arg;
+	(void)ended;
+}
+
+static const struct upstr_ops upstream_ops = { on_event, on_crashed, on_event };
 
 static void on_found(void *arg, const struct noderow *row)
 {
