Versions are compared by era; the plan outlives a loss of writes

Callers saw keys given to two upstreams, and fences that went back, after the store had come back from an older copy.

Cause: the next fence, the owners and the leases stand only in rows, and each place that compares versions took them for rising. The leader took leases of living daemons away by their old rows, based plans for seconds on versions that the store did not have, and later read the older map as the newest one.

The adapter makes Store-Era a part of each version, so that those of a later era are greater; a call that names a version of an earlier era is not sent. Maps and rows of daemons name the era they were written in. A daemon keeps granting by the map it has had, not by an older copy, and sends it to the leader, which writes the newest one again after 4.5 s, when grants that nobody knows any more have ended. Fences of an era are above all of the eras before it. A daemon that knows a map only from an older copy grants nothing by it. A row of an earlier era counts as renewed until a lease later; a daemon whose lease had ended before the loss reads the plan anew.

--- a/packages/keys/src/keymap.c
+++ b/packages/keys/src/keymap.c
@@ -6,6 +6,12 @@
 #include "keymap_int.h"
 #include "txt.h"
 
+/*
+ * Each era has 2^32 fences, far more than moves of keys. Fences of up to 2^21
+ * eras fit in 53 bits, which all users of JSON keep.
+ */
+#define ERA_FENCES_BITS 32
+
 /* Creates a map of one range without an owner; NULL if memory is exhausted. */
 struct keymap *keymap_create(void)
 {
@@ -14,6 +20,7 @@
 	if (!map)
 		return NULL;
 	map->next_fence = 1;
+	map->era = KEYMAP_NO_ERA;
 	map->count = 1;
 	map->ranges[0].last = KEYMAP_KEYS - 1;
 	map->ranges[0].owner = KEYMAP_NO_INCARNATION;
@@ -296,6 +303,26 @@
 	map->count = kept + 1;
 }
 
+/* Returns the era in which the map was written. */
+uint64_t keymap_era(const struct keymap *map)
+{
+	return map->era;
+}
+
+/* Sets the era, and fences that no earlier era has given out. */
+void keymap_set_era(struct keymap *map, uint64_t era, bool renew)
+{
+	bool later = map->era == KEYMAP_NO_ERA || map->era < era;
+
+	map->era = era;
+	if (!later)
+		return;
+	if (map->next_fence < era << ERA_FENCES_BITS)
+		map->next_fence = era << ERA_FENCES_BITS;
+	for (size_t i = 0; renew && i < map->count; i++)
+		map->ranges[i].fence = map->next_fence++;
+}
+
 /* Returns the fence of the next move; all fences in use are lower. */
 uint64_t keymap_next_fence(const struct keymap *map)
 {
--- a/packages/keys/src/keymap.h
+++ b/packages/keys/src/keymap.h
@@ -96,6 +96,20 @@
 uint32_t keymap_assign(struct keymap *map, uint32_t first, uint32_t last,
 		       const struct incarnation *incarnation);
 
+/*
+ * The era of the table in which the map was written; see tbl.h. Maps of earlier
+ * versions of the daemon have none.
+ */
+#define KEYMAP_NO_ERA UINT64_MAX
+uint64_t keymap_era(const struct keymap *map);
+
+/*
+ * Sets the era. If the map is of an earlier one, this raises the next fence
+ * above all that can have been given out in earlier eras, as the table may have
+ * lost some; renew gives all ranges such a fence.
+ */
+void keymap_set_era(struct keymap *map, uint64_t era, bool renew);
+
 #define KEYMAP_ANY_FENCE UINT64_MAX
 
 /*
--- a/packages/keys/src/keymap_int.h
+++ b/packages/keys/src/keymap_int.h
@@ -7,6 +7,7 @@
 
 struct keymap {
 	uint64_t next_fence;
+	uint64_t era; /* KEYMAP_NO_ERA if not known */
 	size_t count;
 	uint16_t incarnation_count;
 	struct keymap_range ranges[KEYMAP_RANGES_MAX];
--- a/packages/keys/src/keymap_json.c
+++ b/packages/keys/src/keymap_json.c
@@ -7,7 +7,7 @@
 #include "txt.h"
 
 /*
- * {"next":FENCE,"lives":[["ID","NODE",BORN,ATTACHED],...],
+ * {"next":FENCE,"era":ERA,"lives":[["ID","NODE",BORN,ATTACHED],...],
  *  "ranges":[[FIRST,LAST,FENCE,OWNER,FORMER,"HANDOVER"],...]}
  * BORN is the start time of an incarnation in ms, ATTACHED its random id. OWNER
  * and FORMER are indices in lives, the array of incarnations; -1 for none.
@@ -76,6 +76,9 @@
 	}
 	root = json_pack("{s:I,s:o,s:o}", "next", (json_int_t)map->next_fence,
 			 "lives", incarnations, "ranges", ranges);
+	if (map->era != KEYMAP_NO_ERA)
+		json_object_set_new(root, "era",
+				    json_integer((json_int_t)map->era));
 	text = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 	return text;
@@ -134,11 +137,12 @@
 {
 	json_t *incarnations, *ranges, *item;
 	json_int_t next;
+	json_int_t era = -1;
 	uint32_t first = 0;
 	size_t i;
 
-	if (json_unpack(root, "{s:I,s:o,s:o}", "next", &next, "lives",
-			&incarnations, "ranges", &ranges) < 0 ||
+	if (json_unpack(root, "{s:I,s:o,s:o,s?I}", "next", &next, "lives",
+			&incarnations, "ranges", &ranges, "era", &era) < 0 ||
 	    next < 1 ||
 	    json_array_size(incarnations) > KEYMAP_INCARNATIONS_MAX ||
 	    json_array_size(ranges) > KEYMAP_RANGES_MAX)
@@ -146,6 +150,7 @@
 			err, ERR_ROWS, KEYMAP_BAD_VALUE,
 			"key range map: a field is missing or out of range");
 	map->next_fence = (uint64_t)next;
+	map->era = era < 0 ? KEYMAP_NO_ERA : (uint64_t)era;
 	map->count = 0;
 	json_array_foreach(incarnations, i, item) {
 		if (!read_incarnation(
--- a/packages/keys/tests/test_keymap.c
+++ b/packages/keys/tests/test_keymap.c
@@ -230,6 +230,34 @@
 	}
 }
 
+/*
+ * Guards against fences that are given out twice when the table has lost the
+ * map in which the counter had been raised.
+ */
+static void test_later_era_raises_fences(void **state)
+{
+	struct keymap *map = keymap_create();
+	struct err err = { 0 };
+	char *text;
+
+	(void)state;
+	keymap_set_era(map, 1, false);
+	assert_int_equal(keymap_next_fence(map), UINT64_C(1) << 32);
+	keymap_assign(map, 0, 9, NULL);
+	keymap_set_era(map, 1, true);
+	assert_int_equal(keymap_next_fence(map), UINT64_C(1) << 32);
+	keymap_set_era(map, 3, true);
+	assert_int_equal(keymap_range_at(map, 0)->fence, UINT64_C(3) << 32);
+	assert_int_equal(keymap_next_fence(map),
+			 (UINT64_C(3) << 32) + keymap_range_count(map));
+	text = keymap_encode(map);
+	keymap_destroy(map);
+	map = keymap_parse(text, strlen(text), &err);
+	assert_int_equal(keymap_era(map), 3);
+	free(text);
+	keymap_destroy(map);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -243,6 +271,7 @@
 		cmocka_unit_test(test_merge_keeps_former),
 		cmocka_unit_test(test_merge_of_settled_ranges),
 		cmocka_unit_test(test_json_round_trip),
+		cmocka_unit_test(test_later_era_raises_fences),
 		cmocka_unit_test(test_invalid_maps_are_rejected),
 	};
 
--- a/packages/router/src/crashes.c
+++ b/packages/router/src/crashes.c
@@ -94,6 +94,17 @@
 	e->last_ms = now_ms;
 }
 
+/* Adds all ends of another list. */
+void crashes_merge(struct crashes *c, const struct crashes *from)
+{
+	for (size_t i = 0; i < from->count; i++) {
+		const struct crashes_entry *e = &from->entries[i];
+
+		for (uint32_t n = 0; n < e->count; n++)
+			crashes_add(c, e->fingerprint, e->ended[n], e->last_ms);
+	}
+}
+
 /* Removes the entry of a request; false if there is none. */
 bool crashes_remove(struct crashes *c, uint64_t fingerprint)
 {
--- a/packages/router/src/crashes.h
+++ b/packages/router/src/crashes.h
@@ -46,6 +46,7 @@
 
 void crashes_add(struct crashes *c, uint64_t fingerprint, uint64_t ended,
 		 uint64_t now_ms);
+void crashes_merge(struct crashes *c, const struct crashes *from);
 bool crashes_remove(struct crashes *c, uint64_t fingerprint);
 void crashes_expire(struct crashes *c, uint64_t now_ms);
 const struct crashes_entry *crashes_find(const struct crashes *c,
--- a/packages/router/src/nodelease.c
+++ b/packages/router/src/nodelease.c
@@ -19,6 +19,7 @@
 	struct keylease_clock clock;
 	uint64_t version; /* of the row */
 	uint64_t lease_end_us;
+	uint64_t era; /* of the table service at the last renewal */
 	uint64_t changes; /* number of changes made to the row */
 	uint64_t written; /* changes contained in the stored row */
 	uint64_t writing; /* changes contained in the call in progress */
@@ -76,29 +77,46 @@
 	r->ops->on_lapsed(r->arg, reason);
 }
 
+/*
+ * Decides from the own row whether the lease was lost. A row from an older copy
+ * of the table shows nothing, but only a lease that has ended can have been
+ * taken away before the writes were lost.
+ */
+static void check_own_row(struct nodelease *r, const struct noderow *row,
+			  uint64_t era)
+{
+	bool restored = r->lease_end_us > 0 && era > r->era;
+
+	if (row && row->expired && (!restored || row->era >= era))
+		lose_lease(r, "the leader marked the lease as expired");
+	else if (restored && evloop_now_us(r->loop) >= r->lease_end_us)
+		lose_lease(r, "the lease ended before writes were lost");
+	else if (!row && r->found_reported && !restored)
+		lose_lease(r, "the row of this daemon was removed");
+}
+
 /* Processes the row of this daemon from an answer of the table service. */
 static void process_own_row(struct nodelease *r,
 			    const struct tbl_result *result)
 {
+	uint64_t era = tbl_era(result->version);
 	struct noderow row = { 0 };
 	bool found = false;
 
 	r->version = 0;
+	r->row.era = era;
 	for (size_t i = 0; i < result->count; i++) {
 		const struct tbl_row *t = &result->rows[i];
 
 		if (t->removed || strcmp(t->key, r->row.node) != 0)
 			continue;
 		r->version = t->version;
-		found = noderow_parse(t->value, t->len, &row);
+		found = noderow_parse(t->value, t->len, t->version, &row);
 		if (!found)
 			log_emit(LOG_ROW_INVALID, "key=%s", t->key);
 	}
 	r->row_known = true;
-	if (found && row.expired)
-		lose_lease(r, "the leader marked the lease as expired");
-	else if (!found && r->found_reported)
-		lose_lease(r, "the row of this daemon was removed");
+	check_own_row(r, found ? &row : NULL, era);
 	if (!r->found_reported) {
 		r->found_reported = true;
 		r->ops->on_found(r->arg, found ? &row : NULL);
@@ -124,6 +142,23 @@
 	make_call(r, evloop_now_us(r->loop));
 }
 
+/*
+ * Handles a write that has succeeded in another era than that of the read
+ * before it: the row has to name this era.
+ */
+static void check_new_era(struct nodelease *r, const struct tbl_result *result)
+{
+	uint64_t era = tbl_era(result->version);
+
+	if (r->lease_end_us > 0 && era > r->era)
+		check_own_row(r, &r->row, era);
+	r->era = era;
+	if (era == r->row.era)
+		return;
+	r->row.era = era;
+	r->changes++;
+}
+
 /* Handles the result of a write of the row, which may be unknown. */
 static void on_written(void *arg, const struct tbl_result *result)
 {
@@ -149,6 +184,7 @@
 		return;
 	}
 	update_clock(r, result);
+	check_new_era(r, result);
 	r->version = result->version;
 	r->lease_end_us = result->sent_us + KEYLEASE_TERM_MS * US_PER_MS;
 	r->fenced = false;
@@ -250,6 +286,12 @@
 	return r->fenced ? 0 : r->lease_end_us;
 }
 
+/* Returns the era of the table service at the last renewal. */
+uint64_t nodelease_era(const struct nodelease *r)
+{
+	return r->era;
+}
+
 /* True once the stored row contains all changes. */
 bool nodelease_is_written(const struct nodelease *r)
 {
--- a/packages/router/src/nodelease.h
+++ b/packages/router/src/nodelease.h
@@ -48,6 +48,9 @@
 /* True while the calls of the table service succeed. */
 bool nodelease_table_reachable(const struct nodelease *r);
 
+/* Era of the table service at the last renewal, 0 before it. */
+uint64_t nodelease_era(const struct nodelease *r);
+
 /* True once the row contains the last nodelease_set_upstream(). */
 bool nodelease_is_written(const struct nodelease *r);
 
--- a/packages/router/src/noderow.h
+++ b/packages/router/src/noderow.h
@@ -19,6 +19,7 @@
 	char peer_address[RSETTINGS_ADDRESS_MAX];
 	uint64_t process; /* random number of the process */
 	uint64_t lease_until_ms; /* by the clock of the table service */
+	uint64_t era; /* of the table service, when the row was written */
 	bool expired; /* set by the leader: the lease has expired */
 	struct incarnation incarnation; /* of the upstream; id "" for none */
 	char service[RCONFIG_NAME_MAX];
@@ -30,7 +31,11 @@
 /* Returns the row as JSON, which the caller frees. */
 char *noderow_format(const struct noderow *n);
 
-/* Parses a row; false if it is invalid. */
-bool noderow_parse(const char *json, size_t len, struct noderow *n);
+/*
+ * Parses a row with this version; false if it is invalid. Rows of earlier
+ * versions of the daemon have no era and count as written in that of the row.
+ */
+bool noderow_parse(const char *json, size_t len, uint64_t version,
+		   struct noderow *n);
 
 #endif
--- a/packages/router/src/planner.c
+++ b/packages/router/src/planner.c
@@ -23,6 +23,12 @@
 #define RETRY_US (250 * US_PER_MS)
 /* A leader without a read for this long is to be replaced. */
 #define STUCK_AFTER_US (1500 * US_PER_MS)
+/*
+ * Time from the first read of a new era until the plan of an earlier one is
+ * written again. Within it all daemons have noticed the era and sent the maps
+ * by which they grant, and grants that are not known any more have ended.
+ */
+#define RESTORE_US (4500 * US_PER_MS)
 /* Changes in one write, and how many of them may mark expired leases. */
 #define CHANGES_MAX 90
 #define EXPIRIES_MAX 20
@@ -56,6 +62,10 @@
 	struct crash_change crashes[CRASHES_PENDING_MAX]; /* not yet planned */
 	size_t crash_count;
 	uint64_t table_now_ms; /* clock of the table service at the last read */
+	uint64_t era; /* of the table service */
+	uint64_t era_us; /* first read in this era as the leader, 0 if none */
+	uint64_t era_ms; /* the same by the clock of the table service */
+	uint64_t restored_era; /* the maps were written again in this era */
 	char *texts[CHANGES_MAX]; /* values of the write in progress */
 	char keys[CHANGES_MAX][PLANVIEW_KEY_MAX];
 	struct tbl_change changes[CHANGES_MAX];
@@ -137,7 +147,7 @@
 /* Refreshes the known plan after a failed write. */
 static void refresh_view(struct planner *l, const struct tbl_result *r)
 {
-	if (r->status == TBL_CONFLICT)
+	if (r->status == TBL_CONFLICT && r->count > 0)
 		planview_apply_conflict(l->parts.view, r);
 	else
 		planview_request_read(l->parts.view);
@@ -226,6 +236,25 @@
 	return s->settled;
 }
 
+/*
+ * True if a map has to wait: the table service has lost rows, and the daemons
+ * may not have sent the newest map yet.
+ */
+static bool must_wait(struct planner *l, const char *service, uint64_t version,
+		      uint64_t now_us)
+{
+	if (version == 0 || tbl_era(version) >= l->era ||
+	    l->restored_era >= l->era)
+		return false;
+	if (clk_elapsed(now_us, l->era_us) < RESTORE_US)
+		return true;
+	l->restored_era = l->era;
+	log_emit(LOG_PLAN_RESTORED, "service=%s version=%llu era=%llu", service,
+		 (unsigned long long)tbl_number(version),
+		 (unsigned long long)l->era);
+	return false;
+}
+
 /* Adds the map of a service to the write if it has changed. */
 static void plan_service(struct planner *l, const struct planner_input *in,
 			 const char *service)
@@ -241,12 +270,15 @@
 
 	if (!s ||
 	    (!known && !is_first_plan_due(s, planner_count_targets(in, service),
-					  in->now_us)))
+					  in->now_us)) ||
+	    must_wait(l, service, version, in->now_us))
 		return;
 	map = known ? keymap_copy(known) : keymap_create();
 	if (!map)
 		return;
 	before = known ? keymap_encode(known) : NULL;
+	keymap_set_era(map, l->era,
+		       planview_map_is_unconfirmed(l->parts.view, service));
 	result = planner_plan_keys(in, service, map,
 				   update_settled(s, map, in->now_us));
 	text = keymap_encode(map);
@@ -258,7 +290,9 @@
 			 result.keys_assigned, result.keys_moved,
 			 keymap_range_count(map), in->report_count);
 		planview_map_key(service, key);
-		add_change(l, PLANVIEW_TABLE, key, version, text);
+		add_change(l, PLANVIEW_TABLE, key,
+			   planview_map_row_version(l->parts.view, service),
+			   text);
 		text = NULL;
 	}
 	free(text);
@@ -287,6 +321,7 @@
 			 n->row.node,
 			 (unsigned long long)n->row.lease_until_ms);
 		n->row.expired = true;
+		n->row.era = l->era;
 		add_change(l, NODEROW_TABLE, n->row.node, n->version,
 			   noderow_format(&n->row));
 	}
@@ -299,11 +334,10 @@
 static void plan_crashes(struct planner *l)
 {
 	struct crashes list = *planview_crashes(l->parts.view);
-	char *before, *text;
+	char *text;
 
 	if (list.count == 0 && l->crash_count == 0)
 		return;
-	before = crashes_format(&list);
 	crashes_expire(&list, l->table_now_ms);
 	for (size_t i = 0; i < l->crash_count; i++) {
 		const struct crash_change *c = &l->crashes[i];
@@ -316,22 +350,25 @@
 	}
 	l->crash_count = 0;
 	text = crashes_format(&list);
-	if (strcmp(before, text) != 0) {
+	if (strcmp(planview_crashes_text(l->parts.view), text) != 0) {
 		log_emit(LOG_CRASHES_PLANNED, "requests=%zu", list.count);
 		add_change(l, PLANVIEW_TABLE, PLANVIEW_CRASHES,
 			   planview_crashes_version(l->parts.view), text);
 		text = NULL;
 	}
 	free(text);
-	free(before);
 }
 
 /* Computes the plan from the rows of all daemons and writes its changes. */
 static void plan(struct planner *l)
 {
-	struct planner_input in = { l->nodes, l->node_count, l->reports,
+	struct planner_input in = { l->nodes,
+				    l->node_count,
+				    l->reports,
 				    l->report_count,
-				    evloop_now_us(l->parts.loop) };
+				    evloop_now_us(l->parts.loop),
+				    l->table_now_ms,
+				    l->era_ms };
 	const struct rconfig *config = l->parts.config;
 
 	add_change(l, PLANVIEW_TABLE, PLANVIEW_LEADER,
@@ -353,6 +390,25 @@
 				on_written, l);
 }
 
+/*
+ * Records the era of a read. Returns false while the plan has not been read in
+ * it, as its rows have other versions.
+ */
+static bool check_era(struct planner *l, const struct tbl_result *r)
+{
+	uint64_t era = tbl_era(r->version);
+
+	if (l->era_us == 0 || era > l->era) {
+		l->era = era;
+		l->era_us = l->read_us;
+		l->era_ms = r->now_ms;
+	}
+	if (tbl_era(planview_leader(l->parts.view)->version) >= era)
+		return true;
+	planview_request_read(l->parts.view);
+	return false;
+}
+
 /* Handles the result of a read of all daemons' rows. */
 static void on_nodes(void *arg, const struct tbl_result *r)
 {
@@ -367,7 +423,12 @@
 	}
 	l->read_us = evloop_now_us(l->parts.loop);
 	l->table_now_ms = r->now_ms;
-	l->node_count = planner_parse_nodes(r, l->nodes, PLANNER_NODES_MAX);
+	if (!check_era(l, r)) {
+		schedule_tick(l, RETRY_US);
+		return;
+	}
+	l->node_count =
+		planner_parse_nodes(r, l->era_ms, l->nodes, PLANNER_NODES_MAX);
 	plan(l);
 }
 
@@ -384,8 +445,10 @@
 		schedule_tick(l, TICK_US);
 		return;
 	}
-	if (l->leader_since_us == 0)
+	if (l->leader_since_us == 0) {
 		l->leader_since_us = now_us;
+		l->era_us = 0;
+	}
 	if (!l->read_requested && clk_elapsed(now_us, l->read_us) < READ_US) {
 		plan(l);
 		return;
--- a/packages/router/src/planner_compute.c
+++ b/packages/router/src/planner_compute.c
@@ -3,6 +3,7 @@
 
 #include <jansson.h>
 
+#include "keylease.h"
 #include "planner_int.h"
 #include "log.h"
 #include "keysample.h"
@@ -18,9 +19,25 @@
 #define SLOW_START_SPEED_MAX 0.6
 #define LOADS_MAX 8192
 
+/*
+ * Sets whether the lease of a node may be valid. A row of an earlier era may
+ * have been renewed since, at the latest when the present era was first seen.
+ */
+static void set_alive(struct planner_node *x, uint64_t now_ms, uint64_t era_ms)
+{
+	uint64_t until_ms = x->row.lease_until_ms;
+
+	x->earlier = x->row.era < tbl_era(x->version);
+	if (x->earlier && until_ms < era_ms + KEYLEASE_TERM_MS)
+		until_ms = era_ms + KEYLEASE_TERM_MS;
+	x->alive = now_ms <= until_ms + EXPIRY_MARGIN_MS &&
+		   (x->earlier || !x->row.expired);
+	x->expires = !x->alive && !x->row.expired;
+}
+
 /* Parses the rows of the nodes; an invalid one is logged and left out. */
-size_t planner_parse_nodes(const struct tbl_result *r, struct planner_node *out,
-			   size_t max)
+size_t planner_parse_nodes(const struct tbl_result *r, uint64_t era_ms,
+			   struct planner_node *out, size_t max)
 {
 	size_t n = 0;
 
@@ -28,16 +45,14 @@
 		const struct tbl_row *t = &r->rows[i];
 		struct planner_node *x = &out[n];
 
-		if (t->removed || !noderow_parse(t->value, t->len, &x->row)) {
+		if (t->removed ||
+		    !noderow_parse(t->value, t->len, t->version, &x->row)) {
 			log_emit(LOG_ROW_INVALID, "key=%s version=%llu", t->key,
 				 (unsigned long long)t->version);
 			continue;
 		}
 		x->version = t->version;
-		x->alive =
-			!x->row.expired &&
-			r->now_ms <= x->row.lease_until_ms + EXPIRY_MARGIN_MS;
-		x->expires = !x->alive && !x->row.expired;
+		set_alive(x, r->now_ms, era_ms);
 		n++;
 	}
 	return n;
@@ -95,13 +110,30 @@
 	return NULL;
 }
 
+/*
+ * True if the table may have lost the row of an incarnation. A node that has
+ * written its row in the present era has no other incarnation than that.
+ */
+static bool may_be_lost(const struct planner_input *in,
+			const struct incarnation *l)
+{
+	for (size_t i = 0; i < in->node_count; i++) {
+		const struct planner_node *n = &in->nodes[i];
+
+		if (strcmp(n->row.node, l->node) == 0 && !n->earlier)
+			return false;
+	}
+	return in->table_now_ms <=
+	       in->era_ms + KEYLEASE_TERM_MS + EXPIRY_MARGIN_MS;
+}
+
 /* Removes the incarnations that no longer hold keys from the map. */
 static void remove_ended(const struct planner_input *in, struct keymap *map)
 {
 	for (uint16_t i = 0; i < keymap_incarnation_count(map); i++) {
 		const struct incarnation *l = keymap_incarnation(map, i);
 
-		if (find_alive(in, l))
+		if (find_alive(in, l) || may_be_lost(in, l))
 			continue;
 		if (keymap_end_incarnation(map, l))
 			log_emit(LOG_LIFE_TAKEN_OUT, "id=%s node=%s", l->id,
@@ -146,7 +178,7 @@
 /* True if the local upstream of a node may own keys of the service. */
 static bool is_target(const struct planner_node *n, const char *service)
 {
-	return n->alive && n->row.takes_work &&
+	return n->alive && !n->earlier && n->row.takes_work &&
 	       n->row.incarnation.id[0] != '\0' && n->row.slots > 0 &&
 	       strcmp(n->row.service, service) == 0;
 }
--- a/packages/router/src/planner_int.h
+++ b/packages/router/src/planner_int.h
@@ -13,6 +13,8 @@
 	uint64_t version;
 	bool alive; /* its lease is valid */
 	bool expires; /* its lease has ended, but is not marked as expired yet */
+	/* Its row is of an earlier era, so it may hold more than that shows. */
+	bool earlier;
 };
 
 struct planner_report {
@@ -26,11 +28,13 @@
 	const struct planner_report *reports;
 	size_t report_count;
 	uint64_t now_us;
+	uint64_t table_now_ms; /* clock of the table service */
+	uint64_t era_ms; /* the same when its era was first seen */
 };
 
 /* Parses the rows of the nodes' table, sorted by key. Returns their number. */
-size_t planner_parse_nodes(const struct tbl_result *r, struct planner_node *out,
-			   size_t max);
+size_t planner_parse_nodes(const struct tbl_result *r, uint64_t era_ms,
+			   struct planner_node *out, size_t max);
 
 /* Returns the members in the JSON form of the plan; the caller frees it. */
 char *planner_format_members(const struct planner_input *in);
--- a/packages/router/src/planview.c
+++ b/packages/router/src/planview.c
@@ -18,7 +18,9 @@
 struct service_map {
 	char service[RCONFIG_NAME_MAX];
 	struct keymap *map;
-	uint64_t version;
+	uint64_t version; /* era and number of the write of the map */
+	uint64_t row_version; /* of the row in the table */
+	bool unconfirmed; /* only known from an older copy */
 };
 
 struct planview {
@@ -30,6 +32,7 @@
 	struct service_map maps[PLANVIEW_SERVICES_MAX];
 	size_t map_count;
 	struct crashes crashes;
+	char *crashes_text;
 	uint64_t crashes_version;
 	planview_changed_fn fn;
 	void *arg;
@@ -61,15 +64,20 @@
 	return &v->maps[v->map_count++];
 }
 
-/* Applies a row with a map; an invalid one is logged and ignored. */
+/*
+ * Applies a row with a map; an invalid one is logged and ignored. A row of an
+ * older copy has the map of an earlier era. It does not replace a newer one,
+ * by which keys have been granted.
+ */
 static void apply_map(struct planview *v, const char *key, const char *value,
 		      size_t len, uint64_t version)
 {
 	struct service_map *m = find_map(v, key + strlen(PLANVIEW_KEYS_PREFIX));
 	struct err err = { 0 };
 	struct keymap *map;
+	uint64_t written = version;
 
-	if (!m || version <= m->version)
+	if (!m || (version <= m->version && version <= m->row_version))
 		return;
 	map = keymap_parse(value, len, &err);
 	if (!map) {
@@ -77,9 +85,19 @@
 			 key, (unsigned long long)version, err.text);
 		return;
 	}
+	if (keymap_era(map) != KEYMAP_NO_ERA)
+		written = tbl_version(keymap_era(map), tbl_number(version));
+	if (version > m->row_version)
+		m->row_version = version;
+	if (written <= m->version) {
+		keymap_destroy(map);
+		return;
+	}
+	m->unconfirmed = tbl_era(written) < tbl_era(m->row_version) &&
+			 (!m->map || m->unconfirmed);
 	keymap_destroy(m->map);
 	m->map = map;
-	m->version = version;
+	m->version = written;
 	v->changed = true;
 }
 
@@ -106,16 +124,26 @@
 	json_decref(root);
 }
 
-/* Applies the row of the requests that crash upstreams. */
+/*
+ * Applies the row of the requests that crash upstreams. One of a later era may
+ * lack known ones, which are kept.
+ */
 static void apply_crashes(struct planview *v, const char *value, size_t len,
 			  uint64_t version)
 {
+	struct crashes list;
+
 	if (version <= v->crashes_version)
 		return;
-	if (!crashes_parse(value, len, &v->crashes))
+	if (!crashes_parse(value, len, &list))
 		log_emit(LOG_ROW_INVALID, "key=%s version=%llu",
 			 PLANVIEW_CRASHES, (unsigned long long)version);
+	if (tbl_era(version) > tbl_era(v->crashes_version))
+		crashes_merge(&list, &v->crashes);
+	v->crashes = list;
 	v->crashes_version = version;
+	free(v->crashes_text);
+	v->crashes_text = strndup(value, len);
 }
 
 /* Applies one row of the plan; rows with an unknown key are ignored. */
@@ -153,13 +181,35 @@
 		planview_apply_row(v, r->key, r->value, r->len, r->version);
 }
 
+/*
+ * After a snapshot, a known row of an earlier era does not exist any more. What
+ * it held stays known; its next write requires that there is no such row.
+ */
+static void forget_lost_rows(struct planview *v)
+{
+	uint64_t era = tbl_era(tblwatch_version(v->watch));
+
+	if (tbl_era(v->leader.version) < era)
+		memset(&v->leader, 0, sizeof(v->leader));
+	if (tbl_era(v->members_version) < era)
+		v->members_version = 0;
+	if (tbl_era(v->crashes_version) < era)
+		v->crashes_version = 0;
+	for (size_t i = 0; i < v->map_count; i++) {
+		if (tbl_era(v->maps[i].row_version) < era)
+			v->maps[i].row_version = 0;
+	}
+}
+
 /* Reports all changes of an answer in one call. */
 static void on_synced(void *arg, bool whole)
 {
 	struct planview *v = arg;
 
-	if (whole)
+	if (whole) {
 		v->ready = true;
+		forget_lost_rows(v);
+	}
 	if (!v->changed && !whole)
 		return;
 	v->changed = false;
@@ -210,6 +260,7 @@
 	tblwatch_destroy(v->watch);
 	membs_destroy(v->members);
 	free(v->members_text);
+	free(v->crashes_text);
 	for (size_t i = 0; i < v->map_count; i++)
 		keymap_destroy(v->maps[i].map);
 	free(v);
@@ -284,26 +335,85 @@
 	return v->members_text;
 }
 
+/* Returns the entry of a service, NULL if there is none. */
+static const struct service_map *get_map(const struct planview *v,
+					 const char *service)
+{
+	for (size_t i = 0; i < v->map_count; i++) {
+		if (strcmp(v->maps[i].service, service) == 0)
+			return &v->maps[i];
+	}
+	return NULL;
+}
+
 /* Returns the map of a service and sets its version; NULL and 0 if none. */
 const struct keymap *planview_map(const struct planview *v, const char *service,
 				  uint64_t *version)
 {
-	for (size_t i = 0; i < v->map_count; i++) {
-		if (strcmp(v->maps[i].service, service) == 0) {
-			*version = v->maps[i].version;
-			return v->maps[i].map;
-		}
+	const struct service_map *m = get_map(v, service);
+
+	*version = m ? m->version : 0;
+	return m ? m->map : NULL;
+}
+
+/* Returns the version of the row of a map in the table, 0 if there is none. */
+uint64_t planview_map_row_version(const struct planview *v, const char *service)
+{
+	const struct service_map *m = get_map(v, service);
+
+	return m ? m->row_version : 0;
+}
+
+/* True if the map of a service is only known from an older copy. */
+bool planview_map_is_unconfirmed(const struct planview *v, const char *service)
+{
+	const struct service_map *m = get_map(v, service);
+
+	return m && m->unconfirmed;
+}
+
+/* Lists the maps of an earlier era that this daemon has granted keys by. */
+struct planview_row *planview_list_earlier(const struct planview *v,
+					   uint64_t era, size_t *count)
+{
+	struct planview_row *rows = calloc(v->map_count + 1, sizeof(*rows));
+
+	*count = 0;
+	for (size_t i = 0; rows && i < v->map_count; i++) {
+		const struct service_map *m = &v->maps[i];
+
+		if (!m->map || m->unconfirmed || tbl_era(m->version) >= era)
+			continue;
+		planview_map_key(m->service, rows[*count].key);
+		rows[*count].value = keymap_encode(m->map);
+		rows[(*count)++].version = m->version;
 	}
-	*version = 0;
+	if (*count > 0)
+		return rows;
+	free(rows);
 	return NULL;
 }
 
+/* Frees the rows of planview_list_earlier(). */
+void planview_free_rows(struct planview_row *rows, size_t count)
+{
+	for (size_t i = 0; i < count; i++)
+		free(rows[i].value);
+	free(rows);
+}
+
 /* Returns the requests that crash upstreams. */
 const struct crashes *planview_crashes(const struct planview *v)
 {
 	return &v->crashes;
 }
 
+/* Returns the text of their row, "" if there is none. */
+const char *planview_crashes_text(const struct planview *v)
+{
+	return v->crashes_text ? v->crashes_text : "";
+}
+
 /* Returns the version of their row, 0 if there is none. */
 uint64_t planview_crashes_version(const struct planview *v)
 {
--- a/packages/router/src/planview.h
+++ b/packages/router/src/planview.h
@@ -72,12 +72,44 @@
 /* Returns the members' row as it was read, NULL if there is none. */
 const char *planview_members_text(const struct planview *v);
 
-/* Returns the map of a service and sets its version; NULL and 0 if none. */
+/*
+ * Returns the map of a service and sets its version; NULL and 0 if none. The
+ * version is of an earlier era while the leader has not written the map again
+ * after the table service lost rows; writes on it fail until then.
+ */
 const struct keymap *planview_map(const struct planview *v, const char *service,
 				  uint64_t *version);
 
-/* Returns the requests that crash upstreams, and the version of their row. */
+/* Returns the version of the row of a map as it stands in the table now. */
+uint64_t planview_map_row_version(const struct planview *v,
+				  const char *service);
+
+/*
+ * True if the map of a service is only known from an older copy: keys may have
+ * been moved since, so that nothing may be granted by it.
+ */
+bool planview_map_is_unconfirmed(const struct planview *v, const char *service);
+
+/*
+ * Returns the maps of an earlier era than the given one as rows, for a leader
+ * that may not know them as they were; NULL if there is none. The caller frees
+ * the result with planview_free_rows().
+ */
+struct planview_row {
+	char key[PLANVIEW_KEY_MAX];
+	char *value;
+	uint64_t version;
+};
+struct planview_row *planview_list_earlier(const struct planview *v,
+					   uint64_t era, size_t *count);
+void planview_free_rows(struct planview_row *rows, size_t count);
+
+/*
+ * Returns the requests that crash upstreams, the text of their row, "" if there
+ * is none, and its version.
+ */
 const struct crashes *planview_crashes(const struct planview *v);
+const char *planview_crashes_text(const struct planview *v);
 uint64_t planview_crashes_version(const struct planview *v);
 
 /* Returns a counter that increases with each change of the plan. */
--- a/packages/router/src/routerd_int.h
+++ b/packages/router/src/routerd_int.h
@@ -67,6 +67,8 @@
 	struct peermsg_sender leader_sender; /* for other messages */
 	struct routerd_report reports[ROUTERD_REPORTS_MAX];
 	size_t next_report;
+	uint64_t sent_era; /* earlier maps were sent to a leader in this era */
+	uint64_t sent_leader; /* version of the row of that leader */
 	struct elect election; /* for the leader that leader_pool connects to */
 	uint32_t leader_timer;
 	uint32_t claim_timer;
@@ -90,6 +92,12 @@
 void routerd_publish_rows(void *arg, const struct tbl_change *rows,
 			  size_t count, uint64_t version);
 
+/*
+ * Sends the maps of an era before the given one to the leader, once in an era
+ * to each leader, as the table may have lost them.
+ */
+void routerd_send_earlier_maps(struct routerd *r, uint64_t era);
+
 /* Applies rows of the plan from a message; false if it cannot be parsed. */
 bool routerd_apply_rows_message(struct routerd *r, const struct buf *body);
 #define ROUTERD_PLAN_TARGET "/-/plan"
@@ -130,6 +138,11 @@
 			  size_t count);
 bool routerd_apply_crashes_message(struct routerd *r, const struct buf *body);
 
+/* Sends a message to the leader, if its address is known. */
+void routerd_send_to_leader(struct routerd *r, const char *target,
+			    const char *bytes, size_t len,
+			    const struct peermsg_sender *s);
+
 /* Requests that the leader reads the rows of the daemons now. */
 void routerd_wake_leader(struct routerd *r);
 
--- a/packages/router/src/routerd_leader.c
+++ b/packages/router/src/routerd_leader.c
@@ -80,16 +80,24 @@
 		routerd_confirm_config(x->owner, m, x->sent_us);
 }
 
-/* Sends a message to the leader. */
-static void send_to_leader(struct routerd *r, const char *target,
-			   const char *text, const struct peermsg_sender *s)
+/* Sends a message to the leader, if its address is known. */
+void routerd_send_to_leader(struct routerd *r, const char *target,
+			    const char *bytes, size_t len,
+			    const struct peermsg_sender *s)
 {
 	struct httppool *pool = get_leader_pool(r);
 
-	if (pool && !peermsg_send(pool, target, text, s))
+	if (pool && !peermsg_send_bytes(pool, target, bytes, len, s))
 		log_emit(LOG_NO_DESCRIPTOR, "to=leader");
 }
 
+/* Sends a text to the leader. */
+static void send_to_leader(struct routerd *r, const char *target,
+			   const char *text, const struct peermsg_sender *s)
+{
+	routerd_send_to_leader(r, target, text, strlen(text), s);
+}
+
 /* Sends a report. Its response is matched to the time of sending. */
 static void send_report(struct routerd *r, const struct noderpt *report)
 {
@@ -137,8 +145,10 @@
 		planner_add_report(r->leader, &report);
 		return;
 	}
-	if (planview_leader(r->view)->version > 0)
+	if (planview_leader(r->view)->version > 0) {
 		send_report(r, &report);
+		routerd_send_earlier_maps(r, nodelease_era(r->lease));
+	}
 	if (r->claim_timer || !elect_is_vacant(&r->election, now_us))
 		return;
 	wait = elect_claim_delay_us(evloop_clock(r->loop),
--- a/packages/router/src/routerd_push.c
+++ b/packages/router/src/routerd_push.c
@@ -35,6 +35,21 @@
 		log_emit(LOG_NO_DESCRIPTOR, "to=%s", m->peer_address);
 }
 
+/* Appends a list of rows to a message, compressed, and frees the list. */
+static void add_packed(json_t *list, struct buf *out)
+{
+	size_t packed_len = 0;
+	char *text = json_dumps(list, JSON_COMPACT);
+	char *packed =
+		text ? zip_compress(text, strlen(text), &packed_len) : NULL;
+
+	json_decref(list);
+	if (packed)
+		buf_add(out, packed, packed_len);
+	free(packed);
+	free(text);
+}
+
 /*
  * Formats the rows of the plan as a compressed message. The leader sends it to
  * every daemon, so its size determines how many daemons its link can serve.
@@ -43,8 +58,6 @@
 			uint64_t version, struct buf *out)
 {
 	json_t *list = json_array();
-	size_t packed_len = 0;
-	char *text, *packed;
 
 	for (size_t i = 0; i < count; i++) {
 		if (rows[i].value && strcmp(rows[i].table, PLANVIEW_TABLE) == 0)
@@ -53,13 +66,36 @@
 							(json_int_t)version,
 							rows[i].value));
 	}
-	text = json_dumps(list, JSON_COMPACT);
-	json_decref(list);
-	packed = text ? zip_compress(text, strlen(text), &packed_len) : NULL;
-	if (packed)
-		buf_add(out, packed, packed_len);
-	free(packed);
-	free(text);
+	add_packed(list, out);
+}
+
+/* Sends the maps of an earlier era, once in an era to each leader. */
+void routerd_send_earlier_maps(struct routerd *r, uint64_t era)
+{
+	uint64_t leader = planview_leader(r->view)->version;
+	struct planview_row *rows;
+	struct buf text = { 0 };
+	json_t *list;
+	size_t count;
+
+	if (r->sent_era == era && r->sent_leader == leader)
+		return;
+	r->sent_era = era;
+	r->sent_leader = leader;
+	rows = planview_list_earlier(r->view, era, &count);
+	if (!rows)
+		return;
+	list = json_array();
+	for (size_t i = 0; i < count; i++)
+		json_array_append_new(list,
+				      json_pack("[s,I,s]", rows[i].key,
+						(json_int_t)rows[i].version,
+						rows[i].value));
+	add_packed(list, &text);
+	routerd_send_to_leader(r, ROUTERD_PLAN_TARGET, buf_data(&text),
+			       buf_len(&text), &r->leader_sender);
+	buf_free(&text);
+	planview_free_rows(rows, count);
 }
 
 /* Sends to all other daemons. */
--- a/packages/router/src/tbl.h
+++ b/packages/router/src/tbl.h
@@ -31,12 +31,36 @@
 	enum tbl_status status;
 	const struct tbl_row *rows;
 	size_t count;
-	uint64_t version; /* newest version of the whole table service */
+	uint64_t
+		version; /* newest version of the table service, 0 if unknown */
 	uint64_t now_ms; /* monotonic clock of the table service */
 	uint64_t sent_us; /* when the call was sent, by the loop's clock */
 	const char *reason; /* of a failure, for the log */
 };
 
+/*
+ * A table service that comes back from an older copy loses rows that it has
+ * acknowledged, and gives out versions again. It then begins a new era, which
+ * is a part of all versions, so that versions of a later era are greater.
+ */
+#define TBL_ERA_SHIFT 40
+#define TBL_ERA_MAX ((1U << 23) - 1)
+
+static inline uint64_t tbl_version(uint64_t era, uint64_t number)
+{
+	return era << TBL_ERA_SHIFT | number;
+}
+
+static inline uint64_t tbl_era(uint64_t version)
+{
+	return version >> TBL_ERA_SHIFT;
+}
+
+static inline uint64_t tbl_number(uint64_t version)
+{
+	return version & ((UINT64_C(1) << TBL_ERA_SHIFT) - 1);
+}
+
 /* The result is valid only during the call. */
 typedef void (*tbl_fn)(void *arg, const struct tbl_result *r);
 
@@ -51,6 +75,9 @@
 };
 
 /*
+ * A condition on a version of an earlier era fails with TBL_CONFLICT and no
+ * rows, a watch after one with TBL_COMPACTED.
+ *
  * Each call that is not cancelled leads to exactly one call of fn, after it has
  * returned.
  */
--- a/packages/router/src/tblwatch.c
+++ b/packages/router/src/tblwatch.c
@@ -265,6 +265,12 @@
 	return f->reads_begun + 1;
 }
 
+/* Returns the version of the last answer, 0 without one. */
+uint64_t tblwatch_version(const struct tblwatch *f)
+{
+	return f->version;
+}
+
 /* Returns the time of the last answer's rows in us, 0 without an answer. */
 uint64_t tblwatch_answered_us(const struct tblwatch *f)
 {
--- a/packages/router/src/tblwatch.h
+++ b/packages/router/src/tblwatch.h
@@ -50,6 +50,9 @@
 uint64_t tblwatch_request_read(struct tblwatch *f);
 uint64_t tblwatch_ticket(const struct tblwatch *f);
 
+/* Version as of which all changes are known. */
+uint64_t tblwatch_version(const struct tblwatch *f);
+
 /*
  * Time as of which the last answer is known to be complete, and how long the
  * call in progress has waited.
--- a/packages/router/src/upstr_grants.c
+++ b/packages/router/src/upstr_grants.c
@@ -24,6 +24,7 @@
 static bool may_grant(const struct upstr *a)
 {
 	return a->announced && planview_is_ready(a->parts.view) &&
+	       !planview_map_is_unconfirmed(a->parts.view, a->service) &&
 	       planview_ticket(a->parts.view) >= a->ticket &&
 	       nodelease_end_us(a->parts.lease) > 0;
 }
--- a/packages/router/tests/test_planner.c
+++ b/packages/router/tests/test_planner.c
@@ -48,10 +48,12 @@
 /* Writes the row of a node with an upstream and a lease of lease_ms. */
 static void put_node(struct fixture *f, const char *name, uint64_t lease_ms)
 {
+	uint64_t era = tbl_era(f->db.version);
 	struct noderow n = {
 		.process = 1,
 		.slots = 6,
 		.takes_work = true,
+		.era = era,
 		.lease_until_ms = evloop_now_us(f->loop) / US_PER_MS + lease_ms
 	};
 	char *text;
@@ -171,12 +173,110 @@
 	put_node(f, "b", 0);
 	run(f, 2500);
 	b = faketbl_find(&f->db, NODEROW_TABLE, "b");
-	assert_true(noderow_parse(b->value, strlen(b->value), &row));
+	assert_true(
+		noderow_parse(b->value, strlen(b->value), b->version, &row));
 	assert_true(row.expired);
 	assert_string_equal(owner_of(f, 0), "u-a");
 	assert_string_equal(owner_of(f, 65535), "u-a");
 }
 
+/* Replaces the rows by a copy, in the next era. */
+static void restore(struct fixture *f, const struct fake *copy)
+{
+	uint64_t era = tbl_era(f->db.version) + 1;
+
+	memcpy(f->db.rows, copy->rows, sizeof(f->db.rows));
+	f->db.row_count = copy->row_count;
+	f->db.version = tbl_version(era, tbl_number(copy->version));
+	for (size_t i = 0; i < f->db.row_count; i++)
+		f->db.rows[i].version =
+			tbl_version(era, tbl_number(f->db.rows[i].version));
+}
+
+/* Guards against the expiry of leases that living daemons have renewed. */
+static void test_leases_in_an_older_copy_do_not_end(void **state)
+{
+	struct fixture *f = *state;
+	struct fake *copy = malloc(sizeof(*copy));
+	struct noderow row;
+	struct faketbl_row *b;
+
+	put_node(f, "b", 0);
+	*copy = f->db;
+	restore(f, copy);
+	run(f, 2500);
+	b = faketbl_find(&f->db, NODEROW_TABLE, "b");
+	assert_true(
+		noderow_parse(b->value, strlen(b->value), b->version, &row));
+	assert_false(row.expired);
+	assert_string_not_equal(owner_of(f, 0), owner_of(f, 65535));
+	free(copy);
+}
+
+/* Returns the map as it stands in the table; the caller destroys it. */
+static struct keymap *stored_map(const struct fixture *f)
+{
+	struct err err = { 0 };
+	struct faketbl_row *r =
+		faketbl_find((struct fake *)&f->db, PLANVIEW_TABLE, "keys/s");
+
+	return keymap_parse(r->value, strlen(r->value), &err);
+}
+
+/* Guards against an older map, and its fences, that replace the newest ones. */
+static void test_lost_map_is_written_again(void **state)
+{
+	struct fixture *f = *state;
+	struct fake *copy = malloc(sizeof(*copy));
+	struct keymap *map;
+	uint64_t fence, version;
+
+	*copy = f->db;
+	put_node(f, "b", 0);
+	run(f, 2500);
+	assert_string_equal(owner_of(f, 65535), "u-a");
+	fence = keymap_next_fence(planview_map(f->view, "s", &version));
+	restore(f, copy);
+	run(f, 2500);
+	map = stored_map(f);
+	assert_int_equal(keymap_era(map), 0);
+	keymap_destroy(map);
+	assert_string_equal(owner_of(f, 65535), "u-a");
+	put_node(f, "a", 60000);
+	run(f, 4000);
+	map = stored_map(f);
+	assert_int_equal(keymap_era(map), 1);
+	assert_true(keymap_next_fence(map) > fence);
+	assert_true(keymap_next_fence(map) > UINT32_MAX);
+	assert_string_equal(owner_of(f, 65535), "u-a");
+	keymap_destroy(map);
+	free(copy);
+}
+
+/* Guards against grants by a map that only an older copy shows. */
+static void test_map_of_an_older_copy_is_unconfirmed(void **state)
+{
+	struct fixture *f = *state;
+	struct fake *copy = malloc(sizeof(*copy));
+	struct planview *fresh;
+
+	*copy = f->db;
+	assert_false(planview_map_is_unconfirmed(f->view, "s"));
+	restore(f, copy);
+	fresh = planview_create(f->loop, f->db.tbl, on_plan, f);
+	run(f, 1500);
+	assert_true(planview_map_is_unconfirmed(fresh, "s"));
+	assert_false(planview_map_is_unconfirmed(f->view, "s"));
+	put_node(f, "a", 60000);
+	put_node(f, "b", 60000);
+	run(f, 5000);
+	planview_request_read(fresh);
+	run(f, 100);
+	assert_false(planview_map_is_unconfirmed(fresh, "s"));
+	planview_destroy(fresh);
+	free(copy);
+}
+
 #define CASE(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -185,6 +285,9 @@
 		CASE(test_first_plan),
 		CASE(test_leader_without_table_is_stuck),
 		CASE(test_expired_lease_is_fenced),
+		CASE(test_leases_in_an_older_copy_do_not_end),
+		CASE(test_lost_map_is_written_again),
+		CASE(test_map_of_an_older_copy_is_unconfirmed),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
