Announcements that the upstream cannot have made are rejected

One odd entry of another writer at the announcement address took the upstream out of service for good: an entry with a start time in the future, or of another service, counted as a later incarnation, and all true announcements after it as outdated. A sequence number far ahead did the same for some seconds.

The servers for announcements, readiness and metrics take bodies of 1 MiB instead of 64 MiB.

--- a/packages/router/src/routerd_serve.c
+++ b/packages/router/src/routerd_serve.c
@@ -16,6 +16,14 @@
 #define MIB 1048576U
 #define DEFAULT_MEMORY_MB 256
 
+/*
+ * Limits of the servers that callers do not use. An announcement with all the
+ * ranges that an upstream can hold takes some 60 kB.
+ */
+#define SMALL_BODY_BYTES MIB
+#define SMALL_HEADER_US (5 * US_PER_S)
+#define SMALL_IDLE_US (60 * US_PER_S)
+
 /* True if callers can be served; false during a stop. */
 bool routerd_is_ready(const struct routerd *r)
 {
@@ -131,6 +139,12 @@
 bool routerd_open_servers(struct routerd *r, struct err *err)
 {
 	const struct rsettings *s = &r->settings;
+	const struct httpsrv_limits small = {
+		.body_bytes = SMALL_BODY_BYTES,
+		.buffered_bytes = SMALL_BODY_BYTES,
+		.header_us = SMALL_HEADER_US,
+		.idle_us = SMALL_IDLE_US,
+	};
 
 	r->ready =
 		httpsrv_create(r->loop, s->ready_address, &ready_ops, r, err);
@@ -148,6 +162,10 @@
 		r->metrics = httpsrv_create(r->loop, s->metrics_address,
 					    &metrics_ops, r, err);
 	if (r->callers) {
+		httpsrv_set_limits(r->announcements, &small);
+		httpsrv_set_limits(r->ready, &small);
+		if (r->metrics)
+			httpsrv_set_limits(r->metrics, &small);
 		/*
 		 * The link is not set for callers: they are on this instance.
 		 */
--- a/packages/router/src/upstr.c
+++ b/packages/router/src/upstr.c
@@ -29,6 +29,12 @@
  */
 #define LEAVE_VALID_US (15 * US_PER_S)
 
+/* Clocks of one instance may differ by less than this. */
+#define START_AHEAD_MAX_MS 3600000
+/* Most announcements of an upstream that can be missed in a row. */
+#define SEQ_STEP_MAX 1000000
+#define STATUS_BAD_REQUEST 400
+
 /* Suspends (silent) or resumes the sending of requests to the upstream. */
 void upstr_set_silent(struct upstr *a, bool silent, const char *reason)
 {
@@ -243,6 +249,25 @@
 	a->silent = false;
 }
 
+/*
+ * True for an announcement that the upstream beside this daemon cannot have
+ * made: it would hide the true ones, which look older.
+ */
+static bool is_implausible(const struct upstr *a,
+			   const struct plat_announcement *n)
+{
+	const struct rsettings *s = a->parts.settings;
+	uint64_t now_ms = clk_wall_ms(evloop_clock(a->parts.loop));
+
+	if (n->leaves)
+		return false;
+	return (s->service[0] != '\0' && strcmp(n->service, s->service) != 0) ||
+	       (uint64_t)n->start_unix_ms > now_ms + START_AHEAD_MAX_MS ||
+	       (a->announced && strcmp(a->incarnation.id, n->id) == 0 &&
+		a->incarnation.start_unix_ms == n->start_unix_ms &&
+		n->seq > a->seq && n->seq - a->seq > SEQ_STEP_MAX);
+}
+
 /*
  * True for an announcement of an earlier or ended incarnation, and for one that
  * arrived after a newer announcement of the same incarnation.
@@ -263,7 +288,9 @@
 	    n->start_unix_ms != a->incarnation.start_unix_ms)
 		return n->leaves ||
 		       n->start_unix_ms < a->incarnation.start_unix_ms;
-	return !n->leaves && a->announced && n->seq <= a->seq;
+	/* Far behind, the last one was none of the upstream's. */
+	return !n->leaves && a->announced && n->seq <= a->seq &&
+	       a->seq - n->seq <= SEQ_STEP_MAX;
 }
 
 /* Replaces the current incarnation by the announced one. */
@@ -336,6 +363,15 @@
 	uint64_t now = evloop_now_us(a->parts.loop);
 	uint64_t wait = ANSWER_DELAY_US;
 
+	if (is_implausible(a, n)) {
+		log_emit(LOG_ANNOUNCEMENT_INVALID,
+			 "reason=\"not of this upstream\" id=%s born=%lld "
+			 "service=%s seq=%llu",
+			 n->id, (long long)n->start_unix_ms, n->service,
+			 (unsigned long long)n->seq);
+		httpconn_reply(c, STATUS_BAD_REQUEST, "", "", 0);
+		return NULL;
+	}
 	if (is_stale(a, n)) {
 		if (n->leaves && a->incarnation.id[0] == '\0')
 			remember_leave(a, n->id, now);
