The row of a daemon that cannot be read keeps its keys for a lease

One odd field made the leader leave the whole row out, so that it took the keys of a living daemon away at once, while its upstream held them. A lease end out of range, on the other hand, kept keys for ever.

The leader now keeps the keys of such a daemon until a lease after it first saw that version of the row, then marks it as expired. No lease counts for longer than its term from the first read of its row. Slot counts above 100,000 and negative loads of reports are rejected.

--- a/packages/router/src/noderow.c
+++ b/packages/router/src/noderow.c
@@ -48,6 +48,7 @@
 		     "slots", &slots, "takes_work", &takes_work, "left", &left,
 		     "era", &era) == 0 &&
 	     until >= 0 && era >= 0 && slots >= 0 &&
+	     slots <= NODEROW_SLOTS_MAX &&
 	     txt_copy(n->node, sizeof(n->node), node) &&
 	     txt_copy(n->incarnation.node, sizeof(n->incarnation.node), node) &&
 	     txt_copy(n->data_centre, sizeof(n->data_centre), dc) &&
--- a/packages/router/src/noderow.h
+++ b/packages/router/src/noderow.h
@@ -12,6 +12,7 @@
 #include "router_settings.h"
 
 #define NODEROW_TABLE "geraniumspoke-nodes"
+#define NODEROW_SLOTS_MAX 100000
 
 struct noderow {
 	char node[INCARNATION_NODE_MAX];
--- a/packages/router/src/noderpt.c
+++ b/packages/router/src/noderpt.c
@@ -47,7 +47,8 @@
 
 		if (r->piece_count == NODERPT_PIECES_MAX ||
 		    json_unpack(item, "[I,I,I!]", &first, &last, &work) < 0 ||
-		    first < 0 || last < first || last >= KEYMAP_KEYS)
+		    first < 0 || last < first || last >= KEYMAP_KEYS ||
+		    work < 0)
 			return false;
 		p->first = (uint32_t)first;
 		p->last = (uint32_t)last;
@@ -74,7 +75,8 @@
 			 &slow_left_ms, &pieces, &config) == 0 &&
 	     strlen(node) < sizeof(r->incarnation.node) &&
 	     strlen(id) < sizeof(r->incarnation.id) &&
-	     strlen(service) < sizeof(r->service) && slots >= 0 && mean >= 0 &&
+	     strlen(service) < sizeof(r->service) && slots >= 0 &&
+	     running >= 0 && waiting >= 0 && slow_left_ms >= 0 && mean >= 0 &&
 	     config >= 0 && parse_pieces(pieces, r);
 	if (ok) {
 		txt_copy(r->incarnation.node, sizeof(r->incarnation.node),
--- a/packages/router/src/planner.c
+++ b/packages/router/src/planner.c
@@ -56,6 +56,7 @@
 	struct planner_service services[PLANVIEW_SERVICES_MAX];
 	size_t service_count;
 	struct planner_node *nodes;
+	struct planner_node *nodes_before; /* room for the next read */
 	size_t node_count;
 	struct planner_report *reports;
 	size_t report_count;
@@ -109,6 +110,7 @@
 		return l->dead;
 	clear_changes(l);
 	free(l->nodes);
+	free(l->nodes_before);
 	free(l->reports);
 	free(l);
 	return true;
@@ -409,6 +411,17 @@
 	return false;
 }
 
+/* Parses the rows of all daemons beside those of the read before. */
+static void read_nodes(struct planner *l, const struct tbl_result *r)
+{
+	struct planner_node *before = l->nodes;
+
+	l->nodes = l->nodes_before;
+	l->nodes_before = before;
+	l->node_count = planner_parse_nodes(r, l->era_ms, before, l->node_count,
+					    l->nodes);
+}
+
 /* Handles the result of a read of all daemons' rows. */
 static void on_nodes(void *arg, const struct tbl_result *r)
 {
@@ -427,8 +440,7 @@
 		schedule_tick(l, RETRY_US);
 		return;
 	}
-	l->node_count =
-		planner_parse_nodes(r, l->era_ms, l->nodes, PLANNER_NODES_MAX);
+	read_nodes(l, r);
 	plan(l);
 }
 
@@ -470,9 +482,11 @@
 		return NULL;
 	l->parts = *parts;
 	l->nodes = calloc(PLANNER_NODES_MAX, sizeof(*l->nodes));
+	l->nodes_before = calloc(PLANNER_NODES_MAX, sizeof(*l->nodes));
 	l->reports = calloc(REPORTS_MAX, sizeof(*l->reports));
-	if (!l->nodes || !l->reports) {
+	if (!l->nodes || !l->nodes_before || !l->reports) {
 		free(l->nodes);
+		free(l->nodes_before);
 		free(l->reports);
 		free(l);
 		return NULL;
--- a/packages/router/src/planner_compute.c
+++ b/packages/router/src/planner_compute.c
@@ -6,10 +6,13 @@
 #include "keylease.h"
 #include "planner_int.h"
 #include "log.h"
+#include "txt.h"
 #include "keysample.h"
 
 /* A lease expires this long after its end, as a renewal may be in progress. */
 #define EXPIRY_MARGIN_MS 50
+/* By how much a daemon may take the table's clock to be ahead. */
+#define LEASE_CLOCK_MS 2000
 /* Maximum age of a report. */
 #define REPORT_MAX_AGE_US (3 * US_PER_S)
 /* Bounds of the measured speed, as a multiple of the mean of the service. */
@@ -27,31 +30,70 @@
 {
 	uint64_t until_ms = x->row.lease_until_ms;
 
-	x->earlier = x->row.era < tbl_era(x->version);
+	x->earlier = x->unreadable || x->row.era < tbl_era(x->version);
 	if (x->earlier && until_ms < era_ms + KEYLEASE_TERM_MS)
 		until_ms = era_ms + KEYLEASE_TERM_MS;
+	/* No renewal makes a lease longer, whatever the row says. */
+	if (x->unreadable ||
+	    until_ms > x->seen_ms + KEYLEASE_TERM_MS + LEASE_CLOCK_MS)
+		until_ms = x->seen_ms + KEYLEASE_TERM_MS + LEASE_CLOCK_MS;
 	x->alive = now_ms <= until_ms + EXPIRY_MARGIN_MS &&
 		   (x->earlier || !x->row.expired);
 	x->expires = !x->alive && !x->row.expired;
 }
 
-/* Parses the rows of the nodes; an invalid one is logged and left out. */
+/*
+ * Returns the entry of the read before with this name and version, NULL if
+ * there is none. Entries are sorted; *pos is where the last search ended.
+ */
+static const struct planner_node *find_before(const struct planner_node *before,
+					      size_t count, size_t *pos,
+					      const struct tbl_row *t)
+{
+	int order = -1;
+
+	while (*pos < count) {
+		order = strcmp(before[*pos].row.node, t->key);
+		if (order >= 0)
+			break;
+		(*pos)++;
+	}
+	return order == 0 && before[*pos].version == t->version ?
+		       &before[*pos] :
+		       NULL;
+}
+
+/*
+ * Parses the rows of the nodes. Of one that cannot be read the daemon may hold
+ * a lease all the same; it is logged and marked.
+ */
 size_t planner_parse_nodes(const struct tbl_result *r, uint64_t era_ms,
-			   struct planner_node *out, size_t max)
+			   const struct planner_node *before,
+			   size_t before_count, struct planner_node *out)
 {
 	size_t n = 0;
+	size_t pos = 0;
 
-	for (size_t i = 0; i < r->count && n < max; i++) {
+	for (size_t i = 0; i < r->count && n < PLANNER_NODES_MAX; i++) {
 		const struct tbl_row *t = &r->rows[i];
 		struct planner_node *x = &out[n];
+		const struct planner_node *old =
+			find_before(before, before_count, &pos, t);
 
-		if (t->removed ||
-		    !noderow_parse(t->value, t->len, t->version, &x->row)) {
+		if (t->removed)
+			continue;
+		x->unreadable =
+			!noderow_parse(t->value, t->len, t->version, &x->row) ||
+			strcmp(x->row.node, t->key) != 0;
+		if (x->unreadable) {
 			log_emit(LOG_ROW_INVALID, "key=%s version=%llu", t->key,
 				 (unsigned long long)t->version);
-			continue;
+			memset(&x->row, 0, sizeof(x->row));
+			if (!txt_copy(x->row.node, sizeof(x->row.node), t->key))
+				continue;
 		}
 		x->version = t->version;
+		x->seen_ms = old ? old->seen_ms : r->now_ms;
 		set_alive(x, r->now_ms, era_ms);
 		n++;
 	}
@@ -67,7 +109,7 @@
 	for (size_t i = 0; i < in->node_count; i++) {
 		const struct noderow *r = &in->nodes[i].row;
 
-		if (!in->nodes[i].alive)
+		if (!in->nodes[i].alive || in->nodes[i].unreadable)
 			continue;
 		json_array_append_new(
 			list,
@@ -111,7 +153,7 @@
 }
 
 /*
- * True if the table may have lost the row of an incarnation. A node that has
+ * True if the row of an incarnation may be lost or cannot be read. A node that has
  * written its row in the present era has no other incarnation than that.
  */
 static bool may_be_lost(const struct planner_input *in,
@@ -120,7 +162,11 @@
 	for (size_t i = 0; i < in->node_count; i++) {
 		const struct planner_node *n = &in->nodes[i];
 
-		if (strcmp(n->row.node, l->node) == 0 && !n->earlier)
+		if (strcmp(n->row.node, l->node) != 0)
+			continue;
+		if (n->unreadable)
+			return n->alive;
+		if (!n->earlier)
 			return false;
 	}
 	return in->table_now_ms <=
--- a/packages/router/src/planner_int.h
+++ b/packages/router/src/planner_int.h
@@ -15,6 +15,8 @@
 	bool expires; /* its lease has ended, but is not marked as expired yet */
 	/* Its row is of an earlier era, so it may hold more than that shows. */
 	bool earlier;
+	bool unreadable; /* only its name and its version are known */
+	uint64_t seen_ms; /* first read of this version, by the table's clock */
 };
 
 struct planner_report {
@@ -32,9 +34,14 @@
 	uint64_t era_ms; /* the same when its era was first seen */
 };
 
-/* Parses the rows of the nodes' table, sorted by key. Returns their number. */
+/*
+ * Parses the rows of the nodes' table, sorted by key, into out, which has
+ * PLANNER_NODES_MAX entries. before are those of the read before. Returns their
+ * number.
+ */
 size_t planner_parse_nodes(const struct tbl_result *r, uint64_t era_ms,
-			   struct planner_node *out, size_t max);
+			   const struct planner_node *before,
+			   size_t before_count, struct planner_node *out);
 
 /* Returns the members in the JSON form of the plan; the caller frees it. */
 char *planner_format_members(const struct planner_input *in);
--- a/packages/router/tests/test_planner.c
+++ b/packages/router/tests/test_planner.c
@@ -180,6 +180,73 @@
 	assert_string_equal(owner_of(f, 65535), "u-a");
 }
 
+/* Overwrites the row of a node. */
+static void put_text(struct fixture *f, const char *name, const char *text)
+{
+	f->db.version++;
+	faketbl_put(&f->db, NODEROW_TABLE, name, text);
+}
+
+/* True if the upstream of node b owns the key, or has to release it first. */
+static bool may_be_held_by_b(const struct fixture *f, uint32_t key)
+{
+	uint64_t version;
+	const struct keymap *map = planview_map(f->view, "s", &version);
+	const struct keymap_range *r = keymap_find(map, key);
+	const struct incarnation *owner = keymap_incarnation(map, r->owner);
+	const struct incarnation *former = keymap_incarnation(map, r->former);
+
+	return (owner && strcmp(owner->id, "u-b") == 0) ||
+	       (former && strcmp(former->id, "u-b") == 0);
+}
+
+/*
+ * Guards against keys that are taken from a living daemon because its row
+ * cannot be read, and against keys that a daemon keeps for good that way.
+ */
+static void test_odd_row_takes_no_keys_before_its_lease_ends(void **state)
+{
+	struct fixture *f = *state;
+	bool first = strcmp(owner_of(f, 0), "u-b") == 0;
+	struct noderow row;
+	struct faketbl_row *b;
+
+	put_text(f, "b", "[[[[{\"until\":1e400}]]]]");
+	run(f, 5000);
+	assert_true(may_be_held_by_b(f, first ? 0 : 65535));
+	put_node(f, "a", 10000);
+	run(f, 9000);
+	b = faketbl_find(&f->db, NODEROW_TABLE, "b");
+	assert_true(
+		noderow_parse(b->value, strlen(b->value), b->version, &row));
+	assert_true(row.expired);
+	assert_string_equal(owner_of(f, 0), "u-a");
+	assert_string_equal(owner_of(f, 65535), "u-a");
+}
+
+/* Guards against a lease that a number out of range makes last for ever. */
+static void test_lease_beyond_its_term_is_odd(void **state)
+{
+	struct fixture *f = *state;
+	struct noderow n = { .process = 1, .slots = UINT32_MAX };
+	char *text;
+
+	n.takes_work = true;
+	n.lease_until_ms = INT64_MAX;
+	snprintf(n.node, sizeof(n.node), "b");
+	snprintf(n.incarnation.node, sizeof(n.incarnation.node), "b");
+	snprintf(n.incarnation.id, sizeof(n.incarnation.id), "u-b");
+	snprintf(n.service, sizeof(n.service), "s");
+	text = noderow_format(&n);
+	put_text(f, "b", text);
+	free(text);
+	run(f, 7000);
+	put_node(f, "a", 10000);
+	run(f, 7000);
+	assert_string_equal(owner_of(f, 0), "u-a");
+	assert_string_equal(owner_of(f, 65535), "u-a");
+}
+
 /* Replaces the rows by a copy, in the next era. */
 static void restore(struct fixture *f, const struct fake *copy)
 {
@@ -285,6 +352,8 @@
 		CASE(test_first_plan),
 		CASE(test_leader_without_table_is_stuck),
 		CASE(test_expired_lease_is_fenced),
+		CASE(test_odd_row_takes_no_keys_before_its_lease_ends),
+		CASE(test_lease_beyond_its_term_is_odd),
 		CASE(test_leases_in_an_older_copy_do_not_end),
 		CASE(test_lost_map_is_written_again),
 		CASE(test_map_of_an_older_copy_is_unconfirmed),
