--- a/packages/router/src/planner.c
+++ b/packages/router/src/planner.c
@@ -12,44 +12,14 @@
 /* Interval of reads of all daemons' rows, and delay of a read on request. */
 #define READ_US (1000 * US_PER_MS)
 #define READ_SOON_US (10 * US_PER_MS)
-/*
- * The first plan of a service is made when no upstream has joined or left for
- * this long.
- */
-#define FIRST_PLAN_DELAY_US (1200 * US_PER_MS)
-/* Time after which a new owner has taken over a released range. */
-#define SETTLE_US (3 * US_PER_S)
 /* Delay of a retry after a failed call. */
 #define RETRY_US (250 * US_PER_MS)
 /* A leader without a read for this long is to be replaced. */
 #define STUCK_AFTER_US (1500 * US_PER_MS)
-/*
- * Time from the first read of a new era until the plan of an earlier one is
- * written again. Within it all daemons have noticed the era and sent the maps
- * by which they grant, and grants that are not known any more have ended.
- */
-#define RESTORE_US (4500 * US_PER_MS)
 /* Changes in one write, and how many of them may mark expired leases. */
 #define CHANGES_MAX 90
 #define EXPIRIES_MAX 20
 #define REPORTS_MAX 2048
-#define CRASHES_PENDING_MAX 256
-
-/* State of the planner for one service. */
-struct planner_service {
-	char name[RCONFIG_NAME_MAX];
-	size_t targets; /* number of upstreams at the last check */
-	uint64_t changed_us; /* when their number changed */
-	uint64_t fence; /* next fence of the map at marked_us */
-	uint64_t marked_us;
-	uint64_t settled; /* next fence at least SETTLE_US ago */
-};
-
-/* A change of the list of crashes; see planner_add_crash(). */
-struct crash_change {
-	uint64_t fingerprint;
-	uint64_t ended;
-};
 
 struct planner {
 	struct planner_parts parts;
@@ -60,13 +30,9 @@
 	size_t node_count;
 	struct planner_report *reports;
 	size_t report_count;
-	struct crash_change crashes[CRASHES_PENDING_MAX]; /* not yet planned */
-	size_t crash_count;
+	struct planner_crashes crashes;
 	uint64_t table_now_ms; /* clock of the table service at the last read */
-	uint64_t era; /* of the table service */
-	uint64_t era_us; /* first read in this era as the leader, 0 if none */
-	uint64_t era_ms; /* the same by the clock of the table service */
-	uint64_t restored_era; /* the maps were written again in this era */
+	struct planner_era era;
 	char *texts[CHANGES_MAX]; /* values of the write in progress */
 	char keys[CHANGES_MAX][PLANVIEW_KEY_MAX];
 	struct tbl_change changes[CHANGES_MAX];
@@ -208,55 +174,6 @@
 	return s;
 }
 
-/*
- * True if the keys of a new service may be assigned. Its upstreams announce
- * themselves one by one, and keys that are assigned too early have to move.
- */
-static bool is_first_plan_due(struct planner_service *s, size_t targets,
-			      uint64_t now_us)
-{
-	if (targets != s->targets) {
-		s->targets = targets;
-		s->changed_us = now_us;
-	}
-	return targets > 0 &&
-	       clk_elapsed(now_us, s->changed_us) >= FIRST_PLAN_DELAY_US;
-}
-
-/*
- * Records the next fence every SETTLE_US. Returns the fence below which ranges
- * were released long enough ago to have been taken over.
- */
-static uint64_t update_settled(struct planner_service *s,
-			       const struct keymap *map, uint64_t now_us)
-{
-	if (clk_elapsed(now_us, s->marked_us) >= SETTLE_US) {
-		s->settled = s->fence;
-		s->fence = keymap_next_fence(map);
-		s->marked_us = now_us;
-	}
-	return s->settled;
-}
-
-/*
- * True if a map has to wait: the table service has lost rows, and the daemons
- * may not have sent the newest map yet.
- */
-static bool must_wait(struct planner *l, const char *service, uint64_t version,
-		      uint64_t now_us)
-{
-	if (version == 0 || tbl_era(version) >= l->era ||
-	    l->restored_era >= l->era)
-		return false;
-	if (clk_elapsed(now_us, l->era_us) < RESTORE_US)
-		return true;
-	l->restored_era = l->era;
-	log_emit(LOG_PLAN_RESTORED, "service=%s version=%llu era=%llu", service,
-		 (unsigned long long)tbl_number(version),
-		 (unsigned long long)l->era);
-	return false;
-}
-
 /* Adds the map of a service to the write if it has changed. */
 static void plan_service(struct planner *l, const struct planner_input *in,
 			 const char *service)
@@ -271,18 +188,19 @@
 	struct keymap *map;
 
 	if (!s ||
-	    (!known && !is_first_plan_due(s, planner_count_targets(in, service),
-					  in->now_us)) ||
-	    must_wait(l, service, version, in->now_us))
+	    (!known &&
+	     !planner_is_first_plan_due(s, planner_count_targets(in, service),
+					in->now_us)) ||
+	    planner_era_must_wait(&l->era, service, version, in->now_us))
 		return;
 	map = known ? keymap_copy(known) : keymap_create();
 	if (!map)
 		return;
 	before = known ? keymap_encode(known) : NULL;
-	keymap_set_era(map, l->era,
+	keymap_set_era(map, l->era.number,
 		       planview_map_is_unconfirmed(l->parts.view, service));
 	result = planner_plan_keys(in, service, map,
-				   update_settled(s, map, in->now_us));
+				   planner_update_settled(s, map, in->now_us));
 	text = keymap_encode(map);
 	if (!before || strcmp(before, text) != 0) {
 		log_emit(LOG_KEYS_PLANNED,
@@ -323,44 +241,12 @@
 			 n->row.node,
 			 (unsigned long long)n->row.lease_until_ms);
 		n->row.expired = true;
-		n->row.era = l->era;
+		n->row.era = l->era.number;
 		add_change(l, NODEROW_TABLE, n->row.node, n->version,
 			   noderow_format(&n->row));
 	}
 }
 
-/*
- * Adds the list of crashes to the write if it has changed. Changes that are not
- * written, as another write was faster, are sent again by their daemons.
- */
-static void plan_crashes(struct planner *l)
-{
-	struct crashes list = *planview_crashes(l->parts.view);
-	char *text;
-
-	if (list.count == 0 && l->crash_count == 0)
-		return;
-	crashes_expire(&list, l->table_now_ms);
-	for (size_t i = 0; i < l->crash_count; i++) {
-		const struct crash_change *c = &l->crashes[i];
-
-		if (c->ended == 0)
-			crashes_remove(&list, c->fingerprint);
-		else
-			crashes_add(&list, c->fingerprint, c->ended,
-				    l->table_now_ms);
-	}
-	l->crash_count = 0;
-	text = crashes_format(&list);
-	if (strcmp(planview_crashes_text(l->parts.view), text) != 0) {
-		log_emit(LOG_CRASHES_PLANNED, "requests=%zu", list.count);
-		add_change(l, PLANVIEW_TABLE, PLANVIEW_CRASHES,
-			   planview_crashes_version(l->parts.view), text);
-		text = NULL;
-	}
-	free(text);
-}
-
 /* Computes the plan from the rows of all daemons and writes its changes. */
 static void plan(struct planner *l)
 {
@@ -370,14 +256,19 @@
 				    l->report_count,
 				    evloop_now_us(l->parts.loop),
 				    l->table_now_ms,
-				    l->era_ms };
+				    l->era.first_ms };
 	const struct rconfig *config = l->parts.config;
+	char *text;
 
 	add_change(l, PLANVIEW_TABLE, PLANVIEW_LEADER,
 		   planview_leader(l->parts.view)->version, NULL);
 	plan_expiries(l);
 	plan_members(l, &in);
-	plan_crashes(l);
+	text = planner_crashes_plan(&l->crashes, l->parts.view,
+				    l->table_now_ms);
+	if (text)
+		add_change(l, PLANVIEW_TABLE, PLANVIEW_CRASHES,
+			   planview_crashes_version(l->parts.view), text);
 	for (size_t i = 0; i < config->service_count; i++) {
 		if (config->services[i].keyed)
 			plan_service(l, &in, config->services[i].name);
@@ -400,11 +291,7 @@
 {
 	uint64_t era = tbl_era(r->version);
 
-	if (l->era_us == 0 || era > l->era) {
-		l->era = era;
-		l->era_us = l->read_us;
-		l->era_ms = r->now_ms;
-	}
+	planner_era_update(&l->era, era, l->read_us, r->now_ms);
 	if (tbl_era(planview_leader(l->parts.view)->version) >= era)
 		return true;
 	planview_request_read(l->parts.view);
@@ -418,8 +305,8 @@
 
 	l->nodes = l->nodes_before;
 	l->nodes_before = before;
-	l->node_count = planner_parse_nodes(r, l->era_ms, before, l->node_count,
-					    l->nodes);
+	l->node_count = planner_parse_nodes(r, l->era.first_ms, before,
+					    l->node_count, l->nodes);
 }
 
 /* Handles the result of a read of all daemons' rows. */
@@ -459,7 +346,7 @@
 	}
 	if (l->leader_since_us == 0) {
 		l->leader_since_us = now_us;
-		l->era_us = 0;
+		l->era.first_us = 0;
 	}
 	if (!l->read_requested && clk_elapsed(now_us, l->read_us) < READ_US) {
 		plan(l);
@@ -573,13 +460,10 @@
 	k->at_us = evloop_now_us(l->parts.loop);
 }
 
-/* Adds a change to the next plan, which is made soon. */
+/* Adds a change to the next plan. */
 void planner_add_crash(struct planner *l, uint64_t fingerprint, uint64_t ended)
 {
-	if (l->crash_count == CRASHES_PENDING_MAX)
-		return;
-	l->crashes[l->crash_count].fingerprint = fingerprint;
-	l->crashes[l->crash_count++].ended = ended;
+	planner_crashes_add(&l->crashes, fingerprint, ended);
 }
 
 /* Schedules a read of the rows after READ_SOON_US. */
--- a/packages/router/src/planner_int.h
+++ b/packages/router/src/planner_int.h
@@ -34,6 +34,50 @@
 	uint64_t era_ms; /* the same when its era was first seen */
 };
 
+/* State of the planner for one service. */
+struct planner_service {
+	char name[RCONFIG_NAME_MAX];
+	size_t targets; /* number of upstreams at the last check */
+	uint64_t changed_us; /* when their number changed */
+	uint64_t fence; /* next fence of the map at marked_us */
+	uint64_t marked_us;
+	uint64_t settled; /* next fence at least SETTLE_US ago */
+};
+
+bool planner_is_first_plan_due(struct planner_service *s, size_t targets,
+			       uint64_t now_us);
+uint64_t planner_update_settled(struct planner_service *s,
+				const struct keymap *map, uint64_t now_us);
+
+#define PLANNER_CRASHES_MAX 256
+
+/* Changes of the list of crashes that are not planned yet. */
+struct planner_crashes {
+	struct {
+		uint64_t fingerprint;
+		uint64_t ended; /* incarnation, 0 if a run was completed */
+	} changes[PLANNER_CRASHES_MAX];
+	size_t count;
+};
+
+void planner_crashes_add(struct planner_crashes *c, uint64_t fingerprint,
+			 uint64_t ended);
+char *planner_crashes_plan(struct planner_crashes *c,
+			   const struct planview *view, uint64_t now_ms);
+
+/* The era of the table service, as a leader has seen it. */
+struct planner_era {
+	uint64_t number;
+	uint64_t first_us; /* its first read, 0 if there was none */
+	uint64_t first_ms; /* the same by the clock of the table service */
+	uint64_t restored; /* last era in which the maps were written again */
+};
+
+void planner_era_update(struct planner_era *e, uint64_t number, uint64_t now_us,
+			uint64_t now_ms);
+bool planner_era_must_wait(struct planner_era *e, const char *service,
+			   uint64_t version, uint64_t now_us);
+
 /*
  * Parses the rows of the nodes' table, sorted by key, into out, which has
  * PLANNER_NODES_MAX entries. before are those of the read before. Returns their
--- a/packages/router/src/request_runner.c
+++ b/packages/router/src/request_runner.c
@@ -290,12 +290,6 @@
 	return x;
 }
 
-/* Sets the watch for requests that crash their upstream. */
-void reqrun_set_crashwatch(struct reqrun *x, struct crashwatch *w)
-{
-	x->crashes = w;
-}
-
 /* Frees the runner; all jobs must have ended or been cancelled. */
 void reqrun_destroy(struct reqrun *x)
 {
--- a/packages/router/src/request_runner_exchange.c
+++ b/packages/router/src/request_runner_exchange.c
@@ -152,6 +152,12 @@
 		j->ops->on_body(j->arg, bytes, len);
 }
 
+/* Sets the watch for requests that crash their upstream. */
+void reqrun_set_crashwatch(struct reqrun *x, struct crashwatch *w)
+{
+	x->crashes = w;
+}
+
 /* Updates the mean run time and response length, and the counts. */
 static void update_estimates(struct reqrun_job *j)
 {
