A repeated probe ends with its module

At the end of a process, up to 60 ms after a refused probe of the upstream, the repetition ran on freed memory: its timer was not kept. Found by reading earlier. test_upstr: heap-use-after-free in upstr_start_probe before, none now.

--- a/packages/router/src/upstr_int.h
+++ b/packages/router/src/upstr_int.h
@@ -47,6 +47,7 @@
 	uint32_t answer_timer;
 	/* Health probe. */
 	struct tcpsock *probe;
+	uint32_t repeat_timer; /* for the next one after a refusal */
 	uint32_t connect_timer; /* timer: the connection attempt has failed */
 	uint32_t check_timer; /* timer: periodic health check */
 	uint32_t refusals; /* consecutive refused connections */
--- a/packages/router/src/upstr_probe.c
+++ b/packages/router/src/upstr_probe.c
@@ -57,8 +57,9 @@
 		a->ops->on_keys(a->arg);
 		return;
 	}
-	tmr_at(evloop_timers(a->parts.loop),
-	       evloop_now_us(a->parts.loop) + REFUSAL_GAP_US, probe_again, a);
+	a->repeat_timer = tmr_at(evloop_timers(a->parts.loop),
+				 evloop_now_us(a->parts.loop) + REFUSAL_GAP_US,
+				 probe_again, a);
 }
 
 static const struct tcpsock_ops probe_ops = { on_input, on_connected, on_end };
@@ -66,8 +67,11 @@
 /* Repeats the probe. */
 static void probe_again(void *arg, uint64_t now_us)
 {
+	struct upstr *a = arg;
+
 	(void)now_us;
-	upstr_start_probe(arg);
+	a->repeat_timer = 0;
+	upstr_start_probe(a);
 }
 
 /* Opens a connection to the upstream unless one is open already. */
@@ -94,7 +98,9 @@
 void upstr_stop_probe(struct upstr *a)
 {
 	tmr_cancel(evloop_timers(a->parts.loop), a->connect_timer);
+	tmr_cancel(evloop_timers(a->parts.loop), a->repeat_timer);
 	a->connect_timer = 0;
+	a->repeat_timer = 0;
 	if (a->probe)
 		tcpsock_close(a->probe);
 	a->probe = NULL;
--- a/packages/router/tests/test_upstr.c
+++ b/packages/router/tests/test_upstr.c
@@ -608,6 +608,29 @@
 	assert_int_equal(fx->db.watches, polls + 2);
 }
 
+/*
+ * Guards against a repeated probe that runs after its module has been freed, at
+ * the end of the process.
+ */
+static void probe_ends_with_its_module(void **state)
+{
+	(void)state;
+	start_parts(fx);
+	run(20);
+	announce("u-1", PLAT_READY, false, 1000);
+	run(100);
+	assert_string_equal(upstr_incarnation(fx->upstream)->id, "u-1");
+	httpsrv_destroy(fx->server);
+	fx->server = NULL;
+	upstr_check_health(fx->upstream);
+	run(20);
+	reqrun_destroy(fx->runner);
+	fx->runner = NULL;
+	upstr_destroy(fx->upstream);
+	fx->upstream = NULL;
+	run(100);
+}
+
 /*
  * Guards against a copy of an earlier refusal, written once more by a faulty
  * upstream, that is taken for the response to the request's next attempt: it
@@ -678,6 +701,7 @@
 		TEST(silent_upstream_gets_no_work),
 		TEST(table_calls_are_rate_limited),
 		TEST(poll_of_the_plan_is_replaced_after_an_outage),
+		TEST(probe_ends_with_its_module),
 		TEST(refused_request_is_not_sent_on_the_same_connection),
 		TEST(refusal_without_an_id_counts_on_a_new_connection_only),
 	};
