--- a/packages/router/src/planner_compute.c
+++ b/packages/router/src/planner_compute.c
@@ -153,8 +153,8 @@
 }
 
 /*
- * True if the row of an incarnation may be lost or cannot be read. A node that has
- * written its row in the present era has no other incarnation than that.
+ * True if the row of an incarnation may be lost or cannot be read. A node that
+ * has written its row in the present era has no other incarnation than that.
  */
 static bool may_be_lost(const struct planner_input *in,
 			const struct incarnation *l)
--- a/packages/router/src/planview.c
+++ b/packages/router/src/planview.c
@@ -80,6 +80,13 @@
 	if (!m || (version <= m->version && version <= m->row_version))
 		return;
 	map = keymap_parse(value, len, &err);
+	if (map && keymap_era(map) != KEYMAP_NO_ERA &&
+	    keymap_era(map) > tbl_era(version)) {
+		err_set(&err, ERR_ROWS, KEYMAP_BAD_VALUE,
+			"key range map: of a later era than its row");
+		keymap_destroy(map);
+		map = NULL;
+	}
 	if (!map) {
 		log_emit(LOG_ROW_INVALID, "key=%s version=%llu reason=\"%s\"",
 			 key, (unsigned long long)version, err.text);
