--- a/review/standins/bed.h
+++ b/review/standins/bed.h
@@ -209,7 +209,16 @@
 void bed_store_close(struct bed *b);
 void bed_store_copy(struct bed *b);
 void bed_store_restore(struct bed *b);
-void bed_store_publish(struct bed *b, uint32_t version);
+
+/* Differences from the first configuration. */
+struct bed_config {
+	bool drops_free; /* has no route to the service "free" */
+	const char *added_host; /* of a further route, NULL for none */
+};
+
+/* Writes a configuration; change is NULL for the first one. */
+void bed_store_publish(struct bed *b, uint32_t version,
+		       const struct bed_config *change);
 /* True if the row of a node says that its lease has expired. */
 bool bed_store_is_expired(const struct bed *b, size_t node);
 /* True if the plan names this node as the leader. */
--- a/review/standins/bed_store.c
+++ b/review/standins/bed_store.c
@@ -401,41 +401,65 @@
 	return same;
 }
 
+/* Appends a route to the list of resources. */
+static void add_route(json_t *list, const char *name, const char *host,
+		      const char *prefix, const char *kind, int timeout_ms,
+		      int objective_ms, int priority, const char *service)
+{
+	json_array_append_new(
+		list,
+		json_pack("{s:s,s:{s:s},s:{s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i}}",
+			  "type", "routes", "metadata", "name", name, "spec",
+			  "host", host, "prefix", prefix, "kind", kind,
+			  "timeout_ms", timeout_ms, "target_latency_ms",
+			  objective_ms, "priority", priority, "service",
+			  service, "max_attempts", 2));
+}
+
 /* Writes the operator's configuration. */
-void bed_store_publish(struct bed *b, uint32_t config_version)
+void bed_store_publish(struct bed *b, uint32_t config_version,
+		       const struct bed_config *change)
 {
-	static const char fmt[] =
-		"{\"version\":\"r%u\",\"resources\":["
-		"{\"type\":\"routes\",\"metadata\":{\"name\":\"safe\"},"
-		"\"spec\":{\"host\":\"h.example\",\"prefix\":\"/safe/\","
-		"\"kind\":\"safe\",\"timeout_ms\":800,"
-		"\"target_latency_ms\":200,\"priority\":2,"
-		"\"service\":\"keyed\",\"max_attempts\":2}},"
-		"{\"type\":\"routes\",\"metadata\":{\"name\":\"once\"},"
-		"\"spec\":{\"host\":\"h.example\",\"prefix\":\"/once/\","
-		"\"kind\":\"unsafe\",\"timeout_ms\":1000,"
-		"\"target_latency_ms\":250,\"priority\":1,"
-		"\"service\":\"keyed\",\"max_attempts\":2}},"
-		"{\"type\":\"routes\",\"metadata\":{\"name\":\"free\"},"
-		"\"spec\":{\"host\":\"h.example\",\"prefix\":\"/free/\","
-		"\"kind\":\"unsafe\",\"timeout_ms\":1000,"
-		"\"target_latency_ms\":250,\"priority\":2,"
-		"\"service\":\"free\",\"max_attempts\":2}},"
-		"{\"type\":\"services\",\"metadata\":{\"name\":\"keyed\"},"
-		"\"spec\":{\"health_path\":\"/health\","
-		"\"max_connections\":120,\"sharded\":true,\"warmup_s\":5.0}},"
-		"{\"type\":\"services\",\"metadata\":{\"name\":\"free\"},"
-		"\"spec\":{\"health_path\":\"/health\","
-		"\"max_connections\":120}},"
-		"{\"type\":\"limits\",\"metadata\":{},\"spec\":{"
-		"\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
-		"\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}]}";
-	char text[4096], encoded[8192];
-
-	snprintf(text, sizeof(text), fmt, config_version);
+	json_t *list = json_array();
+	char name[16], encoded[8192];
+	json_t *root;
+	char *text;
+
+	add_route(list, "safe", "h.example", "/safe/", "safe", 800, 200, 2,
+		  "keyed");
+	add_route(list, "once", "h.example", "/once/", "unsafe", 1000, 250, 1,
+		  "keyed");
+	if (!change || !change->drops_free)
+		add_route(list, "free", "h.example", "/free/", "unsafe", 1000,
+			  250, 2, "free");
+	if (change && change->added_host)
+		add_route(list, "added", change->added_host, "/safe/", "safe",
+			  800, 200, 2, "keyed");
+	json_array_append_new(
+		list, json_pack("{s:s,s:{s:s},s:{s:s,s:i,s:b,s:f}}", "type",
+				"services", "metadata", "name", "keyed", "spec",
+				"health_path", "/health", "max_connections",
+				120, "sharded", 1, "warmup_s", 5.0));
+	json_array_append_new(
+		list, json_pack("{s:s,s:{s:s},s:{s:s,s:i}}", "type", "services",
+				"metadata", "name", "free", "spec",
+				"health_path", "/health", "max_connections",
+				120));
+	json_array_append_new(
+		list, json_pack("{s:s,s:{},s:{s:i,s:i,s:i,s:i}}", "type",
+				"limits", "metadata", "spec",
+				"max_header_bytes", 16384, "max_body_bytes",
+				67108864, "header_timeout_ms", 3000,
+				"idle_timeout_ms", 15000));
+	snprintf(name, sizeof(name), "r%u", config_version);
+	root = json_pack("{s:s,s:o}", "version", name, "resources", list);
+	text = json_dumps(root, JSON_COMPACT);
 	lws_b64_encode_string(text, (int)strlen(text), encoded,
 			      sizeof(encoded));
 	version++;
 	write_row("op", "config", encoded);
-	bed_record(b, "operator: configuration r%u", config_version);
+	bed_record(b, "operator: configuration %s acknowledged: %s", name,
+		   text);
+	free(text);
+	json_decref(root);
 }
