Texts, lists and numbers of a configuration have no fixed sizes

What callers saw: a version of the configuration drops a route and adds one whose host has 143 characters.

Cause: the decoder copied each text into a buffer of a fixed size (names 64 bytes, hosts 128, prefixes 256) and each split route into 8 parts, and it refused the whole version when one of them did not fit. Evidence: all five daemons logged "host has 143 bytes, more than 127" once. The same happened to a prefix, a split over more than 8 services, an integer that does not fit into 64 bits (the JSON reader refused the text) and a weight with a fraction (a route without any service).

Change: hosts and prefixes are allocated with their length, the services of a route with their number. Names, which are kept in many places, are identifiers of 64 bytes: the name itself, or its start and a hash of 128 bits if it is longer or holds spaces, control characters or invalid UTF-8 (name.h). A request keeps the policy of its route and no longer the whole route. Lookups hash the whole host, once for each request.

Why it works: no text or list of the configuration meets a size any more that is not taken from the message that brings it.

--- a/packages/keys/src/incarnation.h
+++ b/packages/keys/src/incarnation.h
@@ -13,14 +13,13 @@
 #include <stdint.h>
 #include <string.h>
 
-#define INCARNATION_ID_MAX 64
-#define INCARNATION_NODE_MAX 64
+#include "name.h"
 
 struct incarnation {
-	/* Id of the upstream; empty for no incarnation. */
-	char id[INCARNATION_ID_MAX];
-	/* Instance whose daemon grants its keys. */
-	char node[INCARNATION_NODE_MAX];
+	/* Identifier of its id; empty for no incarnation. */
+	char id[NAME_SIZE];
+	/* Identifier of the instance whose daemon grants its keys. */
+	char node[NAME_SIZE];
 	/* Start of the upstream, Unix time; 0 if unknown. */
 	int64_t start_unix_ms;
 	/* Random, chosen by the daemon at the first announcement. */
--- a/packages/router/src/forward.c
+++ b/packages/router/src/forward.c
@@ -56,7 +56,7 @@
 	log_emit(event,
 		 "request=%s route=%s service=%s key=%d reason=\"%s\" "
 		 "attempts=%u target=%s waited_us=%llu config=%llu epoch=%llu",
-		 f->request.id, f->route.name, f->service,
+		 f->request.id, f->policy.name, f->service,
 		 f->request.key == PLAT_NO_KEY ? -1 : (int)f->request.key,
 		 rstats_outcome_text(why), f->attempts,
 		 f->tried_count ? f->tried[f->tried_count - 1] : "-",
@@ -145,7 +145,7 @@
 /* Sets the deadline and the objective of a request. */
 static void set_deadlines(struct fwd_request *f)
 {
-	uint64_t limit = (uint64_t)f->route.timeout_ms * US_PER_MS;
+	uint64_t limit = (uint64_t)f->policy.timeout_ms * US_PER_MS;
 
 	if (limit == 0)
 		limit = DEFAULT_TIMEOUT_US;
@@ -155,8 +155,8 @@
 	if (f->owner->end_us && f->deadline_us > f->owner->end_us)
 		f->deadline_us = f->owner->end_us;
 	f->objective_us =
-		f->arrival_us + (uint64_t)f->route.objective_ms * US_PER_MS;
-	if (f->route.objective_ms == 0 || f->objective_us > f->deadline_us)
+		f->arrival_us + (uint64_t)f->policy.objective_ms * US_PER_MS;
+	if (f->policy.objective_ms == 0 || f->objective_us > f->deadline_us)
 		f->objective_us = f->deadline_us;
 	f->deadline_timer = tmr_at(evloop_timers(f->owner->parts.loop),
 				   fwd_time_limit_us(f), on_deadline, f);
@@ -214,8 +214,8 @@
 	f->connection = c;
 	f->message = m;
 	f->body = body;
-	f->route = *route;
-	f->stats = rstats_find_route(w->stats, route->name);
+	f->policy = route->policy;
+	f->stats = rstats_find_route(w->stats, route->policy.name);
 	f->retries = svcretry_find_service(w->retries, name);
 	txt_copy(f->service, sizeof(f->service), name);
 	w->parts.platform->ops->read_request(m, &f->request);
--- a/packages/router/src/forward_attempt.c
+++ b/packages/router/src/forward_attempt.c
@@ -150,14 +150,14 @@
 static bool may_retry(struct fwd_request *f, enum retry_outcome outcome)
 {
 	struct retry_request r = {
-		.idempotent = f->route.idempotent,
+		.idempotent = f->policy.idempotent,
 		.attempts = f->attempts,
 		.response_started = f->head_sent,
 		.body_replayable = true,
 		.deadline_us = f->deadline_us,
 	};
 
-	if (f->route.attempts_max > 0 && f->attempts >= f->route.attempts_max)
+	if (f->policy.attempts_max > 0 && f->attempts >= f->policy.attempts_max)
 		return false;
 	return svcretry_allow(f->owner->retries, f->retries, &r, outcome,
 			      evloop_now_us(f->owner->parts.loop));
@@ -324,7 +324,7 @@
 /* Returns the kind of a request, which is the same for a whole route. */
 static uint32_t request_kind(const struct fwd_request *f)
 {
-	return (uint32_t)XXH3_64bits(f->route.name, strlen(f->route.name));
+	return (uint32_t)XXH3_64bits(f->policy.name, strlen(f->policy.name));
 }
 
 /* Runs the request at the local upstream. */
@@ -337,8 +337,8 @@
 		.upstream_id = m->incarnation.id,
 		.caller_service = f->owner->parts.settings->service,
 		.kind = request_kind(f),
-		.rank = f->route.rank,
-		.idempotent = f->route.idempotent,
+		.rank = f->policy.rank,
+		.idempotent = f->policy.idempotent,
 		.deadline_us = f->deadline_us,
 		.objective_us = f->objective_us,
 	};
@@ -419,9 +419,9 @@
 	struct span target = httpmsg_target(f->message);
 	struct peerhdr_request peer_request = {
 		.left_us = TIMEOUT_MIN_US,
-		.rank = f->route.rank,
+		.rank = f->policy.rank,
 		.kind = request_kind(f),
-		.idempotent = f->route.idempotent,
+		.idempotent = f->policy.idempotent,
 		.keyed = f->keyed,
 		.sender_stopping = f->owner->end_us > 0,
 	};
--- a/packages/router/src/forward_int.h
+++ b/packages/router/src/forward_int.h
@@ -28,8 +28,8 @@
 	const struct httpmsg *message;
 	const struct buf *body;
 	struct plat_request request;
-	struct rconfig_route route; /* copy from the time of arrival */
-	char service[RCONFIG_NAME_MAX];
+	struct rconfig_policy policy; /* of its route, at its arrival */
+	char service[NAME_SIZE];
 	bool keyed; /* runs only at the owner of its key */
 	uint32_t stats; /* handle of its route in the statistics */
 	uint32_t retries; /* handle of its service in the retries */
@@ -38,7 +38,7 @@
 	uint64_t objective_us;
 	/* Attempts. */
 	uint32_t attempts; /* that reached an upstream */
-	char tried[FWD_TRIED_MAX][INCARNATION_NODE_MAX];
+	char tried[FWD_TRIED_MAX][NAME_SIZE];
 	uint32_t tried_count;
 	struct memb *target;
 	struct reqrun_job *job; /* at the local upstream */
--- a/packages/router/src/forward_response.c
+++ b/packages/router/src/forward_response.c
@@ -78,14 +78,14 @@
 static bool should_retry(struct fwd_request *f)
 {
 	struct retry_request r = {
-		.idempotent = f->route.idempotent,
+		.idempotent = f->policy.idempotent,
 		.attempts = f->attempts,
 		.body_replayable = true,
 		.deadline_us = f->objective_us,
 	};
 
 	if (f->head_sent || f->status < STATUS_FAILURE_MIN ||
-	    !f->route.idempotent || f->attempts >= f->route.attempts_max)
+	    !f->policy.idempotent || f->attempts >= f->policy.attempts_max)
 		return false;
 	return svcretry_allow(f->owner->retries, f->retries, &r, RETRY_UNKNOWN,
 			      evloop_now_us(f->owner->parts.loop));
--- a/packages/router/src/membs.h
+++ b/packages/router/src/membs.h
@@ -22,9 +22,9 @@
 	/* From the plan. */
 	/* Of the upstream; id "" if there is none. */
 	struct incarnation incarnation;
-	char data_centre[RSETTINGS_NAME_MAX];
+	char data_centre[NAME_SIZE];
 	char peer_address[RSETTINGS_ADDRESS_MAX];
-	char service[RCONFIG_NAME_MAX];
+	char service[NAME_SIZE];
 	uint32_t slots;
 	bool takes_work; /* the upstream is up and not draining */
 	/* Kept by this daemon. */
--- a/packages/router/src/noderow.h
+++ b/packages/router/src/noderow.h
@@ -15,15 +15,15 @@
 #define NODEROW_SLOTS_MAX 100000
 
 struct noderow {
-	char node[INCARNATION_NODE_MAX];
-	char data_centre[RSETTINGS_NAME_MAX];
+	char node[NAME_SIZE];
+	char data_centre[NAME_SIZE];
 	char peer_address[RSETTINGS_ADDRESS_MAX];
 	uint64_t process; /* random number of the process */
 	uint64_t lease_until_ms; /* by the clock of the table service */
 	uint64_t era; /* of the table service, when the row was written */
 	bool expired; /* set by the leader: the lease has expired */
 	struct incarnation incarnation; /* of the upstream; id "" for none */
-	char service[RCONFIG_NAME_MAX];
+	char service[NAME_SIZE];
 	uint32_t slots;
 	bool takes_work; /* the upstream is up and not draining */
 	bool left; /* the upstream has said that it ends, which is final */
--- a/packages/router/src/noderpt.h
+++ b/packages/router/src/noderpt.h
@@ -14,7 +14,7 @@
 
 struct noderpt {
 	struct incarnation incarnation; /* id "" if there is none */
-	char service[RCONFIG_NAME_MAX];
+	char service[NAME_SIZE];
 	uint32_t slots;
 	uint32_t running, waiting;
 	uint64_t mean_us; /* mean work of the upstream for a request */
--- a/packages/router/src/peer_headers.h
+++ b/packages/router/src/peer_headers.h
@@ -21,8 +21,8 @@
 #define PEERHDR_CONFIG_FIELD "Geranium-Config"
 
 struct peerhdr_request {
-	char upstream_id[INCARNATION_ID_MAX];
-	char caller_service[RCONFIG_NAME_MAX];
+	char upstream_id[NAME_SIZE];
+	char caller_service[NAME_SIZE];
 	uint64_t left_us; /* time to the deadline */
 	uint64_t objective_left_us; /* 0 if the objective has passed */
 	uint32_t rank;
--- a/packages/router/src/planner_int.h
+++ b/packages/router/src/planner_int.h
@@ -36,7 +36,7 @@
 
 /* State of the planner for one service. */
 struct planner_service {
-	char name[RCONFIG_NAME_MAX];
+	char name[NAME_SIZE];
 	size_t targets; /* number of upstreams at the last check */
 	uint64_t changed_us; /* when their number changed */
 	uint64_t fence; /* next fence of the map at marked_us */
--- a/packages/router/src/planview.c
+++ b/packages/router/src/planview.c
@@ -16,7 +16,7 @@
 #define REFRESH_MIN_US (1 * US_PER_S)
 
 struct service_map {
-	char service[RCONFIG_NAME_MAX];
+	char service[NAME_SIZE];
 	struct keymap *map;
 	uint64_t version; /* era and number of the write of the map */
 	uint64_t row_version; /* of the row in the table */
@@ -57,7 +57,7 @@
 			return &v->maps[i];
 	}
 	if (v->map_count == PLANVIEW_SERVICES_MAX ||
-	    strlen(service) >= RCONFIG_NAME_MAX)
+	    strlen(service) >= NAME_SIZE)
 		return NULL;
 	txt_copy(v->maps[v->map_count].service,
 		 sizeof(v->maps[v->map_count].service), service);
@@ -117,8 +117,7 @@
 
 	if (version > v->leader.version &&
 	    json_unpack(root, "{s:s,s:s}", "node", &node, "peer", &peer) == 0 &&
-	    strlen(node) < INCARNATION_NODE_MAX &&
-	    strlen(peer) < RSETTINGS_ADDRESS_MAX) {
+	    strlen(node) < NAME_SIZE && strlen(peer) < RSETTINGS_ADDRESS_MAX) {
 		log_emit(LOG_LEADER_CHANGED, "from=%s to=%s version=%llu",
 			 v->leader.node[0] ? v->leader.node : "-", node,
 			 (unsigned long long)version);
--- a/packages/router/src/planview.h
+++ b/packages/router/src/planview.h
@@ -21,12 +21,12 @@
 #define PLANVIEW_CRASHES "crashes"
 #define PLANVIEW_KEYS_PREFIX "keys/"
 #define PLANVIEW_SERVICES_MAX 64
-#define PLANVIEW_KEY_MAX (RCONFIG_NAME_MAX + 8)
+#define PLANVIEW_KEY_MAX (NAME_SIZE + 8)
 
 struct planview;
 
 struct planview_leader {
-	char node[INCARNATION_NODE_MAX];
+	char node[NAME_SIZE];
 	char peer_address[RSETTINGS_ADDRESS_MAX];
 	uint64_t version; /* of its row; 0 if there was no leader yet */
 };
--- a/packages/router/src/plat.h
+++ b/packages/router/src/plat.h
@@ -67,13 +67,13 @@
 
 /* Periodic announcement of an upstream to its local daemon. */
 struct plat_announcement {
-	char id[INCARNATION_ID_MAX];
+	char id[NAME_SIZE];
 	bool leaves; /* the upstream is leaving; other fields are not set */
 	int64_t start_unix_ms;
 	uint64_t seq; /* increases with each announcement of an incarnation */
-	char service[RCONFIG_NAME_MAX];
-	char address[RCONFIG_NAME_MAX];
-	char data_centre[RCONFIG_NAME_MAX];
+	char service[NAME_SIZE];
+	char address[NAME_SIZE];
+	char data_centre[NAME_SIZE];
 	uint32_t slots;
 	enum plat_state state;
 	uint32_t slow_left_ms;
--- a/packages/router/src/relqueue.c
+++ b/packages/router/src/relqueue.c
@@ -11,7 +11,7 @@
 #define RETRY_US (40 * US_PER_MS)
 
 struct release {
-	char service[RCONFIG_NAME_MAX];
+	char service[NAME_SIZE];
 	struct incarnation incarnation;
 	uint32_t first, last;
 	uint64_t fence; /* of the range as it was released */
@@ -26,7 +26,7 @@
 	void *arg;
 	struct release pending[PENDING_MAX];
 	size_t count;
-	char service[RCONFIG_NAME_MAX]; /* of the write in progress */
+	char service[NAME_SIZE]; /* of the write in progress */
 	char *text; /* map of the write in progress */
 	uint32_t timer;
 	bool writing;
--- a/packages/router/src/request_runner_int.h
+++ b/packages/router/src/request_runner_int.h
@@ -62,7 +62,7 @@
 	uint64_t end_us; /* end of the process, 0 if it is not stopping */
 	uint64_t last_response_us; /* time of the last response head */
 	struct ratelimit limit; /* that the upstream has named */
-	char heard_id[INCARNATION_ID_MAX]; /* upstream of the last response */
+	char heard_id[NAME_SIZE]; /* upstream of the last response */
 	double mean_us;
 	double long_mean_us; /* mean over more requests, for placing keys */
 	double kind_run_us[REQRUN_KINDS]; /* mean run time, 0 if not measured */
--- a/packages/router/src/route_stats.c
+++ b/packages/router/src/route_stats.c
@@ -33,7 +33,7 @@
 };
 
 struct route {
-	char name[RCONFIG_NAME_MAX];
+	char name[NAME_SIZE];
 	uint32_t counts[RSTATS_OUTCOME_COUNT];
 	struct histogram times[RSTATS_PHASE_COUNT];
 };
--- a/packages/router/src/router_settings.c
+++ b/packages/router/src/router_settings.c
@@ -36,12 +36,12 @@
 
 static bool is_name_or_empty(const char *text)
 {
-	return strlen(text) < RSETTINGS_NAME_MAX;
+	return strlen(text) < NAME_SIZE;
 }
 
 static bool is_instance(const char *text)
 {
-	return text[0] != '\0' && strlen(text) < RSETTINGS_NAME_MAX;
+	return text[0] != '\0' && strlen(text) < NAME_SIZE;
 }
 
 #define ENDPOINT(field)                                              \
@@ -89,20 +89,20 @@
 	  .type = YML_TEXT,
 	  .required = true,
 	  .offset = offsetof(struct rsettings, instance),
-	  .size = RSETTINGS_NAME_MAX,
+	  .size = NAME_SIZE,
 	  .valid = is_instance,
 	  .allowed = "1 to 63 bytes" },
 	{ .name = "data_centre",
 	  .type = YML_TEXT,
 	  .required = true,
 	  .offset = offsetof(struct rsettings, data_centre),
-	  .size = RSETTINGS_NAME_MAX,
+	  .size = NAME_SIZE,
 	  .valid = is_instance,
 	  .allowed = "1 to 63 bytes" },
 	{ .name = "service",
 	  .type = YML_TEXT,
 	  .offset = offsetof(struct rsettings, service),
-	  .size = RSETTINGS_NAME_MAX,
+	  .size = NAME_SIZE,
 	  .valid = is_name_or_empty,
 	  .allowed = "at most 63 bytes" },
 	ENDPOINT(caller_address),
--- a/packages/router/src/router_settings.h
+++ b/packages/router/src/router_settings.h
@@ -11,15 +11,15 @@
 
 #include "err.h"
 #include "log.h"
+#include "name.h"
 
-#define RSETTINGS_NAME_MAX 64
 #define RSETTINGS_ADDRESS_MAX 64
 #define RSETTINGS_NUMBER_MAX 16
 
 struct rsettings {
-	char instance[RSETTINGS_NAME_MAX]; /* unique among all daemons */
-	char data_centre[RSETTINGS_NAME_MAX];
-	char service[RSETTINGS_NAME_MAX]; /* of the local upstream; may be "" */
+	char instance[NAME_SIZE]; /* unique among all daemons */
+	char data_centre[NAME_SIZE];
+	char service[NAME_SIZE]; /* of the local upstream; may be "" */
 	/* All addresses: IPV4:PORT. */
 	char caller_address[RSETTINGS_ADDRESS_MAX];
 	char peer_address[RSETTINGS_ADDRESS_MAX];
--- a/packages/router/src/routing_config.c
+++ b/packages/router/src/routing_config.c
@@ -6,18 +6,49 @@
 
 #include <xxhash.h>
 
+/* Characters of a host that are put into lower case at a time. */
+#define HOST_BLOCK_BYTES 128
 /* Increment of the low-discrepancy sequence that selects among services. */
 #define GOLDEN_RATIO_STEP UINT64_C(0x9E3779B97F4A7C15)
-#define HIGH_BITS 32
+/* 2 to the power of 64. */
+#define SEQUENCE_RANGE 18446744073709551616.0
 /* Minimum size of the hash table of routes. */
 #define SLOTS_MIN 16
 
+/* Frees the texts and the list of a route and clears it. */
+void rconfig_free_route(struct rconfig_route *r)
+{
+	free(r->host);
+	free(r->prefix);
+	free(r->parts);
+	memset(r, 0, sizeof(*r));
+}
+
+/* Copies a route with its texts; out is empty if out of memory. */
+bool rconfig_copy_route(struct rconfig_route *out,
+			const struct rconfig_route *r)
+{
+	*out = *r;
+	out->host = strdup(r->host);
+	out->prefix = strdup(r->prefix);
+	out->parts = calloc(r->part_count + 1, sizeof(*out->parts));
+	if (!out->host || !out->prefix || !out->parts) {
+		rconfig_free_route(out);
+		return false;
+	}
+	memcpy(out->parts, r->parts, r->part_count * sizeof(*out->parts));
+	return true;
+}
+
 /* Frees the lists of a configuration and clears it. */
 void rconfig_free(struct rconfig *c)
 {
+	for (size_t i = 0; i < c->route_count; i++)
+		rconfig_free_route(&c->routes[i]);
 	free(c->routes);
 	free(c->services);
 	free(c->index.slots);
+	free(c->index.lengths);
 	memset(c, 0, sizeof(*c));
 }
 
@@ -34,43 +65,43 @@
 	return path;
 }
 
-/* Hashes a host, without regard to case, and a prefix. */
-static uint64_t hash_route(struct span host, const char *prefix, size_t len)
+/* Hashes a host without regard to case. */
+static uint64_t hash_host(struct span host)
 {
-	char lower[RCONFIG_HOST_MAX];
-	size_t n = host.len < sizeof(lower) ? host.len : sizeof(lower);
-
-	for (size_t i = 0; i < n; i++)
-		lower[i] = (char)tolower((unsigned char)host.text[i]);
-	return XXH3_64bits_withSeed(prefix, len, XXH3_64bits(lower, n));
+	char lower[HOST_BLOCK_BYTES];
+	uint64_t hash = 0;
+
+	for (size_t at = 0; at < host.len; at += sizeof(lower)) {
+		size_t n = host.len - at;
+
+		if (n > sizeof(lower))
+			n = sizeof(lower);
+		for (size_t i = 0; i < n; i++)
+			lower[i] =
+				(char)tolower((unsigned char)host.text[at + i]);
+		hash = XXH3_64bits_withSeed(lower, n, hash);
+	}
+	return hash;
 }
 
 /* Compares two lengths, the longest first, for qsort(). */
 static int compare_lengths(const void *a, const void *b)
 {
-	return (int)*(const uint16_t *)b - (int)*(const uint16_t *)a;
-}
+	const size_t *x = a, *y = b;
 
-/* Adds the length of a prefix, unless it is known. */
-static void add_length(struct rconfig_index *x, size_t len)
-{
-	for (size_t i = 0; i < x->length_count; i++) {
-		if (x->lengths[i] == len)
-			return;
-	}
-	x->lengths[x->length_count++] = (uint16_t)len;
+	return (*x < *y) - (*x > *y);
 }
 
 /* Returns the route with this host and prefix, NULL if there is none. */
 static const struct rconfig_route *find_exact(const struct rconfig *c,
-					      struct span host,
+					      struct span host, uint64_t hash,
 					      const char *prefix, size_t len)
 {
 	const struct rconfig_index *x = &c->index;
 	size_t mask = x->slot_count - 1;
 
-	for (size_t i = hash_route(host, prefix, len) & mask; x->slots[i] != 0;
-	     i = (i + 1) & mask) {
+	for (size_t i = XXH3_64bits_withSeed(prefix, len, hash) & mask;
+	     x->slots[i] != 0; i = (i + 1) & mask) {
 		const struct rconfig_route *r = &c->routes[x->slots[i] - 1];
 
 		if (strlen(r->prefix) == len &&
@@ -81,6 +112,41 @@
 	return NULL;
 }
 
+/* Adds a route to the hash table, unless one of its host and prefix is in. */
+static void add_route(struct rconfig *c, size_t n)
+{
+	struct rconfig_index *x = &c->index;
+	const struct rconfig_route *r = &c->routes[n];
+	struct span host = { r->host, strlen(r->host) };
+	uint64_t hash = hash_host(host);
+	size_t len = strlen(r->prefix);
+	size_t i = XXH3_64bits_withSeed(r->prefix, len, hash) &
+		   (x->slot_count - 1);
+
+	if (find_exact(c, host, hash, r->prefix, len))
+		return;
+	while (x->slots[i] != 0)
+		i = (i + 1) & (x->slot_count - 1);
+	x->slots[i] = (uint32_t)n + 1;
+}
+
+/* Lists the different lengths of the prefixes. */
+static void list_lengths(struct rconfig *c)
+{
+	struct rconfig_index *x = &c->index;
+
+	for (size_t n = 0; n < c->route_count; n++)
+		x->lengths[n] = strlen(c->routes[n].prefix);
+	qsort(x->lengths, c->route_count, sizeof(x->lengths[0]),
+	      compare_lengths);
+	x->length_count = 0;
+	for (size_t n = 0; n < c->route_count; n++) {
+		if (x->length_count == 0 ||
+		    x->lengths[x->length_count - 1] != x->lengths[n])
+			x->lengths[x->length_count++] = x->lengths[n];
+	}
+}
+
 /*
  * Builds the index of the routes, without which rconfig_find_route() finds
  * none. Of several routes with the same host and prefix, the first one counts.
@@ -94,26 +160,16 @@
 	while (count < c->route_count * 2)
 		count *= 2;
 	free(x->slots);
-	x->length_count = 0;
+	free(x->lengths);
 	x->slot_count = count;
 	x->slots = calloc(count, sizeof(*x->slots));
-	if (!x->slots)
+	x->lengths = calloc(c->route_count + 1, sizeof(*x->lengths));
+	x->length_count = 0;
+	if (!x->slots || !x->lengths)
 		return false;
-	for (size_t n = 0; n < c->route_count; n++) {
-		const struct rconfig_route *r = &c->routes[n];
-		struct span host = { r->host, strlen(r->host) };
-		size_t len = strlen(r->prefix);
-		size_t i = hash_route(host, r->prefix, len) & (count - 1);
-
-		if (find_exact(c, host, r->prefix, len))
-			continue;
-		while (x->slots[i] != 0)
-			i = (i + 1) & (count - 1);
-		x->slots[i] = (uint32_t)n + 1;
-		add_length(x, len);
-	}
-	qsort(x->lengths, x->length_count, sizeof(x->lengths[0]),
-	      compare_lengths);
+	for (size_t n = 0; n < c->route_count; n++)
+		add_route(c, n);
+	list_lengths(c);
 	return true;
 }
 
@@ -121,11 +177,14 @@
 static const struct rconfig_route *
 find_longest(const struct rconfig *c, struct span host, struct span path)
 {
+	uint64_t hash = hash_host(host);
+
 	for (size_t i = 0; i < c->index.length_count; i++) {
 		size_t len = c->index.lengths[i];
 		const struct rconfig_route *r =
-			len <= path.len ? find_exact(c, host, path.text, len) :
-					  NULL;
+			len <= path.len ?
+				find_exact(c, host, hash, path.text, len) :
+				NULL;
 
 		if (r)
 			return r;
@@ -176,16 +235,16 @@
 const char *rconfig_choose_service(const struct rconfig_route *r,
 				   uint64_t sequence)
 {
-	uint64_t total = 0;
-	uint64_t position;
+	double total = 0;
+	double position;
 
 	if (r->part_count == 0)
 		return NULL;
-	for (uint32_t i = 0; i < r->part_count; i++)
+	for (size_t i = 0; i < r->part_count; i++)
 		total += r->parts[i].weight;
-	position = ((sequence * GOLDEN_RATIO_STEP) >> HIGH_BITS) * total >>
-		   HIGH_BITS;
-	for (uint32_t i = 0; i < r->part_count; i++) {
+	position =
+		(double)(sequence * GOLDEN_RATIO_STEP) / SEQUENCE_RANGE * total;
+	for (size_t i = 0; i < r->part_count; i++) {
 		if (position < r->parts[i].weight)
 			return r->parts[i].service;
 		position -= r->parts[i].weight;
--- a/packages/router/src/routing_config.h
+++ b/packages/router/src/routing_config.h
@@ -8,23 +8,16 @@
 #include <stdint.h>
 
 #include "httpmsg.h"
-
-#define RCONFIG_NAME_MAX 64
-#define RCONFIG_HOST_MAX 128
-#define RCONFIG_PREFIX_MAX 256
-#define RCONFIG_PARTS_MAX 8
+#include "name.h"
 
 struct rconfig_weighted_service {
-	char service[RCONFIG_NAME_MAX];
-	uint32_t weight; /* relative share of the requests, greater than 0 */
+	char service[NAME_SIZE]; /* identifier of its name */
+	double weight; /* relative share of the requests, greater than 0 */
 };
 
-struct rconfig_route {
-	char name[RCONFIG_NAME_MAX];
-	char host[RCONFIG_HOST_MAX];
-	char prefix[RCONFIG_PREFIX_MAX]; /* begins and ends with a slash */
-	struct rconfig_weighted_service parts[RCONFIG_PARTS_MAX];
-	uint32_t part_count;
+/* How a request of a route is handled; it may outlast the configuration. */
+struct rconfig_policy {
+	char name[NAME_SIZE]; /* identifier of the name of the route */
 	bool idempotent;
 	uint32_t timeout_ms; /* to the end of the response, 0 for default */
 	uint32_t objective_ms; /* target latency, 0 for the deadline */
@@ -32,8 +25,16 @@
 	uint32_t rank; /* 0 is the most urgent */
 };
 
+struct rconfig_route {
+	struct rconfig_policy policy;
+	char *host;
+	char *prefix; /* begins and ends with a slash */
+	struct rconfig_weighted_service *parts;
+	size_t part_count;
+};
+
 struct rconfig_service {
-	char name[RCONFIG_NAME_MAX];
+	char name[NAME_SIZE]; /* identifier of its name */
 	uint32_t connections_max; /* for each upstream */
 	bool keyed; /* upstreams own keys */
 };
@@ -42,7 +43,7 @@
 struct rconfig_index {
 	uint32_t *slots; /* hash table of positions + 1, 0 if unused */
 	size_t slot_count; /* a power of two */
-	uint16_t lengths[RCONFIG_PREFIX_MAX]; /* of prefixes, longest first */
+	size_t *lengths; /* of prefixes, longest first */
 	size_t length_count;
 };
 
@@ -61,6 +62,11 @@
 
 void rconfig_free(struct rconfig *c);
 
+/* Frees what a route points to, and copies a route; false if out of memory. */
+void rconfig_free_route(struct rconfig_route *r);
+bool rconfig_copy_route(struct rconfig_route *out,
+			const struct rconfig_route *r);
+
 /* To be called once all routes are set. False if out of memory. */
 bool rconfig_build_index(struct rconfig *c);
 
--- a/packages/router/src/upstr_int.h
+++ b/packages/router/src/upstr_int.h
@@ -18,7 +18,7 @@
 	void *arg;
 	/* Incarnation. */
 	struct incarnation incarnation;
-	char service[RCONFIG_NAME_MAX];
+	char service[NAME_SIZE];
 	uint32_t slots;
 	uint64_t seq; /* of the last announcement */
 	uint64_t last_announce_us;
@@ -30,9 +30,9 @@
 	/* Last time to send requests, 0 if not draining. */
 	uint64_t drain_end_us;
 	int64_t ended_born_ms; /* start of the last ended incarnation */
-	char ended_id[INCARNATION_ID_MAX];
+	char ended_id[NAME_SIZE];
 	/* Shutdown of a still unknown upstream, and when it was received. */
-	char unknown_left_id[INCARNATION_ID_MAX];
+	char unknown_left_id[NAME_SIZE];
 	uint64_t unknown_left_us;
 	/* Keys. */
 	struct plat_announcement last; /* newest announcement */
--- a/packages/router/tests/test_planner.c
+++ b/packages/router/tests/test_planner.c
@@ -84,10 +84,10 @@
 
 	f->loop = evloop_create(clk_system(), &err);
 	faketbl_open(&f->db, f->loop);
-	snprintf(f->settings.instance, RSETTINGS_NAME_MAX, "a");
+	snprintf(f->settings.instance, NAME_SIZE, "a");
 	snprintf(f->settings.peer_address, RSETTINGS_ADDRESS_MAX,
 		 "127.0.0.1:1");
-	snprintf(f->service.name, RCONFIG_NAME_MAX, "s");
+	snprintf(f->service.name, NAME_SIZE, "s");
 	f->service.keyed = true;
 	f->config = (struct rconfig){ .version = 1,
 				      .services = &f->service,
--- a/packages/router/tests/test_routing_config.c
+++ b/packages/router/tests/test_routing_config.c
@@ -47,11 +47,12 @@
 	c->routes = calloc(ROUTES, sizeof(*c->routes));
 	c->route_count = ROUTES;
 	for (size_t i = 0; i < ROUTES; i++) {
-		uint32_t host = draw(HOSTS);
+		char host[32], prefix[64];
 
-		snprintf(c->routes[i].host, sizeof(c->routes[i].host),
-			 "h%u.example", host);
-		draw_path(c->routes[i].prefix, sizeof(c->routes[i].prefix));
+		snprintf(host, sizeof(host), "h%u.example", draw(HOSTS));
+		draw_path(prefix, sizeof(prefix));
+		c->routes[i].host = strdup(host);
+		c->routes[i].prefix = strdup(prefix);
 	}
 	assert_true(rconfig_build_index(c));
 }
--- a/packages/router/tests/test_upstr.c
+++ b/packages/router/tests/test_upstr.c
@@ -357,7 +357,7 @@
 	fx = f;
 	f->loop = evloop_create(clk_system(), &err);
 	faketbl_open(&f->db, f->loop);
-	snprintf(f->settings.instance, RSETTINGS_NAME_MAX, "a");
+	snprintf(f->settings.instance, NAME_SIZE, "a");
 	snprintf(f->settings.upstream_address, RSETTINGS_ADDRESS_MAX, UPSTREAM);
 	f->settings.announce_ms = ANNOUNCE_MS;
 	f->settings.drain_ms = DRAIN_MS;
