An entry that cannot be read does not keep the others out of force

Cause: the decoder stopped at the first entry that it could not read and refused the version. Besides, the daemon confirmed its older version as the newest one, since its leader had refused the newer one too: CONFIG_STATUS said age_ms=67, and no metric showed that a version had been refused.

A refused text is logged once and not each time that it arrives. Event 2145 CONFIG_ENTRY_UNREAD names the version, the number of entries and the first reason; CONFIG_STATUS and the metrics geraniumspoke_config_refused, ..._refused_version and ..._unread_entries show the state on each daemon.

--- a/packages/router/src/plat.h
+++ b/packages/router/src/plat.h
@@ -96,8 +96,14 @@
 	/* Table and key of the row that stores the configuration. */
 	const char *config_table;
 	const char *config_key;
-	/* Errors are of the layer settings; c then stays empty. */
-	bool (*read_config)(const char *value, size_t len, struct rconfig *c,
+	/*
+	 * An entry that cannot be read does not affect the others; that of the
+	 * configuration before remains in its place. If nothing can be read,
+	 * the result is false, err of the layer settings is set and c is empty
+	 * but for its version, if that could be read.
+	 */
+	bool (*read_config)(const char *value, size_t len,
+			    const struct rconfig *before, struct rconfig *c,
 			    struct err *err);
 	void (*read_request)(const struct httpmsg *m, struct plat_request *r);
 	/* True for a field that write_forward() sets. */
--- a/packages/router/src/routerd_config.c
+++ b/packages/router/src/routerd_config.c
@@ -42,6 +42,23 @@
 	free(packed);
 }
 
+/*
+ * Records a configuration that cannot be read. It is logged once, as the table
+ * and the leader may send its text many times.
+ */
+static void refuse_config(struct routerd *r, uint64_t hash, uint64_t version,
+			  const char *reason)
+{
+	if (r->config_refused && r->config_refused_hash == hash)
+		return;
+	r->config_refused = true;
+	r->config_refused_hash = hash;
+	r->config_refused_version = version;
+	log_emit(LOG_CONFIG_REFUSED, "version=%llu in_force=%llu reason=\"%s\"",
+		 (unsigned long long)version,
+		 (unsigned long long)r->config.version, reason);
+}
+
 /*
  * Applies a configuration if it is valid and newer than the one in effect. The
  * text of the one in effect, which may come from the table and from the leader,
@@ -60,9 +77,9 @@
 			store_compressed(r, text, len);
 		return;
 	}
-	if (!r->platform.ops->read_config(text, len, &config, &err)) {
-		log_emit(LOG_CONFIG_REFUSED, "in_force=%llu reason=\"%s\"",
-			 (unsigned long long)r->config.version, err.text);
+	if (!r->platform.ops->read_config(text, len, &r->config, &config,
+					  &err)) {
+		refuse_config(r, hash, config.version, err.text);
 		return;
 	}
 	if (config.version <= r->config.version) {
@@ -72,10 +89,17 @@
 	rconfig_free(&r->config);
 	r->config = config;
 	r->config_hash = hash;
+	if (config.version >= r->config_refused_version)
+		r->config_refused = false;
 	log_emit(LOG_CONFIG_IN_FORCE,
 		 "version=%llu routes=%zu services=%zu from=%s",
 		 (unsigned long long)config.version, config.route_count,
 		 config.service_count, from);
+	if (config.unread_count > 0)
+		log_emit(LOG_CONFIG_ENTRY_UNREAD,
+			 "version=%llu entries=%zu reason=\"%s\"",
+			 (unsigned long long)config.version,
+			 config.unread_count, config.unread_reason.text);
 	cfglag_add(&r->config_lag, config.version, evloop_now_us(r->loop));
 	store_compressed(r, text, len);
 	routerd_set_limits(r);
--- a/packages/router/src/routerd_int.h
+++ b/packages/router/src/routerd_int.h
@@ -35,6 +35,10 @@
 	struct plat platform;
 	struct rconfig config;
 	uint64_t config_hash; /* of the text of the configuration in effect */
+	/* A text that was refused and that no newer version has replaced. */
+	bool config_refused;
+	uint64_t config_refused_hash;
+	uint64_t config_refused_version; /* 0 if that could not be read */
 	struct tblwatch *config_watch;
 	struct buf config_text; /* compressed configuration, at the leader */
 	uint64_t config_read; /* ticket of the last read of that text */
--- a/packages/router/src/routerd_stats.c
+++ b/packages/router/src/routerd_stats.c
@@ -58,6 +58,10 @@
 	ctr_set(CTR_UPSTREAM_WAITING, load.waiting);
 	ctr_set(CTR_CONFIG_VERSION, r->config.version);
 	ctr_set(CTR_CONFIG_AGE_MS, config_age_us(r) / US_PER_MS);
+	ctr_set(CTR_CONFIG_REFUSED, r->config_refused);
+	ctr_set(CTR_CONFIG_REFUSED_VERSION,
+		r->config_refused ? r->config_refused_version : 0);
+	ctr_set(CTR_CONFIG_UNREAD_ENTRIES, r->config.unread_count);
 	ctr_set(CTR_PLAN_EPOCH, planview_epoch(r->view));
 	n = ctr_write(text, METRICS_BYTES / 2);
 	n = n < METRICS_BYTES / 2 ? n : strlen(text);
@@ -101,13 +105,15 @@
 
 /*
  * Logs which configuration the daemon uses, for how long nothing has confirmed
- * it, and for how long the table service has not; waited_ms is the time for which the call in progress has had no answer.
+ * it, and for how long the table service has not; waited_ms is the time for
+ * which the call in progress has had no answer. refused is 1 if a newer text
+ * could not be read, unread counts the entries of the one in use that could not.
  */
 static void log_config(struct routerd *r)
 {
 	log_emit(LOG_CONFIG_STATUS,
 		 "version=%llu age_ms=%llu table_age_ms=%llu waited_ms=%llu "
-		 "leader=%s",
+		 "refused=%d refused_version=%llu unread=%zu leader=%s",
 		 (unsigned long long)r->config.version,
 		 (unsigned long long)(config_age_us(r) / US_PER_MS),
 		 (unsigned long long)(clk_elapsed(evloop_now_us(r->loop),
@@ -116,7 +122,11 @@
 				      US_PER_MS),
 		 (unsigned long long)(tblwatch_waited_us(r->config_watch) /
 				      US_PER_MS),
-		 planview_leader(r->view)->node);
+		 r->config_refused,
+		 (unsigned long long)(r->config_refused ?
+					      r->config_refused_version :
+					      0),
+		 r->config.unread_count, planview_leader(r->view)->node);
 }
 
 /* Writes the periodic log lines. */
--- a/packages/router/src/routing_config.h
+++ b/packages/router/src/routing_config.h
@@ -7,6 +7,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "err.h"
 #include "httpmsg.h"
 #include "name.h"
 
@@ -58,6 +59,9 @@
 	uint32_t body_bytes_max;
 	uint32_t header_timeout_ms;
 	uint32_t idle_timeout_ms;
+	/* Entries that could not be read, and why, of the first one. */
+	size_t unread_count;
+	struct err unread_reason;
 };
 
 void rconfig_free(struct rconfig *c);
