Names and ids of any length are taken on every path

A service whose name has more than 63 bytes could now stand in a configuration, but a daemon with such a name in its settings did not start (exit status 2, "1 to 63 bytes"), a heartbeat with such a service or upstream id was rejected, so that the upstream never got keys or requests, and a request whose id had more than 127 bytes lost it, so that no response matched.

Cause: settings, heartbeats, rows, reports, the field between daemons and the request id each copied a name into 64 or 128 bytes and failed when it did not fit. A name with a space broke the field between daemons, which is split at spaces, and every forwarded request got 400. Lines of 512 bytes lost a longer Caller-Service or Expected-Instance without a sign (buf_printf()).

Change: settings and adapter turn names into identifiers (name.h) where they come in, so that rows, messages and tables keep their sizes and short names their form, also beside daemons of earlier versions. What goes out is the whole text: Caller-Service from the settings, or from the new field Geranium-Caller between daemons if it differs from its identifier, and Expected-Instance with the id of the last announcement. After a restart a daemon knows only the identifier of a long id from its row; such an upstream gets requests from its next announcement on. A service name with control characters is refused in the settings, as it is sent in a header field. Fields of daemons ("Geranium-") that a caller sends are no longer copied to another daemon, where they came before our own.

--- a/packages/base/src/name.c
+++ b/packages/base/src/name.c
@@ -11,11 +11,13 @@
 /* Separates the start of the name from the hash in hexadecimal digits. */
 #define SEPARATOR '~'
 #define HASH_DIGITS 32
+/* The last character of ASCII, which is a control character. */
+#define ASCII_MAX 0x7f
 
 /* True for a character of printable ASCII other than the space. */
 static bool is_visible(unsigned char c)
 {
-	return c > ' ' && c < 0x7f;
+	return c > ' ' && c < ASCII_MAX;
 }
 
 /*
@@ -24,14 +26,18 @@
  */
 static bool is_plain(const char *name, size_t len)
 {
+	bool is_ascii = true;
 	json_t *text;
 
 	for (size_t i = 0; i < len; i++) {
 		unsigned char c = (unsigned char)name[i];
 
-		if (!is_visible(c) && c < 0x80)
+		if (!is_visible(c) && c <= ASCII_MAX)
 			return false;
+		is_ascii = is_ascii && c <= ASCII_MAX;
 	}
+	if (is_ascii)
+		return true;
 	/* jansson accepts valid UTF-8 only. */
 	text = json_stringn(name, len);
 	json_decref(text);
--- a/packages/config/src/yml.h
+++ b/packages/config/src/yml.h
@@ -122,6 +122,13 @@
 /* Returns the number of items of a list, 0 for other nodes. */
 size_t yml_count(const yaml_node_t *node);
 
+/*
+ * Returns a string of the document, NULL and an error for other nodes and for
+ * one that is not valid.
+ */
+const char *yml_get_text(const struct yml *y, const yaml_node_t *node,
+			 bool (*valid)(const char *), const char *allowed);
+
 /* Reads a string into a buffer of size bytes, with a NUL. */
 bool yml_read_text(const struct yml *y, const yaml_node_t *node, char *out,
 		   size_t size, bool (*valid)(const char *),
--- a/packages/config/src/yml_read.c
+++ b/packages/config/src/yml_read.c
@@ -102,16 +102,39 @@
 	return true;
 }
 
+/* Returns the string of a node, NULL and an error for null and no scalar. */
+static const char *get_string(const struct yml *y, const yaml_node_t *node,
+			      const char *allowed)
+{
+	const char *s = scalar_string(node);
+
+	if (s && (!plain_string(node) ||
+		  (*s && strcmp(s, "~") != 0 && strcmp(s, "null") != 0)))
+		return s;
+	yml_fail(y, node, YML_BAD_VALUE, allowed, "not a text");
+	return NULL;
+}
+
+const char *yml_get_text(const struct yml *y, const yaml_node_t *node,
+			 bool (*valid)(const char *), const char *allowed)
+{
+	const char *s = get_string(y, node, allowed);
+
+	if (!s || !valid || valid(s))
+		return s;
+	yml_fail(y, node, YML_BAD_VALUE, allowed, "\"%.48s\" refused", s);
+	return NULL;
+}
+
 bool yml_read_text(const struct yml *y, const yaml_node_t *node, char *out,
 		   size_t size, bool (*valid)(const char *),
 		   const char *allowed)
 {
-	const char *s = scalar_string(node);
+	const char *s = get_string(y, node, allowed);
 	size_t n;
 
-	if (!s || (plain_string(node) &&
-		   (!*s || !strcmp(s, "~") || !strcmp(s, "null"))))
-		return yml_fail(y, node, YML_BAD_VALUE, allowed, "not a text");
+	if (!s)
+		return false;
 	n = strlen(s);
 	if (n >= size)
 		return yml_fail(y, node, YML_BAD_VALUE, allowed,
--- a/packages/daemon/src/main_geraniumspoked.c
+++ b/packages/daemon/src/main_geraniumspoked.c
@@ -104,18 +104,22 @@
 		fprintf(stderr, "geraniumspoked: %s\n", err.text);
 		return EXIT_SETTINGS;
 	}
-	if (o->check_only)
+	if (o->check_only) {
+		rsettings_free(&settings);
 		return EXIT_SUCCESS;
+	}
 	log_set_level(settings.log_level);
 	log_set_fd(STDOUT_FILENO);
 	r = routerd_create(&settings, o->path, adapter_create, clk_system(),
 			   &err);
 	if (!r) {
 		fprintf(stderr, "geraniumspoked: %s\n", err.text);
+		rsettings_free(&settings);
 		return EXIT_START;
 	}
 	routerd_run(r);
 	routerd_destroy(r);
+	rsettings_free(&settings);
 	return EXIT_SUCCESS;
 }
 
--- a/packages/router/src/forward_attempt.c
+++ b/packages/router/src/forward_attempt.c
@@ -327,6 +327,14 @@
 	return (uint32_t)XXH3_64bits(f->policy.name, strlen(f->policy.name));
 }
 
+/* Returns the name of the service on the instance of the caller. */
+static struct span caller_service(const struct fwd_request *f)
+{
+	const char *name = f->owner->parts.settings->service_name;
+
+	return (struct span){ name, name ? strlen(name) : 0 };
+}
+
 /* Runs the request at the local upstream. */
 static void send_to_local(struct fwd_request *f, struct memb *m)
 {
@@ -335,7 +343,7 @@
 		.body = f->body,
 		.request = f->request,
 		.upstream_id = m->incarnation.id,
-		.caller_service = f->owner->parts.settings->service,
+		.caller_service = caller_service(f),
 		.kind = request_kind(f),
 		.rank = f->policy.rank,
 		.idempotent = f->policy.idempotent,
@@ -412,6 +420,13 @@
 static const struct httpcall_ops peer_ops = { NULL, on_peer_head, on_peer_body,
 					      on_peer_done, on_peer_failed };
 
+/* True for a field of daemons, which a caller may have forged. */
+static bool skip_field(const void *arg, struct span name)
+{
+	(void)arg;
+	return peerhdr_is_field(name);
+}
+
 /* Writes the head of the request to another daemon. */
 static void write_peer_head(const struct fwd_request *f, const struct memb *m,
 			    uint64_t now_us, struct buf *out)
@@ -419,6 +434,7 @@
 	struct span target = httpmsg_target(f->message);
 	struct peerhdr_request peer_request = {
 		.left_us = TIMEOUT_MIN_US,
+		.caller_service = caller_service(f),
 		.rank = f->policy.rank,
 		.kind = request_kind(f),
 		.idempotent = f->policy.idempotent,
@@ -428,9 +444,6 @@
 
 	txt_copy(peer_request.upstream_id, sizeof(peer_request.upstream_id),
 		 m->incarnation.id);
-	txt_copy(peer_request.caller_service,
-		 sizeof(peer_request.caller_service),
-		 f->owner->parts.settings->service);
 	if (f->deadline_us > now_us)
 		peer_request.left_us = f->deadline_us - now_us;
 	if (f->objective_us > now_us)
@@ -439,7 +452,7 @@
 	buf_add(out, " ", 1);
 	buf_add(out, target.text, target.len);
 	buf_add_text(out, " HTTP/1.1\r\n");
-	httpmsg_copy_fields(f->message, out, NULL, NULL);
+	httpmsg_copy_fields(f->message, out, skip_field, NULL);
 	peerhdr_write_request(out, &peer_request);
 	if (buf_len(f->body) > 0 || f->message->length != 0)
 		buf_printf(out, "Content-Length: %zu\r\n", buf_len(f->body));
--- a/packages/router/src/peer_headers.c
+++ b/packages/router/src/peer_headers.c
@@ -5,31 +5,75 @@
 #include <string.h>
 
 #define LINE_MAX_BYTES 512
-/* Minimum number of values in the request field. */
-#define REQUEST_VALUES_MIN 8
+/* Minimum number of numbers in the request field. */
+#define REQUEST_VALUES_MIN 6
+/* Stands for a caller whose daemon has no service. */
+#define NO_SERVICE "-"
 /* Longest time accepted from another daemon, so that sums do not overflow. */
 #define TIME_MAX_US (3600 * US_PER_S)
 
-/* Replaces an empty value, which the reader would skip, by a dash. */
-static const char *value_or_dash(const char *text)
+/* Compares the start of the name without regard to case. */
+bool peerhdr_is_field(struct span name)
 {
-	return text[0] ? text : "-";
+	size_t len = strlen(PEERHDR_PREFIX);
+
+	return name.len >= len &&
+	       span_is_nocase((struct span){ name.text, len }, PEERHDR_PREFIX);
 }
 
-/* Writes the header field of a forwarded request. */
+/*
+ * Writes the header fields of a forwarded request. The caller's service stands
+ * between spaces, where only an identifier is sure to fit; "-" stands for none.
+ */
 void peerhdr_write_request(struct buf *out, const struct peerhdr_request *r)
 {
+	struct span caller = r->caller_service;
+	char identifier[NAME_SIZE] = NO_SERVICE;
+
+	if (caller.len > 0)
+		name_identify(identifier, sizeof(identifier), caller.text,
+			      caller.len);
 	buf_printf(out, "%s: %s %s %llu %llu %u %u %d %d %d\r\n",
-		   PEERHDR_REQUEST_FIELD, value_or_dash(r->upstream_id),
-		   value_or_dash(r->caller_service),
+		   PEERHDR_REQUEST_FIELD, r->upstream_id, identifier,
 		   (unsigned long long)r->left_us,
 		   (unsigned long long)r->objective_left_us, r->rank, r->kind,
 		   r->idempotent, r->keyed, r->sender_stopping);
+	if (caller.len == 0 || span_is(caller, identifier))
+		return;
+	buf_add_text(out, PEERHDR_CALLER_FIELD ": ");
+	buf_add(out, caller.text, caller.len);
+	buf_add_text(out, "\r\n");
+}
+
+/* Removes the first word of a line that spaces separate, and returns it. */
+static struct span take_word(struct span *line)
+{
+	const char *space = memchr(line->text, ' ', line->len);
+	struct span word = *line;
+
+	if (space)
+		word.len = (size_t)(space - line->text);
+	line->text += word.len + (space ? 1 : 0);
+	line->len -= word.len + (space ? 1 : 0);
+	return word;
+}
+
+/* Reads the service of the caller: its identifier, or the field of its name. */
+static struct span read_caller(const struct httpmsg *m, struct span identifier)
+{
+	struct span name = httpmsg_find(m, PEERHDR_CALLER_FIELD);
+
+	if (name.text)
+		return name;
+	if (span_is(identifier, NO_SERVICE))
+		identifier.len = 0;
+	return identifier;
 }
 
-/* Reads the field of a forwarded request. False if missing or invalid. */
+/* Reads the fields of a forwarded request. False if missing or invalid. */
 bool peerhdr_read_request(const struct httpmsg *m, struct peerhdr_request *r)
 {
+	struct span field = httpmsg_find(m, PEERHDR_REQUEST_FIELD);
 	char line[LINE_MAX_BYTES];
 	unsigned long long left, objective;
 	int idempotent, keyed;
@@ -37,18 +81,20 @@
 	int n;
 
 	memset(r, 0, sizeof(*r));
-	if (!span_copy(httpmsg_find(m, PEERHDR_REQUEST_FIELD), line,
-		       sizeof(line)))
+	if (!field.text ||
+	    !span_copy(take_word(&field), r->upstream_id,
+		       sizeof(r->upstream_id)) ||
+	    r->upstream_id[0] == '\0')
+		return false;
+	r->caller_service = read_caller(m, take_word(&field));
+	if (!span_copy(field, line, sizeof(line)))
 		return false;
 	/* Earlier versions do not send the last value. */
-	n = sscanf(line, "%63s %63s %llu %llu %u %u %d %d %d", r->upstream_id,
-		   r->caller_service, &left, &objective, &r->rank, &r->kind,
-		   &idempotent, &keyed, &sender_stopping);
+	n = sscanf(line, "%llu %llu %u %u %d %d %d", &left, &objective,
+		   &r->rank, &r->kind, &idempotent, &keyed, &sender_stopping);
 	if (n < REQUEST_VALUES_MIN || left > TIME_MAX_US ||
 	    objective > TIME_MAX_US)
 		return false;
-	if (strcmp(r->caller_service, "-") == 0)
-		r->caller_service[0] = '\0';
 	r->left_us = left;
 	r->objective_left_us = objective;
 	r->idempotent = idempotent != 0;
--- a/packages/router/src/peer_headers.h
+++ b/packages/router/src/peer_headers.h
@@ -13,7 +13,11 @@
 #include "request_runner.h"
 #include "httpmsg.h"
 
+/* All fields of daemons begin with this; those of callers are not sent on. */
+#define PEERHDR_PREFIX "Geranium-"
 #define PEERHDR_REQUEST_FIELD "Geranium-Forward"
+/* Name of the caller's service if it differs from its identifier. */
+#define PEERHDR_CALLER_FIELD "Geranium-Caller"
 #define PEERHDR_REJECTED_FIELD "Geranium-Refused"
 #define PEERHDR_FAILED_FIELD "Geranium-Failed"
 #define PEERHDR_LOAD_FIELD "Geranium-Load"
@@ -22,7 +26,8 @@
 
 struct peerhdr_request {
 	char upstream_id[NAME_SIZE];
-	char caller_service[NAME_SIZE];
+	/* Name; when read, a part of the message. */
+	struct span caller_service;
 	uint64_t left_us; /* time to the deadline */
 	uint64_t objective_left_us; /* 0 if the objective has passed */
 	uint32_t rank;
@@ -32,6 +37,9 @@
 	bool sender_stopping; /* the sender has little time left */
 };
 
+/* True for the name of a field that only daemons send. */
+bool peerhdr_is_field(struct span name);
+
 void peerhdr_write_request(struct buf *out, const struct peerhdr_request *r);
 bool peerhdr_read_request(const struct httpmsg *m, struct peerhdr_request *r);
 
--- a/packages/router/src/plat.h
+++ b/packages/router/src/plat.h
@@ -15,6 +15,7 @@
 #include "err.h"
 #include "httpmsg.h"
 #include "incarnation.h"
+#include "router_settings.h"
 #include "routing_config.h"
 #include "tbl.h"
 
@@ -25,7 +26,8 @@
 
 /* A request of a caller. */
 struct plat_request {
-	char id[PLAT_ID_MAX]; /* of this attempt of the caller; may be "" */
+	/* Identifier of the id of this attempt of the caller; may be "". */
+	char id[PLAT_ID_MAX];
 	uint32_t key; /* 0 to 65535, PLAT_NO_KEY if there is none */
 	uint64_t left_ms; /* time to the deadline, if has_deadline */
 	bool has_deadline;
@@ -35,7 +37,7 @@
 struct plat_forward {
 	uint64_t left_ms; /* the upstream stops the request after this */
 	const char *upstream_id; /* any other upstream rejects the request */
-	const char *caller_service; /* service at the daemon of the caller */
+	struct span caller_service; /* name of that at the caller's daemon */
 };
 
 /* A response of an upstream. */
@@ -67,13 +69,13 @@
 
 /* Periodic announcement of an upstream to its local daemon. */
 struct plat_announcement {
-	char id[NAME_SIZE];
+	char id[NAME_SIZE]; /* identifier of its id */
+	struct span id_text; /* its id; valid while the message is handled */
 	bool leaves; /* the upstream is leaving; other fields are not set */
 	int64_t start_unix_ms;
 	uint64_t seq; /* increases with each announcement of an incarnation */
-	char service[NAME_SIZE];
-	char address[NAME_SIZE];
-	char data_centre[NAME_SIZE];
+	char service[NAME_SIZE]; /* identifier of its name */
+	char address[RSETTINGS_ADDRESS_MAX]; /* "" if no IPV4:PORT */
 	uint32_t slots;
 	enum plat_state state;
 	uint32_t slow_left_ms;
--- a/packages/router/src/request_runner.h
+++ b/packages/router/src/request_runner.h
@@ -49,7 +49,8 @@
 	const struct buf *body;
 	struct plat_request request;
 	const char *upstream_id;
-	const char *caller_service;
+	struct span
+		caller_service; /* name; a part of the message or settings */
 	uint32_t kind; /* groups requests of similar run time */
 	uint32_t rank;
 	bool idempotent;
--- a/packages/router/src/request_runner_exchange.c
+++ b/packages/router/src/request_runner_exchange.c
@@ -1,11 +1,11 @@
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <utlist.h>
 #include <xxhash.h>
 
 #include "request_runner_int.h"
 #include "log.h"
+#include "peer_headers.h"
 #include "txt.h"
 
 /* Weight of the newest measurement in a moving average. */
@@ -25,19 +25,25 @@
 #define STATUS_FAILURE_MIN 500
 #define TIMEOUT_MIN_MS 1
 
-/* Prefix of the header fields that daemons exchange. */
-#define PEER_FIELD_PREFIX "geranium-"
-
 /* True for a header field that is not copied to the upstream. */
 static bool skip_field(const void *arg, struct span name)
 {
 	const struct plat_ops *ops = arg;
-	size_t len = strlen(PEER_FIELD_PREFIX);
 
-	if (name.len >= len &&
-	    strncasecmp(name.text, PEER_FIELD_PREFIX, len) == 0)
-		return true;
-	return ops->is_forward_field(name);
+	return peerhdr_is_field(name) || ops->is_forward_field(name);
+}
+
+/*
+ * Returns the id of the upstream that the request is for. One that has ended is
+ * named by its identifier, so that the present one rejects the request.
+ */
+static const char *expected_id(const struct reqrun_job *j)
+{
+	const struct upstr *u = j->owner->upstream;
+
+	if (strcmp(j->request.upstream_id, upstr_incarnation(u)->id) != 0)
+		return j->request.upstream_id;
+	return upstr_id(u);
 }
 
 /* Writes the head of the request to the upstream. */
@@ -48,7 +54,7 @@
 	const struct httpmsg *m = j->request.message;
 	struct span target = httpmsg_target(m);
 	struct plat_forward f = {
-		.upstream_id = j->request.upstream_id,
+		.upstream_id = expected_id(j),
 		.caller_service = j->request.caller_service,
 		.left_ms = TIMEOUT_MIN_MS,
 	};
--- a/packages/router/src/router_settings.c
+++ b/packages/router/src/router_settings.c
@@ -9,6 +9,9 @@
 #include "settings_file.h"
 
 #define ADDRESS_ALLOWED "an IPv4 address with a port, such as 10.0.0.1:80"
+#define NAME_ALLOWED "a text that is not empty"
+#define SERVICE_ALLOWED "a text without control characters"
+#define DELETE 0x7f /* control character */
 #define MS_MAX 3600000
 #define SECONDS_MAX 3600
 #define MEMORY_MAX_MB 1048576
@@ -34,14 +37,54 @@
 	return text[0] == '\0' || is_endpoint(text);
 }
 
-static bool is_name_or_empty(const char *text)
+static bool is_not_empty(const char *text)
 {
-	return strlen(text) < NAME_SIZE;
+	return text[0] != '\0';
 }
 
-static bool is_instance(const char *text)
+/* True for a text that can be the value of a header field. */
+static bool is_field_value(const char *text)
 {
-	return text[0] != '\0' && strlen(text) < NAME_SIZE;
+	for (; *text; text++) {
+		if ((unsigned char)*text < ' ' || *text == DELETE)
+			return false;
+	}
+	return true;
+}
+
+/* Reads a name, of any length, as its identifier. */
+static bool read_name(struct yml *y, const yaml_node_t *node, char *out)
+{
+	const char *name = yml_get_text(y, node, is_not_empty, NAME_ALLOWED);
+
+	if (name)
+		name_identify_text(out, name);
+	return name != NULL;
+}
+
+static bool read_instance(struct yml *y, const yaml_node_t *node, void *out)
+{
+	return read_name(y, node, ((struct rsettings *)out)->instance);
+}
+
+static bool read_data_centre(struct yml *y, const yaml_node_t *node, void *out)
+{
+	return read_name(y, node, ((struct rsettings *)out)->data_centre);
+}
+
+/* Reads the service, whose name is sent to upstreams as it stands. */
+static bool read_service(struct yml *y, const yaml_node_t *node, void *out)
+{
+	struct rsettings *s = out;
+	const char *name =
+		yml_get_text(y, node, is_field_value, SERVICE_ALLOWED);
+
+	if (!name)
+		return false;
+	name_identify_text(s->service, name);
+	s->service_name = strdup(name);
+	return s->service_name || yml_fail(y, node, YML_UNREADABLE,
+					   SERVICE_ALLOWED, "out of memory");
 }
 
 #define ENDPOINT(field)                                              \
@@ -86,25 +129,14 @@
 
 static const struct yml_field fields[] = {
 	{ .name = "instance",
-	  .type = YML_TEXT,
+	  .type = YML_CUSTOM,
 	  .required = true,
-	  .offset = offsetof(struct rsettings, instance),
-	  .size = NAME_SIZE,
-	  .valid = is_instance,
-	  .allowed = "1 to 63 bytes" },
+	  .read = read_instance },
 	{ .name = "data_centre",
-	  .type = YML_TEXT,
+	  .type = YML_CUSTOM,
 	  .required = true,
-	  .offset = offsetof(struct rsettings, data_centre),
-	  .size = NAME_SIZE,
-	  .valid = is_instance,
-	  .allowed = "1 to 63 bytes" },
-	{ .name = "service",
-	  .type = YML_TEXT,
-	  .offset = offsetof(struct rsettings, service),
-	  .size = NAME_SIZE,
-	  .valid = is_name_or_empty,
-	  .allowed = "at most 63 bytes" },
+	  .read = read_data_centre },
+	{ .name = "service", .type = YML_CUSTOM, .read = read_service },
 	ENDPOINT(caller_address),
 	ENDPOINT(peer_address),
 	ENDPOINT(ready_address),
@@ -157,6 +189,10 @@
 		return false;
 	ok = yml_read_map(&y, yaml_document_get_root_node(&y.doc), fields, s);
 	yml_close(&y);
+	if (!ok)
+		rsettings_free(s);
+	if (ok && !s->service_name)
+		s->service_name = strdup("");
 	if (ok && s->grace_s[0])
 		s->grace_ms = (uint32_t)(strtod(s->grace_s, NULL) * MS_PER_S);
 	if (ok && s->link_mbit_s[0])
@@ -165,6 +201,13 @@
 	return ok;
 }
 
+/* Frees the texts of settings and clears them. */
+void rsettings_free(struct rsettings *s)
+{
+	free(s->service_name);
+	memset(s, 0, sizeof(*s));
+}
+
 /* Reads the settings from a file. Errors are as of rsettings_parse(). */
 bool rsettings_load(const char *path, struct rsettings *s, struct err *err)
 {
--- a/packages/router/src/router_settings.h
+++ b/packages/router/src/router_settings.h
@@ -17,9 +17,11 @@
 #define RSETTINGS_NUMBER_MAX 16
 
 struct rsettings {
+	/* Identifiers of names, see name.h. */
 	char instance[NAME_SIZE]; /* unique among all daemons */
 	char data_centre[NAME_SIZE];
 	char service[NAME_SIZE]; /* of the local upstream; may be "" */
+	char *service_name; /* as in the file; freed by rsettings_free() */
 	/* All addresses: IPV4:PORT. */
 	char caller_address[RSETTINGS_ADDRESS_MAX];
 	char peer_address[RSETTINGS_ADDRESS_MAX];
@@ -42,5 +44,6 @@
 bool rsettings_load(const char *path, struct rsettings *s, struct err *err);
 bool rsettings_parse(const char *name, const char *text, size_t len,
 		     struct rsettings *s, struct err *err);
+void rsettings_free(struct rsettings *s);
 
 #endif
--- a/packages/router/src/routerd.c
+++ b/packages/router/src/routerd.c
@@ -157,6 +157,7 @@
 	r->settings.grace_ms = s.grace_ms;
 	r->settings.memory_mb = s.memory_mb;
 	log_set_level(s.log_level);
+	rsettings_free(&s);
 	routerd_set_limits(r);
 	log_emit(LOG_SETTINGS_RELOADED, "path=%s", r->settings_path);
 }
--- a/packages/router/src/upstr.c
+++ b/packages/router/src/upstr.c
@@ -104,6 +104,7 @@
 	tmr_cancel(evloop_timers(a->parts.loop), a->check_timer);
 	tmr_cancel(evloop_timers(a->parts.loop), a->answer_timer);
 	upstr_stop_probe(a);
+	free(a->id);
 	free(a);
 }
 
@@ -178,6 +179,24 @@
 	a->drain_end_us = evloop_now_us(a->parts.loop);
 }
 
+/* Sets the id of the upstream; NULL if it is not known or out of memory. */
+static void set_id(struct upstr *a, const char *id, size_t len)
+{
+	free(a->id);
+	a->id = id ? strndup(id, len) : NULL;
+}
+
+/*
+ * The row has only the identifier. An upstream whose id is not the same gets no
+ * requests until its next announcement.
+ */
+static void restore_id(struct upstr *a)
+{
+	const char *id = a->incarnation.id;
+
+	set_id(a, name_is_hashed(id) ? NULL : id, strlen(id));
+}
+
 /*
  * Restores the upstream that an earlier process knew. If the same incarnation
  * has already announced itself to this process, it gets the attach number of
@@ -201,6 +220,7 @@
 	}
 	a->announced = false;
 	a->incarnation = row->incarnation;
+	restore_id(a);
 	txt_copy(a->service, sizeof(a->service), row->service);
 	a->slots = row->slots;
 	a->draining = !row->takes_work;
@@ -234,6 +254,7 @@
 		a->ended_born_ms = a->incarnation.start_unix_ms;
 		txt_copy(a->ended_id, sizeof(a->ended_id), a->incarnation.id);
 	}
+	set_id(a, NULL, 0);
 	a->incarnation.id[0] = '\0';
 	a->incarnation.start_unix_ms = 0;
 	a->incarnation.attached = 0;
@@ -330,12 +351,15 @@
 			draining = a->left || n->state == PLAT_DRAINING;
 			changed = true;
 		}
+		if (!a->id)
+			set_id(a, n->id_text.text, n->id_text.len);
 		a->announced = true;
 		a->seq = n->seq;
 		a->slots = n->slots;
 		a->slow_until_us =
 			now_us + (uint64_t)n->slow_left_ms * US_PER_MS;
 		a->last = *n;
+		a->last.id_text = (struct span){ NULL, 0 };
 	}
 	a->last_announce_us = now_us;
 	a->refusals = 0;
@@ -439,6 +463,12 @@
 	return &a->incarnation;
 }
 
+/* Returns the id of the upstream; not NULL while upstr_is_open(). */
+const char *upstr_id(const struct upstr *a)
+{
+	return a->id;
+}
+
 /* Returns the service of the upstream, "" before the first announcement. */
 const char *upstr_service(const struct upstr *a)
 {
@@ -478,7 +508,7 @@
 /* True while requests may be sent to the upstream. */
 bool upstr_is_open(const struct upstr *a, uint64_t now_us)
 {
-	return a->incarnation.id[0] != '\0' && !a->silent &&
+	return a->id && !a->silent &&
 	       (a->drain_end_us == 0 || now_us < a->drain_end_us);
 }
 
--- a/packages/router/src/upstr.h
+++ b/packages/router/src/upstr.h
@@ -73,6 +73,9 @@
 /* The current incarnation; its id is "" if there is none. */
 const struct incarnation *upstr_incarnation(const struct upstr *a);
 const char *upstr_service(const struct upstr *a);
+
+/* Returns its id, of any length; NULL while only its identifier is known. */
+const char *upstr_id(const struct upstr *a);
 uint32_t upstr_slots(const struct upstr *a);
 bool upstr_accepts_work(const struct upstr *a);
 
--- a/packages/router/src/upstr_int.h
+++ b/packages/router/src/upstr_int.h
@@ -18,6 +18,8 @@
 	void *arg;
 	/* Incarnation. */
 	struct incarnation incarnation;
+	/* Id of the upstream, NULL if only its identifier is known. */
+	char *id;
 	char service[NAME_SIZE];
 	uint32_t slots;
 	uint64_t seq; /* of the last announcement */
--- a/packages/router/tests/test_router_settings.c
+++ b/packages/router/tests/test_router_settings.c
@@ -41,6 +41,8 @@
 	assert_int_equal(s.hold_max_ms, 10000);
 	assert_int_equal(s.drain_ms, 2000);
 	assert_int_equal(s.grace_ms, 6000);
+	assert_string_equal(s.service_name, "");
+	rsettings_free(&s);
 }
 
 /* All fields are read, including seconds and rates with a fraction. */
@@ -67,6 +69,39 @@
 	assert_int_equal(s.memory_mb, 260);
 	assert_int_equal(s.link_bytes_s, 1750000);
 	assert_int_equal(s.log_level, LOG_LEVEL_WARN);
+	assert_string_equal(s.service, "s");
+	assert_string_equal(s.service_name, "s");
+	rsettings_free(&s);
+}
+
+#define NAME_BYTES_MAX 300
+
+/* No length of a name may keep a daemon from starting. */
+static void names_of_each_length_are_read(void **state)
+{
+	char name[NAME_BYTES_MAX + 1], identifier[NAME_SIZE];
+	char text[3 * NAME_BYTES_MAX + 512];
+
+	(void)state;
+	memset(name, 'n', sizeof(name));
+	for (size_t len = 1; len <= NAME_BYTES_MAX; len++) {
+		struct rsettings s;
+		struct err err;
+
+		name[len] = '\0';
+		snprintf(text, sizeof(text),
+			 "instance: \"%s\"\ndata_centre: \"%s\"\n"
+			 "service: \"%s\"\n%s",
+			 name, name, name, strstr(REQUIRED, "caller_address"));
+		assert_true(parse(text, &s, &err));
+		name_identify_text(identifier, name);
+		assert_string_equal(s.instance, identifier);
+		assert_string_equal(s.data_centre, identifier);
+		assert_string_equal(s.service, identifier);
+		assert_string_equal(s.service_name, name);
+		rsettings_free(&s);
+		name[len] = 'n';
+	}
 }
 
 /* The error for an invalid file names the field. */
@@ -90,6 +125,11 @@
 		  SETTINGS_BAD_VALUE },
 		{ REQUIRED "link_mbit_s: \"-1\"\n", "link_mbit_s",
 		  SETTINGS_BAD_VALUE },
+		{ "instance: \"\"\n", "instance", SETTINGS_BAD_VALUE },
+		{ REQUIRED "service: \"a\\r\\nX: y\"\n", "service",
+		  SETTINGS_BAD_VALUE },
+		{ REQUIRED "service: \"a\"\ngrace_s: \"soon\"\n", "grace_s",
+		  SETTINGS_BAD_VALUE },
 		{ REQUIRED "colour: red\n", "colour", SETTINGS_UNKNOWN_FIELD },
 	};
 
@@ -110,6 +150,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_defaults),
 		cmocka_unit_test(test_all_fields),
+		cmocka_unit_test(names_of_each_length_are_read),
 		cmocka_unit_test(test_invalid_settings),
 	};
 
--- a/packages/router/tests/test_upstr.c
+++ b/packages/router/tests/test_upstr.c
@@ -52,6 +52,7 @@
 	uint32_t overlaps; /* requests that arrived meanwhile */
 	bool refuses; /* the upstream refuses requests */
 	char request_id[16]; /* of the next request */
+	char expected_id[512]; /* of the upstream, in the last request to it */
 	const struct httpconn *connections[CONNECTIONS_MAX]; /* by arrival */
 };
 
@@ -195,7 +196,8 @@
 
 	sender = (struct peermsg_sender){ on_answer, fx };
 	memset(&fx->next, 0, sizeof(fx->next));
-	snprintf(fx->next.id, sizeof(fx->next.id), "%s", id);
+	name_identify_text(fx->next.id, id);
+	fx->next.id_text = (struct span){ id, strlen(id) };
 	snprintf(fx->next.service, sizeof(fx->next.service), "s");
 	fx->next.state = state;
 	fx->next.leaves = leaves;
@@ -216,7 +218,8 @@
 static void write_forward(struct buf *out, const struct plat_forward *f)
 {
 	(void)out;
-	(void)f;
+	snprintf(fx->expected_id, sizeof(fx->expected_id), "%s",
+		 f->upstream_id);
 }
 
 static void read_response(const struct httpmsg *m, const char *request_id,
@@ -283,7 +286,7 @@
 				    .idempotent = true,
 				    .upstream_id =
 					    upstr_incarnation(fx->upstream)->id,
-				    .caller_service = "c",
+				    .caller_service = { "c", 1 },
 				    .kind = KIND,
 				    .deadline_us = now + 5 * US_PER_S,
 				    .objective_us = now + 4 * US_PER_S };
@@ -308,7 +311,7 @@
 
 	snprintf(n.node, sizeof(n.node), "a");
 	snprintf(n.incarnation.node, sizeof(n.incarnation.node), "a");
-	snprintf(n.incarnation.id, sizeof(n.incarnation.id), "%s", id);
+	name_identify_text(n.incarnation.id, id);
 	n.incarnation.start_unix_ms = start_unix_ms;
 	n.incarnation.attached = 5;
 	snprintf(n.service, sizeof(n.service), "s");
@@ -415,6 +418,37 @@
 	assert_false(upstr_accepts_work(fx->upstream));
 }
 
+#define LONG_ID                                                        \
+	"an-upstream-whose-id-has-more-bytes-than-a-row-keeps-for-it-" \
+	"0123456789012345678901234567890123456789"
+
+/*
+ * Guards against requests that name an upstream by less than its whole id. The
+ * row of an earlier process has only the identifier of a long id.
+ */
+static void upstream_with_a_long_id_gets_requests_that_name_it(void **state)
+{
+	(void)state;
+	put_row(LONG_ID, 1000, true);
+	start_parts(fx);
+	run(50);
+	assert_true(upstr_accepts_work(fx->upstream));
+	assert_false(is_open());
+	announce(LONG_ID, PLAT_READY, false, 1000);
+	assert_true(is_open());
+	start_request();
+	run(30);
+	assert_int_equal(fx->arrived, 1);
+	assert_string_equal(fx->expected_id, LONG_ID);
+	run(WORK_MS);
+	announce(LONG_ID, PLAT_READY, true, 0);
+	assert_false(upstr_accepts_work(fx->upstream));
+	announce("u-2", PLAT_READY, false, 2000);
+	start_request();
+	run(30);
+	assert_string_equal(fx->expected_id, "u-2");
+}
+
 /*
  * Guards against requests to an upstream whose drain time began under an
  * earlier process.
@@ -695,6 +729,7 @@
 		TEST(leave_before_the_row_is_read_counts),
 		TEST(drain_of_an_earlier_process_is_over),
 		TEST(leave_without_a_start_time_counts),
+		TEST(upstream_with_a_long_id_gets_requests_that_name_it),
 		TEST(queue_ends_with_the_drain),
 		TEST(stopping_runner_refuses_late_requests),
 		TEST(cancelled_request_keeps_its_slot),
