Any number of services and daemons is planned

What callers saw: requests with a key of a service get 503 for ever if the configuration lists 64 other sharded services before it. Daemons beyond 2,048 are no members of the plan and get no requests, and services beyond 63 share one retry budget.

Cause: planner and planview kept 64 services, the planner 2,048 daemons and reports, the retries 64 services, in arrays of a fixed size, and ignored what came after them.

Change: these arrays grow (array.h). One write of the plan still has at most 90 changes, as a transaction takes 100; the next one begins with the first service that was left out, so that the first services of a long list do not keep the last ones waiting. A planner that does not lead needs less memory.

The test services_beyond_the_table_share_a_budget described the limit. It is replaced by each_of_many_services_has_a_budget, which requires 300 handles and 300 budgets that do not pay for each other.

--- a/packages/route/src/service_retries.c
+++ b/packages/route/src/service_retries.c
@@ -3,19 +3,18 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "array.h"
 #include "clk.h"
 #include "log.h"
+#include "name.h"
 #include "txt.h"
 
 /* Interval of the log lines; one for each service that had requests. */
 #define LOG_INTERVAL_US (5 * US_PER_S)
-/* Services with their own entry; the others share the last one. */
-#define SERVICES_MAX 64
-#define OTHER_SERVICES "(others)"
-#define NAME_MAX_BYTES 64
-
+/* Handle of a service without an entry. */
+#define NO_SERVICE UINT32_MAX
 struct service {
-	char name[NAME_MAX_BYTES];
+	char name[NAME_SIZE]; /* identifier of its name */
 	struct retry_budget *budget;
 	/* Since the last log line. */
 	uint32_t arrived; /* requests that reached an upstream */
@@ -27,7 +26,8 @@
 	struct tmr *timers;
 	uint32_t initial;
 	uint32_t burst;
-	struct service services[SERVICES_MAX];
+	struct service *services;
+	size_t capacity;
 	uint32_t count;
 	uint32_t timer;
 };
@@ -75,13 +75,14 @@
 	tmr_cancel(s->timers, s->timer);
 	for (uint32_t i = 0; i < s->count; i++)
 		retry_budget_destroy(s->services[i].budget);
+	free(s->services);
 	free(s);
 }
 
 /*
- * Returns the handle of a service, which is added if it is new. Services over
- * the limit of SERVICES_MAX share the last handle. Without memory for its
- * budget, a service has no retries.
+ * Returns the handle of a service, which is added if it is new. Without memory
+ * for its budget, a service has no retries; without memory for its entry, the
+ * handle is invalid, and it has none either.
  */
 uint32_t svcretry_find_service(struct svcretry *s, const char *name)
 {
@@ -91,15 +92,22 @@
 		if (strcmp(s->services[i].name, name) == 0)
 			return i;
 	}
-	if (s->count == SERVICES_MAX)
-		return SERVICES_MAX - 1;
-	x = &s->services[s->count];
+	x = array_extend(s->services, s->count, &s->capacity, sizeof(*x));
+	if (!x)
+		return NO_SERVICE;
+	s->services = x;
+	x += s->count;
 	x->budget = retry_budget_create(s->initial, s->burst);
-	txt_copy(x->name, sizeof(x->name),
-		 s->count == SERVICES_MAX - 1 ? OTHER_SERVICES : name);
+	txt_copy(x->name, sizeof(x->name), name);
 	return s->count++;
 }
 
+/* Returns the entry of a handle, NULL if it is invalid. */
+static struct service *get_service(struct svcretry *s, uint32_t handle)
+{
+	return handle < s->count ? &s->services[handle] : NULL;
+}
+
 /*
  * Only a request that has reached an upstream adds to the budget. The calls that
  * a repeated run makes are repetitions at the service that is called: with a
@@ -108,8 +116,10 @@
 void svcretry_count_arrival(struct svcretry *s, uint32_t service,
 			    uint32_t attempts)
 {
-	struct service *x = &s->services[service];
+	struct service *x = get_service(s, service);
 
+	if (!x)
+		return;
 	x->arrived++;
 	if (attempts > 1)
 		x->repeated++;
@@ -122,8 +132,10 @@
 		    const struct retry_request *request,
 		    enum retry_outcome outcome, uint64_t now_us)
 {
-	struct service *x = &s->services[service];
+	struct service *x = get_service(s, service);
 
+	if (!x)
+		return false;
 	if (x->budget && retry_allowed(x->budget, request, outcome, now_us))
 		return true;
 	x->denied++;
--- a/packages/route/tests/test_service_retries.c
+++ b/packages/route/tests/test_service_retries.c
@@ -9,7 +9,7 @@
 #include "route_test.h"
 #include "service_retries.h"
 
-#define SERVICES 80
+#define SERVICES 300
 #define REQUESTS 100
 #define BURST 1
 
@@ -57,23 +57,31 @@
 	tmr_destroy(timers);
 }
 
-/* Guards against a configuration with more services than the table has room. */
-PLAIN(services_beyond_the_table_share_a_budget)
+/*
+ * Guards against services that share a budget since there are many, so that the
+ * requests to one pay for repetitions at another.
+ */
+PLAIN(each_of_many_services_has_a_budget)
 {
 	struct tmr *timers = tmr_create();
 	struct svcretry *s = svcretry_create(timers, 0, BURST, 0);
-	uint32_t last = 0;
+	uint32_t handles[SERVICES];
+	char name[16];
 
-	for (int i = 0; i < SERVICES; i++) {
-		char name[16];
-
-		snprintf(name, sizeof(name), "s%d", i);
-		last = svcretry_find_service(s, name);
-		svcretry_count_arrival(s, last, 1);
+	for (uint32_t i = 0; i < SERVICES; i++) {
+		snprintf(name, sizeof(name), "s%u", i);
+		handles[i] = svcretry_find_service(s, name);
+		for (uint32_t n = 0; n < i; n++)
+			assert_int_not_equal(handles[n], handles[i]);
+		for (int n = 0; n < REQUESTS && i % 2 == 0; n++)
+			svcretry_count_arrival(s, handles[i], 1);
+	}
+	for (uint32_t i = 0; i < SERVICES; i++) {
+		snprintf(name, sizeof(name), "s%u", i);
+		assert_int_equal(svcretry_find_service(s, name), handles[i]);
+		assert_int_equal(count_allowed(s, handles[i]),
+				 i % 2 == 0 ? BURST : 0);
 	}
-	/* The table has 64 entries; the last is that of 17 services. */
-	assert_int_equal(last, 63);
-	assert_int_equal(count_allowed(s, last), BURST);
 	svcretry_destroy(s);
 	tmr_destroy(timers);
 }
@@ -83,7 +91,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(services_have_budgets_of_their_own),
 		cmocka_unit_test(repetitions_add_nothing_to_the_budget),
-		cmocka_unit_test(services_beyond_the_table_share_a_budget),
+		cmocka_unit_test(each_of_many_services_has_a_budget),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/router/src/planner.c
+++ b/packages/router/src/planner.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "array.h"
 #include "planner_int.h"
 #include "log.h"
 
@@ -19,17 +20,18 @@
 /* Changes in one write, and how many of them may mark expired leases. */
 #define CHANGES_MAX 90
 #define EXPIRIES_MAX 20
-#define REPORTS_MAX 2048
 
 struct planner {
 	struct planner_parts parts;
-	struct planner_service services[PLANVIEW_SERVICES_MAX];
-	size_t service_count;
+	struct planner_service *services;
+	size_t service_count, service_capacity;
+	size_t next_service; /* position of the first one to plan next */
 	struct planner_node *nodes;
 	struct planner_node *nodes_before; /* room for the next read */
 	size_t node_count;
+	size_t nodes_capacity; /* of both arrays */
 	struct planner_report *reports;
-	size_t report_count;
+	size_t report_count, report_capacity;
 	struct planner_crashes crashes;
 	uint64_t table_now_ms; /* clock of the table service at the last read */
 	struct planner_era era;
@@ -78,6 +80,7 @@
 	free(l->nodes);
 	free(l->nodes_before);
 	free(l->reports);
+	free(l->services);
 	free(l);
 	return true;
 }
@@ -158,7 +161,10 @@
 		   planview_members_version(l->parts.view), text);
 }
 
-/* Returns the state of a service, new if need be; NULL if there is no space. */
+/*
+ * Returns the state of a service, new if need be; it is valid until the next one
+ * is added. NULL if out of memory.
+ */
 static struct planner_service *find_service(struct planner *l, const char *name)
 {
 	struct planner_service *s;
@@ -167,8 +173,11 @@
 		if (strcmp(l->services[i].name, name) == 0)
 			return &l->services[i];
 	}
-	if (l->service_count == PLANVIEW_SERVICES_MAX)
+	s = array_extend(l->services, l->service_count, &l->service_capacity,
+			 sizeof(*l->services));
+	if (!s)
 		return NULL;
+	l->services = s;
 	s = &l->services[l->service_count++];
 	snprintf(s->name, sizeof(s->name), "%s", name);
 	return s;
@@ -247,6 +256,29 @@
 	}
 }
 
+/*
+ * Plans the services whose keys are owned. Once the write is full, the next plan
+ * begins with the first service that has not been planned.
+ */
+static void plan_services(struct planner *l, const struct planner_input *in)
+{
+	const struct rconfig *config = l->parts.config;
+	size_t first = l->next_service;
+
+	l->next_service = 0;
+	for (size_t n = 0; n < config->service_count; n++) {
+		size_t i = (first + n) % config->service_count;
+
+		if (!config->services[i].keyed)
+			continue;
+		if (l->change_count == CHANGES_MAX) {
+			l->next_service = i;
+			return;
+		}
+		plan_service(l, in, config->services[i].name);
+	}
+}
+
 /* Computes the plan from the rows of all daemons and writes its changes. */
 static void plan(struct planner *l)
 {
@@ -257,7 +289,6 @@
 				    evloop_now_us(l->parts.loop),
 				    l->table_now_ms,
 				    l->era.first_ms };
-	const struct rconfig *config = l->parts.config;
 	char *text;
 
 	add_change(l, PLANVIEW_TABLE, PLANVIEW_LEADER,
@@ -269,10 +300,7 @@
 	if (text)
 		add_change(l, PLANVIEW_TABLE, PLANVIEW_CRASHES,
 			   planview_crashes_version(l->parts.view), text);
-	for (size_t i = 0; i < config->service_count; i++) {
-		if (config->services[i].keyed)
-			plan_service(l, &in, config->services[i].name);
-	}
+	plan_services(l, &in);
 	if (l->change_count == 1) {
 		clear_changes(l);
 		schedule_tick(l, TICK_US);
@@ -298,15 +326,41 @@
 	return false;
 }
 
-/* Parses the rows of all daemons beside those of the read before. */
-static void read_nodes(struct planner *l, const struct tbl_result *r)
+/* Makes room for the rows of a read; false if out of memory. */
+static bool reserve_nodes(struct planner *l, size_t count)
+{
+	struct planner_node *nodes, *before;
+
+	if (count <= l->nodes_capacity)
+		return true;
+	nodes = reallocarray(l->nodes, count * 2, sizeof(*nodes));
+	if (nodes)
+		l->nodes = nodes;
+	before = reallocarray(l->nodes_before, count * 2, sizeof(*before));
+	if (before)
+		l->nodes_before = before;
+	if (!nodes || !before)
+		return false;
+	l->nodes_capacity = count * 2;
+	return true;
+}
+
+/*
+ * Parses the rows of all daemons beside those of the read before. Returns false
+ * if out of memory.
+ */
+static bool read_nodes(struct planner *l, const struct tbl_result *r)
 {
-	struct planner_node *before = l->nodes;
+	struct planner_node *before;
 
+	if (!reserve_nodes(l, r->count))
+		return false;
+	before = l->nodes;
 	l->nodes = l->nodes_before;
 	l->nodes_before = before;
 	l->node_count = planner_parse_nodes(r, l->era.first_ms, before,
 					    l->node_count, l->nodes);
+	return true;
 }
 
 /* Handles the result of a read of all daemons' rows. */
@@ -323,11 +377,10 @@
 	}
 	l->read_us = evloop_now_us(l->parts.loop);
 	l->table_now_ms = r->now_ms;
-	if (!check_era(l, r)) {
+	if (!check_era(l, r) || !read_nodes(l, r)) {
 		schedule_tick(l, RETRY_US);
 		return;
 	}
-	read_nodes(l, r);
 	plan(l);
 }
 
@@ -368,16 +421,6 @@
 	if (!l)
 		return NULL;
 	l->parts = *parts;
-	l->nodes = calloc(PLANNER_NODES_MAX, sizeof(*l->nodes));
-	l->nodes_before = calloc(PLANNER_NODES_MAX, sizeof(*l->nodes));
-	l->reports = calloc(REPORTS_MAX, sizeof(*l->reports));
-	if (!l->nodes || !l->nodes_before || !l->reports) {
-		free(l->nodes);
-		free(l->nodes_before);
-		free(l->reports);
-		free(l);
-		return NULL;
-	}
 	schedule_tick(l, TICK_US);
 	return l;
 }
@@ -452,10 +495,14 @@
 			   r->incarnation.node) == 0)
 			k = &l->reports[i];
 	}
-	if (!k && l->report_count < REPORTS_MAX)
+	if (!k) {
+		k = array_extend(l->reports, l->report_count,
+				 &l->report_capacity, sizeof(*l->reports));
+		if (!k)
+			return;
+		l->reports = k;
 		k = &l->reports[l->report_count++];
-	if (!k)
-		return;
+	}
 	k->report = *r;
 	k->at_us = evloop_now_us(l->parts.loop);
 }
--- a/packages/router/src/planner_compute.c
+++ b/packages/router/src/planner_compute.c
@@ -74,7 +74,7 @@
 	size_t n = 0;
 	size_t pos = 0;
 
-	for (size_t i = 0; i < r->count && n < PLANNER_NODES_MAX; i++) {
+	for (size_t i = 0; i < r->count; i++) {
 		const struct tbl_row *t = &r->rows[i];
 		struct planner_node *x = &out[n];
 		const struct planner_node *old =
--- a/packages/router/src/planner_int.h
+++ b/packages/router/src/planner_int.h
@@ -6,8 +6,6 @@
 #include "planner.h"
 #include "noderow.h"
 
-#define PLANNER_NODES_MAX 2048
-
 struct planner_node {
 	struct noderow row;
 	uint64_t version;
@@ -79,9 +77,8 @@
 			   uint64_t version, uint64_t now_us);
 
 /*
- * Parses the rows of the nodes' table, sorted by key, into out, which has
- * PLANNER_NODES_MAX entries. before are those of the read before. Returns their
- * number.
+ * Parses the rows of the nodes' table, sorted by key, into out, which has an
+ * entry for each row. before are those of the read before. Returns their number.
  */
 size_t planner_parse_nodes(const struct tbl_result *r, uint64_t era_ms,
 			   const struct planner_node *before,
--- a/packages/router/src/planview.c
+++ b/packages/router/src/planview.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "array.h"
 #include "log.h"
 #include "txt.h"
 
@@ -29,8 +30,8 @@
 	uint64_t members_version;
 	char *members_text;
 	struct planview_leader leader;
-	struct service_map maps[PLANVIEW_SERVICES_MAX];
-	size_t map_count;
+	struct service_map *maps;
+	size_t map_count, map_capacity;
 	struct crashes crashes;
 	char *crashes_text;
 	uint64_t crashes_version;
@@ -49,19 +50,28 @@
 	snprintf(out, PLANVIEW_KEY_MAX, "%s%s", PLANVIEW_KEYS_PREFIX, service);
 }
 
-/* Returns the entry of a service, new if need be; NULL if there is no space. */
+/*
+ * Returns the entry of a service, new if need be; it is valid until the next
+ * one is added. NULL if out of memory or if the key names no identifier.
+ */
 static struct service_map *find_map(struct planview *v, const char *service)
 {
+	struct service_map *m;
+
 	for (size_t i = 0; i < v->map_count; i++) {
 		if (strcmp(v->maps[i].service, service) == 0)
 			return &v->maps[i];
 	}
-	if (v->map_count == PLANVIEW_SERVICES_MAX ||
-	    strlen(service) >= NAME_SIZE)
+	m = array_extend(v->maps, v->map_count, &v->map_capacity,
+			 sizeof(*v->maps));
+	if (!m)
+		return NULL;
+	v->maps = m;
+	m += v->map_count;
+	if (!txt_copy(m->service, sizeof(m->service), service))
 		return NULL;
-	txt_copy(v->maps[v->map_count].service,
-		 sizeof(v->maps[v->map_count].service), service);
-	return &v->maps[v->map_count++];
+	v->map_count++;
+	return m;
 }
 
 /*
@@ -269,6 +279,7 @@
 	free(v->crashes_text);
 	for (size_t i = 0; i < v->map_count; i++)
 		keymap_destroy(v->maps[i].map);
+	free(v->maps);
 	free(v);
 }
 
--- a/packages/router/src/planview.h
+++ b/packages/router/src/planview.h
@@ -20,7 +20,7 @@
 #define PLANVIEW_MEMBERS "members"
 #define PLANVIEW_CRASHES "crashes"
 #define PLANVIEW_KEYS_PREFIX "keys/"
-#define PLANVIEW_SERVICES_MAX 64
+/* Size of a row key: the prefix and the identifier of a service. */
 #define PLANVIEW_KEY_MAX (NAME_SIZE + 8)
 
 struct planview;
--- a/packages/router/tests/test_planner.c
+++ b/packages/router/tests/test_planner.c
@@ -15,7 +15,7 @@
 #include <cmocka.h>
 
 #include "fake_table.h"
-#include "planner.h"
+#include "planner_int.h"
 #include "noderow.h"
 
 struct fixture {
@@ -46,7 +46,8 @@
 }
 
 /* Writes the row of a node with an upstream and a lease of lease_ms. */
-static void put_node(struct fixture *f, const char *name, uint64_t lease_ms)
+static void put_node_of(struct fixture *f, const char *name,
+			const char *service, uint64_t lease_ms)
 {
 	uint64_t era = tbl_era(f->db.version);
 	struct noderow n = {
@@ -61,13 +62,19 @@
 	snprintf(n.node, sizeof(n.node), "%s", name);
 	snprintf(n.incarnation.node, sizeof(n.incarnation.node), "%s", name);
 	snprintf(n.incarnation.id, sizeof(n.incarnation.id), "u-%s", name);
-	snprintf(n.service, sizeof(n.service), "s");
+	snprintf(n.service, sizeof(n.service), "%s", service);
 	text = noderow_format(&n);
 	f->db.version++;
 	faketbl_put(&f->db, NODEROW_TABLE, name, text);
 	free(text);
 }
 
+/* Same with an upstream of service s. */
+static void put_node(struct fixture *f, const char *name, uint64_t lease_ms)
+{
+	put_node_of(f, name, "s", lease_ms);
+}
+
 static void run(struct fixture *f, uint32_t ms)
 {
 	uint64_t end = evloop_now_us(f->loop) + (uint64_t)ms * US_PER_MS;
@@ -119,11 +126,12 @@
 	return 0;
 }
 
-/* Returns the id of the owner of a key, "" for none. */
-static const char *owner_of(const struct fixture *f, uint32_t key)
+/* Returns the id of the owner of a key of a service, "" for none. */
+static const char *owner_of_service(const struct fixture *f,
+				    const char *service, uint32_t key)
 {
 	uint64_t version;
-	const struct keymap *map = planview_map(f->view, "s", &version);
+	const struct keymap *map = planview_map(f->view, service, &version);
 	const struct incarnation *l =
 		map ? keymap_incarnation(map, keymap_find(map, key)->owner) :
 		      NULL;
@@ -131,6 +139,12 @@
 	return l ? l->id : "";
 }
 
+/* Same for a key of service s. */
+static const char *owner_of(const struct fixture *f, uint32_t key)
+{
+	return owner_of_service(f, "s", key);
+}
+
 /* The first plan assigns keys to each upstream. */
 static void test_first_plan(void **state)
 {
@@ -344,6 +358,88 @@
 	free(copy);
 }
 
+#define SERVICES 150
+
+/*
+ * Guards against a service whose keys get no owner, as the configuration has
+ * many others before it.
+ */
+static void service_after_many_others_is_planned(void **state)
+{
+	struct fixture *f = *state;
+	struct rconfig_service services[SERVICES] = { 0 };
+
+	for (size_t i = 0; i < SERVICES; i++) {
+		snprintf(services[i].name, NAME_SIZE, "s%zu", i);
+		services[i].keyed = true;
+	}
+	snprintf(services[SERVICES - 1].name, NAME_SIZE, "late");
+	f->config.services = services;
+	f->config.service_count = SERVICES;
+	put_node_of(f, "c", "late", 60000);
+	put_node_of(f, "d", "late", 60000);
+	run(f, 4000);
+	assert_string_not_equal(owner_of_service(f, "late", 0), "");
+	assert_string_not_equal(owner_of_service(f, "late", 65535), "");
+	f->config.services = &f->service;
+	f->config.service_count = 1;
+}
+
+/* Guards against daemons that ignore the maps of services beyond the first. */
+static void maps_of_many_services_are_kept(void **state)
+{
+	struct fixture *f = *state;
+	struct keymap *map = keymap_create();
+	char *text = keymap_encode(map);
+	char name[NAME_SIZE], key[PLANVIEW_KEY_MAX];
+	uint64_t version;
+
+	for (size_t i = 0; i < SERVICES; i++) {
+		snprintf(name, sizeof(name), "many-%zu", i);
+		planview_map_key(name, key);
+		planview_apply_row(f->view, key, text, strlen(text),
+				   f->db.version + 1 + i);
+	}
+	for (size_t i = 0; i < SERVICES; i++) {
+		snprintf(name, sizeof(name), "many-%zu", i);
+		assert_non_null(planview_map(f->view, name, &version));
+		assert_int_equal(version, f->db.version + 1 + i);
+	}
+	assert_string_not_equal(owner_of(f, 0), "");
+	free(text);
+	keymap_destroy(map);
+}
+
+#define NODES 5000
+
+/* Guards against daemons that are no members, as there are many others. */
+static void rows_of_many_daemons_are_read(void **state)
+{
+	struct planner_node *nodes = calloc(NODES, sizeof(*nodes));
+	struct tbl_row *rows = calloc(NODES, sizeof(*rows));
+	struct tbl_result r = { .rows = rows, .count = NODES, .now_ms = 1000 };
+
+	(void)state;
+	for (size_t i = 0; i < NODES; i++) {
+		struct noderow n = { .process = 1, .lease_until_ms = 5000 };
+
+		snprintf(n.node, sizeof(n.node), "n%05zu", i);
+		rows[i].key = strdup(n.node);
+		rows[i].value = noderow_format(&n);
+		rows[i].len = strlen(rows[i].value);
+		rows[i].version = i + 1;
+	}
+	assert_int_equal(planner_parse_nodes(&r, 0, NULL, 0, nodes), NODES);
+	for (size_t i = 0; i < NODES; i++) {
+		assert_string_equal(nodes[i].row.node, rows[i].key);
+		assert_true(nodes[i].alive);
+		free((char *)rows[i].key);
+		free((char *)rows[i].value);
+	}
+	free(rows);
+	free(nodes);
+}
+
 #define CASE(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -357,6 +453,9 @@
 		CASE(test_leases_in_an_older_copy_do_not_end),
 		CASE(test_lost_map_is_written_again),
 		CASE(test_map_of_an_older_copy_is_unconfirmed),
+		CASE(service_after_many_others_is_planned),
+		CASE(maps_of_many_services_are_kept),
+		cmocka_unit_test(rows_of_many_daemons_are_read),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
