The limits of a configuration bound the heads of requests, nothing less

What callers saw: a request with 97 header fields, or with a path of 70 kB where the operator allows heads of 200 kB, gets 400, which is final.

Cause: a message had room for 96 fields and 65,536 bytes of target and fields, and max_header_bytes was read but not used.

Change: the list of fields grows within the limit of the head. Servers for callers take heads of max_header_bytes where that is more than 64 KiB (the memory for bodies bounds it), those for daemons 64 KiB more for what daemons add. A smaller limit is not enforced, as before. The limit of http_parser itself, which counts separators as well, is raised with it. The Connection field is looked up once for a message and no longer for each field, since there may be thousands now.

--- a/packages/io/src/httpmsg.c
+++ b/packages/io/src/httpmsg.c
@@ -12,13 +12,13 @@
 	return (struct span){ buf_data(&m->text), m->target_len };
 }
 
-struct span httpmsg_name(const struct httpmsg *m, uint32_t i)
+struct span httpmsg_name(const struct httpmsg *m, size_t i)
 {
 	return (struct span){ buf_data(&m->text) + m->fields[i].name,
 			      m->fields[i].name_len };
 }
 
-struct span httpmsg_value(const struct httpmsg *m, uint32_t i)
+struct span httpmsg_value(const struct httpmsg *m, size_t i)
 {
 	return (struct span){ buf_data(&m->text) + m->fields[i].value,
 			      m->fields[i].value_len };
@@ -40,7 +40,7 @@
 /* Returns the value of the first field of this name; text is NULL if none. */
 struct span httpmsg_find(const struct httpmsg *m, const char *name)
 {
-	for (uint32_t i = 0; i < m->field_count; i++) {
+	for (size_t i = 0; i < m->field_count; i++) {
 		if (span_is_nocase(httpmsg_name(m, i), name))
 			return httpmsg_value(m, i);
 	}
@@ -76,11 +76,9 @@
 	return true;
 }
 
-/* True if the Connection header field lists this field. */
-static bool is_listed_in_connection(const struct httpmsg *m, struct span name)
+/* True if the value of the Connection header field lists this field. */
+static bool is_listed(struct span list, struct span name)
 {
-	struct span list = httpmsg_find(m, "connection");
-
 	for (size_t i = 0; list.text && i < list.len;) {
 		size_t begin = i;
 
@@ -95,32 +93,37 @@
 	return false;
 }
 
-/* Hop-by-hop fields, and those that the forwarding code sets itself. */
-bool httpmsg_is_hop_by_hop(const struct httpmsg *m, uint32_t i)
+/*
+ * True for hop-by-hop fields and those that frame the body, which must not be
+ * forwarded. connection is the value of the Connection header field.
+ */
+static bool is_hop_by_hop(struct span connection, struct span name)
 {
 	static const char *const names[] = {
 		"connection", "keep-alive",	"proxy-connection",
 		"te",	      "trailer",	"transfer-encoding",
 		"upgrade",    "content-length", "expect"
 	};
-	struct span name = httpmsg_name(m, i);
 
 	for (size_t n = 0; n < sizeof(names) / sizeof(names[0]); n++) {
 		if (span_is_nocase(name, names[n]))
 			return true;
 	}
-	return is_listed_in_connection(m, name);
+	return is_listed(connection, name);
 }
 
 /* Appends the fields to forward as header lines. */
 void httpmsg_copy_fields(const struct httpmsg *m, struct buf *out,
 			 httpmsg_skip_fn skip, const void *arg)
 {
-	for (uint32_t i = 0; i < m->field_count; i++) {
+	struct span connection = httpmsg_find(m, "connection");
+
+	for (size_t i = 0; i < m->field_count; i++) {
 		struct span name = httpmsg_name(m, i);
 		struct span value = httpmsg_value(m, i);
 
-		if (httpmsg_is_hop_by_hop(m, i) || (skip && skip(arg, name)))
+		if (is_hop_by_hop(connection, name) ||
+		    (skip && skip(arg, name)))
 			continue;
 		buf_add(out, name.text, name.len);
 		buf_add(out, ": ", 2);
--- a/packages/io/src/httpmsg.h
+++ b/packages/io/src/httpmsg.h
@@ -12,9 +12,8 @@
 
 #include "buf.h"
 
-#define HTTPMSG_FIELDS_MAX 96
-/* Limit in bytes for the target and the header fields of a message. */
-#define HTTPMSG_HEAD_BYTES_MAX 65536
+/* Default limit in bytes for the target and the header fields of a message. */
+#define HTTPMSG_HEAD_BYTES 65536
 
 struct httpmsg_field {
 	uint32_t name, name_len; /* offsets in httpmsg.text */
@@ -23,8 +22,8 @@
 
 struct httpmsg {
 	struct buf text;
-	struct httpmsg_field fields[HTTPMSG_FIELDS_MAX];
-	uint32_t field_count;
+	struct httpmsg_field *fields;
+	size_t field_count, field_capacity;
 	uint32_t target_len; /* the target is at the start of text */
 	const char *method; /* requests only */
 	uint16_t status; /* responses only */
@@ -40,8 +39,8 @@
 };
 
 struct span httpmsg_target(const struct httpmsg *m);
-struct span httpmsg_name(const struct httpmsg *m, uint32_t i);
-struct span httpmsg_value(const struct httpmsg *m, uint32_t i);
+struct span httpmsg_name(const struct httpmsg *m, size_t i);
+struct span httpmsg_value(const struct httpmsg *m, size_t i);
 
 /* Finds a field by its name, ignoring case; text is NULL if not found. */
 struct span httpmsg_find(const struct httpmsg *m, const char *name);
@@ -58,12 +57,6 @@
 /* Copies to a buffer of size bytes as a string; false if it does not fit. */
 bool span_copy(struct span s, char *out, size_t size);
 
-/*
- * True for hop-by-hop fields and those that frame the body, which must not be
- * forwarded.
- */
-bool httpmsg_is_hop_by_hop(const struct httpmsg *m, uint32_t i);
-
 /*
  * Appends the fields to forward to out, as header lines. Omits hop-by-hop
  * fields and those for which skip returns true; skip may be NULL.
@@ -92,6 +85,12 @@
 				   const struct httpparse_ops *ops, void *arg);
 void httpparse_destroy(struct httpparse *p);
 
+/*
+ * Sets the limit in bytes for the target and the header fields of the messages
+ * that follow. It bounds their number, too.
+ */
+void httpparse_set_head_bytes(struct httpparse *p, uint32_t bytes);
+
 /* Sets whether the next response has no body, as one to HEAD has none. */
 void httpparse_expect_no_body(struct httpparse *p, bool no_body);
 
--- a/packages/io/src/httpparse.c
+++ b/packages/io/src/httpparse.c
@@ -5,14 +5,19 @@
 
 #include <http_parser.h>
 
+#include "array.h"
+
 #define STATUS_INTERIM_MAX 199 /* 1xx responses precede the final one */
 #define STATUS_SWITCHING 101
+/* What the parser counts beyond the text of a head: separators and the like. */
+#define HEAD_EXTRA_BYTES 16384
 
 struct httpparse {
 	http_parser parser;
 	struct httpmsg message;
 	const struct httpparse_ops *ops;
 	void *arg;
+	uint32_t head_bytes; /* limit of a head */
 	bool in_value;
 	bool in_message;
 	bool ended;
@@ -33,15 +38,12 @@
 	}
 }
 
-/*
- * Appends header bytes; returns -1 over HTTPMSG_HEAD_BYTES_MAX or out of
- * memory.
- */
+/* Appends header bytes; returns -1 over the limit or out of memory. */
 static int add_text(struct httpparse *p, const char *at, size_t len)
 {
 	struct httpmsg *m = &p->message;
 
-	if (buf_len(&m->text) + len > HTTPMSG_HEAD_BYTES_MAX ||
+	if (buf_len(&m->text) + len > p->head_bytes ||
 	    !buf_add(&m->text, at, len))
 		return -1;
 	return 0;
@@ -78,11 +80,12 @@
 	struct httpmsg_field *f;
 
 	if (m->field_count == 0 || p->in_value) {
-		if (m->field_count == HTTPMSG_FIELDS_MAX)
+		f = array_extend(m->fields, m->field_count, &m->field_capacity,
+				 sizeof(*f));
+		if (!f)
 			return -1;
-		f = &m->fields[m->field_count++];
-		memset(f, 0, sizeof(*f));
-		f->name = (uint32_t)buf_len(&m->text);
+		m->fields = f;
+		m->fields[m->field_count++].name = (uint32_t)buf_len(&m->text);
 		p->in_value = false;
 	}
 	m->fields[m->field_count - 1].name_len += (uint32_t)len;
@@ -175,6 +178,7 @@
 	p->parser.data = p;
 	p->ops = ops;
 	p->arg = arg;
+	p->head_bytes = HTTPMSG_HEAD_BYTES;
 	return p;
 }
 
@@ -184,9 +188,25 @@
 	if (!p)
 		return;
 	buf_free(&p->message.text);
+	free(p->message.fields);
 	free(p);
 }
 
+/*
+ * Sets the limit of a head. http_parser has one of its own, for all parsers,
+ * which also ends heads that never do; it is raised if need be.
+ */
+void httpparse_set_head_bytes(struct httpparse *p, uint32_t bytes)
+{
+	static uint32_t parser_bytes = HTTP_MAX_HEADER_SIZE;
+
+	p->head_bytes = bytes;
+	if (bytes < parser_bytes - HEAD_EXTRA_BYTES)
+		return;
+	parser_bytes = bytes + HEAD_EXTRA_BYTES;
+	http_parser_set_max_header_size(parser_bytes);
+}
+
 /* Sets whether the next response answers HEAD and so has no body. */
 void httpparse_expect_no_body(struct httpparse *p, bool no_body)
 {
--- a/packages/io/src/httpsrv.c
+++ b/packages/io/src/httpsrv.c
@@ -269,6 +269,7 @@
 		free(c);
 		return;
 	}
+	httpparse_set_head_bytes(c->parser, s->limits.head_bytes);
 	c->start_us = evloop_now_us(s->loop);
 	DL_APPEND(s->connections, c);
 	s->count++;
@@ -296,10 +297,10 @@
 			       const struct httpsrv_ops *ops, void *arg,
 			       struct err *err)
 {
-	static const struct httpsrv_limits defaults = { DEFAULT_BODY_BYTES,
-							DEFAULT_BUFFERED_BYTES,
-							DEFAULT_HEADER_US,
-							DEFAULT_IDLE_US };
+	static const struct httpsrv_limits defaults = {
+		HTTPMSG_HEAD_BYTES, DEFAULT_BODY_BYTES, DEFAULT_BUFFERED_BYTES,
+		DEFAULT_HEADER_US, DEFAULT_IDLE_US
+	};
 	struct httpsrv *s = calloc(1, sizeof(*s));
 
 	if (!s) {
@@ -334,9 +335,16 @@
 	free(s);
 }
 
+/* Sets the limits of all connections, also of requests in progress. */
 void httpsrv_set_limits(struct httpsrv *s, const struct httpsrv_limits *limits)
 {
+	struct httpconn *c;
+
 	s->limits = *limits;
+	DL_FOREACH(s->connections, c)
+	{
+		httpparse_set_head_bytes(c->parser, limits->head_bytes);
+	}
 }
 
 /* Sets the pacer, which several servers may share. */
--- a/packages/io/src/httpsrv.h
+++ b/packages/io/src/httpsrv.h
@@ -31,6 +31,7 @@
 };
 
 struct httpsrv_limits {
+	uint32_t head_bytes; /* target and header fields of one request */
 	uint32_t body_bytes; /* body of one request */
 	uint32_t buffered_bytes; /* bodies of all requests in memory */
 	uint32_t header_us; /* from the first to the last byte of a request */
--- a/packages/io/tests/test_http.c
+++ b/packages/io/tests/test_http.c
@@ -465,10 +465,58 @@
 
 #define CASE(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
+/* Sends a request with this many fields of this length. */
+static void call_with_fields(struct fixture *f, size_t count, size_t len)
+{
+	struct buf head = { 0 };
+	char *value = calloc(1, len + 1);
+
+	memset(value, 'v', len);
+	buf_add_text(&head, "GET /x HTTP/1.1\r\n");
+	for (size_t i = 0; i < count; i++) {
+		buf_printf(&head, "F%zu: ", i);
+		buf_add_text(&head, value);
+		buf_add_text(&head, "\r\n");
+	}
+	buf_add_text(&head, "\r\n");
+	buf_add(&head, "", 1);
+	f->status = 0;
+	call(f, SERVER_ADDRESS, buf_data(&head), 0, true);
+	buf_free(&head);
+	free(value);
+}
+
+/*
+ * Guards against requests that are rejected for the number of their fields, or
+ * for the size of their head, though it is within the limit that was set.
+ */
+static void heads_within_the_limit_are_accepted(void **state)
+{
+	struct fixture *f = *state;
+	struct httpsrv_limits limits = { .head_bytes = 400000,
+					 .body_bytes = 1000,
+					 .buffered_bytes = 1000,
+					 .header_us = TIMEOUT_US,
+					 .idle_us = TIMEOUT_US };
+
+	call_with_fields(f, 2000, 1);
+	assert_int_equal(f->status, 200);
+	call_with_fields(f, 1, HTTPMSG_HEAD_BYTES);
+	assert_int_equal(f->status, 400);
+	httpsrv_set_limits(f->server, &limits);
+	call_with_fields(f, 1, HTTPMSG_HEAD_BYTES);
+	assert_int_equal(f->status, 200);
+	call_with_fields(f, 3, 130000);
+	assert_int_equal(f->status, 200);
+	call_with_fields(f, 1, limits.head_bytes);
+	assert_int_equal(f->status, 400);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		CASE(test_target_is_not_normalized),
+		CASE(heads_within_the_limit_are_accepted),
 		CASE(test_chunked_request),
 		CASE(test_ambiguous_length_is_rejected),
 		CASE(test_pipelined_requests),
--- a/packages/router/src/routerd_serve.c
+++ b/packages/router/src/routerd_serve.c
@@ -15,6 +15,8 @@
 #define BODY_MEMORY_DIVISOR 4
 #define MIB 1048576U
 #define DEFAULT_MEMORY_MB 256
+/* What daemons add to the head of a request that they forward. */
+#define PEER_HEAD_BYTES 65536U
 
 /*
  * Limits of the servers that callers do not use. An announcement with all the
@@ -140,6 +142,7 @@
 {
 	const struct rsettings *s = &r->settings;
 	const struct httpsrv_limits small = {
+		.head_bytes = HTTPMSG_HEAD_BYTES,
 		.body_bytes = SMALL_BODY_BYTES,
 		.buffered_bytes = SMALL_BODY_BYTES,
 		.header_us = SMALL_HEADER_US,
@@ -185,6 +188,18 @@
 	httpsrv_destroy(r->metrics);
 }
 
+/*
+ * Returns the limit in bytes for the heads of callers' requests: that of the
+ * configuration, but no more than the memory for bodies allows.
+ */
+static uint32_t head_bytes(const struct rconfig *c, uint32_t memory_bytes)
+{
+	if (c->header_bytes_max <= HTTPMSG_HEAD_BYTES)
+		return HTTPMSG_HEAD_BYTES;
+	return c->header_bytes_max < memory_bytes ? c->header_bytes_max :
+						    memory_bytes;
+}
+
 /* Applies the limits for requests from the configuration and the settings. */
 void routerd_set_limits(struct routerd *r)
 {
@@ -200,7 +215,9 @@
 
 	if (c->version == 0)
 		return;
+	limits.head_bytes = head_bytes(c, limits.buffered_bytes);
 	httpsrv_set_limits(r->callers, &limits);
+	limits.head_bytes += PEER_HEAD_BYTES;
 	limits.idle_us = UINT32_MAX;
 	httpsrv_set_limits(r->peers, &limits);
 }
