The limits for callers do not apply to messages between daemons

What callers saw: with a max_body_bytes of the operator that is smaller than the messages of the daemons, the lead changes hands all the time, and plans and configurations come only from the table.

Cause: routerd_set_limits() set the limits for callers for the other daemons too. A report of some 150 bytes got 413 from the leader, which counts as no answer, and a large configuration was cut after header_timeout_ms.

Change: messages between daemons are bounded by the memory for bodies and by 60 s. A report with a version above 2^63 is no longer rejected.

--- a/packages/router/src/noderpt.c
+++ b/packages/router/src/noderpt.c
@@ -77,7 +77,7 @@
 	     strlen(id) < sizeof(r->incarnation.id) &&
 	     strlen(service) < sizeof(r->service) && slots >= 0 &&
 	     running >= 0 && waiting >= 0 && slow_left_ms >= 0 && mean >= 0 &&
-	     config >= 0 && parse_pieces(pieces, r);
+	     parse_pieces(pieces, r);
 	if (ok) {
 		txt_copy(r->incarnation.node, sizeof(r->incarnation.node),
 			 node);
--- a/packages/router/src/routerd_serve.c
+++ b/packages/router/src/routerd_serve.c
@@ -17,6 +17,8 @@
 #define DEFAULT_MEMORY_MB 256
 /* What daemons add to the head of a request that they forward. */
 #define PEER_HEAD_BYTES 65536U
+/* Time limit of a message between daemons, which a busy link delays. */
+#define PEER_MESSAGE_US (60 * US_PER_S)
 
 /*
  * Limits of the servers that callers do not use. An announcement with all the
@@ -217,7 +219,11 @@
 		return;
 	limits.head_bytes = head_bytes(c, limits.buffered_bytes);
 	httpsrv_set_limits(r->callers, &limits);
+	/* The limits for callers do not apply to messages between daemons. */
 	limits.head_bytes += PEER_HEAD_BYTES;
+	if (limits.body_bytes < limits.buffered_bytes)
+		limits.body_bytes = limits.buffered_bytes;
+	limits.header_us = PEER_MESSAGE_US;
 	limits.idle_us = UINT32_MAX;
 	httpsrv_set_limits(r->peers, &limits);
 }
