Long source files are split by job

The limit of a head is set when a message begins, which covers connections that were opened under an earlier limit.

--- a/packages/io/src/httpsrv.c
+++ b/packages/io/src/httpsrv.c
@@ -55,8 +55,7 @@
 	void *arg;
 	struct httpsrv_limits limits;
 	struct httpconn *connections;
-	uint32_t count;
-	uint32_t busy;
+	uint32_t count, busy;
 	size_t buffered;
 	uint32_t sweep_timer;
 	bool draining;
@@ -156,6 +155,8 @@
 	if (!httpparse_in_message(c->parser)) {
 		c->start_us = evloop_now_us(c->server->loop);
 		c->error = 0;
+		httpparse_set_head_bytes(c->parser,
+					 c->server->limits.head_bytes);
 	}
 	state = httpparse_feed(c->parser, buf_data(in), buf_len(in), &consumed);
 	if (consumed > buf_len(in))
@@ -269,7 +270,6 @@
 		free(c);
 		return;
 	}
-	httpparse_set_head_bytes(c->parser, s->limits.head_bytes);
 	c->start_us = evloop_now_us(s->loop);
 	DL_APPEND(s->connections, c);
 	s->count++;
@@ -335,16 +335,9 @@
 	free(s);
 }
 
-/* Sets the limits of all connections, also of requests in progress. */
 void httpsrv_set_limits(struct httpsrv *s, const struct httpsrv_limits *limits)
 {
-	struct httpconn *c;
-
 	s->limits = *limits;
-	DL_FOREACH(s->connections, c)
-	{
-		httpparse_set_head_bytes(c->parser, limits->head_bytes);
-	}
 }
 
 /* Sets the pacer, which several servers may share. */
--- a/packages/router/src/forward_attempt.c
+++ b/packages/router/src/forward_attempt.c
@@ -1,7 +1,6 @@
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
-#include <xxhash.h>
 
 #include "forward_int.h"
 #include "log.h"
@@ -24,7 +23,6 @@
 #define NO_TARGET_RETRY_AFTER_US (300 * US_PER_MS)
 /* Retry delay of a request that has crashed its upstreams. */
 #define CRASHES_RETRY_AFTER_US (30 * US_PER_S)
-#define TIMEOUT_MIN_US (1 * US_PER_MS)
 #define STATUS_BAD_GATEWAY 502
 
 /* Cancels the current attempt, if any, and releases its target. */
@@ -321,20 +319,6 @@
 static const struct reqrun_ops job_ops = { on_head, on_body, on_done,
 					   on_refused, on_failed };
 
-/* Returns the kind of a request, which is the same for a whole route. */
-static uint32_t request_kind(const struct fwd_request *f)
-{
-	return (uint32_t)XXH3_64bits(f->policy.name, strlen(f->policy.name));
-}
-
-/* Returns the name of the service on the instance of the caller. */
-static struct span caller_service(const struct fwd_request *f)
-{
-	const char *name = f->owner->parts.settings->service_name;
-
-	return (struct span){ name, name ? strlen(name) : 0 };
-}
-
 /* Runs the request at the local upstream. */
 static void send_to_local(struct fwd_request *f, struct memb *m)
 {
@@ -343,8 +327,8 @@
 		.body = f->body,
 		.request = f->request,
 		.upstream_id = m->incarnation.id,
-		.caller_service = caller_service(f),
-		.kind = request_kind(f),
+		.caller_service = fwd_caller_service(f),
+		.kind = fwd_request_kind(f),
 		.rank = f->policy.rank,
 		.idempotent = f->policy.idempotent,
 		.deadline_us = f->deadline_us,
@@ -420,52 +404,13 @@
 static const struct httpcall_ops peer_ops = { NULL, on_peer_head, on_peer_body,
 					      on_peer_done, on_peer_failed };
 
-/* True for a field of daemons, which a caller may have forged. */
-static bool skip_field(const void *arg, struct span name)
-{
-	(void)arg;
-	return peerhdr_is_field(name);
-}
-
-/* Writes the head of the request to another daemon. */
-static void write_peer_head(const struct fwd_request *f, const struct memb *m,
-			    uint64_t now_us, struct buf *out)
-{
-	struct span target = httpmsg_target(f->message);
-	struct peerhdr_request peer_request = {
-		.left_us = TIMEOUT_MIN_US,
-		.caller_service = caller_service(f),
-		.rank = f->policy.rank,
-		.kind = request_kind(f),
-		.idempotent = f->policy.idempotent,
-		.keyed = f->keyed,
-		.sender_stopping = f->owner->end_us > 0,
-	};
-
-	txt_copy(peer_request.upstream_id, sizeof(peer_request.upstream_id),
-		 m->incarnation.id);
-	if (f->deadline_us > now_us)
-		peer_request.left_us = f->deadline_us - now_us;
-	if (f->objective_us > now_us)
-		peer_request.objective_left_us = f->objective_us - now_us;
-	buf_add_text(out, f->message->method);
-	buf_add(out, " ", 1);
-	buf_add(out, target.text, target.len);
-	buf_add_text(out, " HTTP/1.1\r\n");
-	httpmsg_copy_fields(f->message, out, skip_field, NULL);
-	peerhdr_write_request(out, &peer_request);
-	if (buf_len(f->body) > 0 || f->message->length != 0)
-		buf_printf(out, "Content-Length: %zu\r\n", buf_len(f->body));
-	buf_add_text(out, "\r\n");
-}
-
 /* Sends the request to the daemon of another upstream. */
 static void send_to_peer(struct fwd_request *f, struct memb *m, uint64_t now_us)
 {
 	struct buf head = { 0 };
 	struct httpcall_request r = { .head = &head, .reuse_us = UINT64_MAX };
 
-	write_peer_head(f, m, now_us, &head);
+	fwd_write_peer_head(f, m, now_us, &head);
 	if (buf_len(f->body) > 0)
 		r.body = buf_data(f->body);
 	r.body_len = buf_len(f->body);
--- /dev/null
+++ b/packages/router/src/forward_head.c
@@ -0,0 +1,61 @@
+#include <string.h>
+#include <xxhash.h>
+
+#include "forward_int.h"
+#include "txt.h"
+
+/* Least time to the deadline that another daemon is told. */
+#define TIMEOUT_MIN_US (1 * US_PER_MS)
+
+/* Returns the kind of a request, which is the same for a whole route. */
+uint32_t fwd_request_kind(const struct fwd_request *f)
+{
+	return (uint32_t)XXH3_64bits(f->policy.name, strlen(f->policy.name));
+}
+
+/* Returns the name of the service on the instance of the caller. */
+struct span fwd_caller_service(const struct fwd_request *f)
+{
+	const char *name = f->owner->parts.settings->service_name;
+
+	return (struct span){ name, name ? strlen(name) : 0 };
+}
+
+/* True for a field of daemons, which a caller may have forged. */
+static bool skip_field(const void *arg, struct span name)
+{
+	(void)arg;
+	return peerhdr_is_field(name);
+}
+
+/* Writes the head of the request to another daemon. */
+void fwd_write_peer_head(const struct fwd_request *f, const struct memb *m,
+			 uint64_t now_us, struct buf *out)
+{
+	struct span target = httpmsg_target(f->message);
+	struct peerhdr_request peer_request = {
+		.left_us = TIMEOUT_MIN_US,
+		.caller_service = fwd_caller_service(f),
+		.rank = f->policy.rank,
+		.kind = fwd_request_kind(f),
+		.idempotent = f->policy.idempotent,
+		.keyed = f->keyed,
+		.sender_stopping = f->owner->end_us > 0,
+	};
+
+	txt_copy(peer_request.upstream_id, sizeof(peer_request.upstream_id),
+		 m->incarnation.id);
+	if (f->deadline_us > now_us)
+		peer_request.left_us = f->deadline_us - now_us;
+	if (f->objective_us > now_us)
+		peer_request.objective_left_us = f->objective_us - now_us;
+	buf_add_text(out, f->message->method);
+	buf_add(out, " ", 1);
+	buf_add(out, target.text, target.len);
+	buf_add_text(out, " HTTP/1.1\r\n");
+	httpmsg_copy_fields(f->message, out, skip_field, NULL);
+	peerhdr_write_request(out, &peer_request);
+	if (buf_len(f->body) > 0 || f->message->length != 0)
+		buf_printf(out, "Content-Length: %zu\r\n", buf_len(f->body));
+	buf_add_text(out, "\r\n");
+}
--- a/packages/router/src/forward_int.h
+++ b/packages/router/src/forward_int.h
@@ -85,6 +85,12 @@
 void fwd_count_attempt(struct fwd_request *f);
 void fwd_end_attempt(struct fwd_request *f, enum fwd_outcome outcome);
 
+/* What an upstream is told of a request, and the head to another daemon. */
+uint32_t fwd_request_kind(const struct fwd_request *f);
+struct span fwd_caller_service(const struct fwd_request *f);
+void fwd_write_peer_head(const struct fwd_request *f, const struct memb *m,
+			 uint64_t now_us, struct buf *out);
+
 void fwd_on_response_head(struct fwd_request *f, const struct httpmsg *m);
 void fwd_on_response_body(struct fwd_request *f, const char *bytes, size_t len);
 void fwd_on_response_end(struct fwd_request *f);
--- a/packages/router/src/planner.c
+++ b/packages/router/src/planner.c
@@ -26,10 +26,7 @@
 	struct planner_service *services;
 	size_t service_count, service_capacity;
 	size_t next_service; /* position of the first one to plan next */
-	struct planner_node *nodes;
-	struct planner_node *nodes_before; /* room for the next read */
-	size_t node_count;
-	size_t nodes_capacity; /* of both arrays */
+	struct planner_nodes nodes;
 	struct planner_report *reports;
 	size_t report_count, report_capacity;
 	struct planner_crashes crashes;
@@ -77,8 +74,7 @@
 	if (!l->dead || l->calling)
 		return l->dead;
 	clear_changes(l);
-	free(l->nodes);
-	free(l->nodes_before);
+	planner_nodes_free(&l->nodes);
 	free(l->reports);
 	free(l->services);
 	free(l);
@@ -237,8 +233,8 @@
 {
 	size_t count = 0;
 
-	for (size_t i = 0; i < l->node_count; i++) {
-		struct planner_node *n = &l->nodes[i];
+	for (size_t i = 0; i < l->nodes.count; i++) {
+		struct planner_node *n = &l->nodes.list[i];
 
 		if (!n->expires)
 			continue;
@@ -282,8 +278,8 @@
 /* Computes the plan from the rows of all daemons and writes its changes. */
 static void plan(struct planner *l)
 {
-	struct planner_input in = { l->nodes,
-				    l->node_count,
+	struct planner_input in = { l->nodes.list,
+				    l->nodes.count,
 				    l->reports,
 				    l->report_count,
 				    evloop_now_us(l->parts.loop),
@@ -326,43 +322,6 @@
 	return false;
 }
 
-/* Makes room for the rows of a read; false if out of memory. */
-static bool reserve_nodes(struct planner *l, size_t count)
-{
-	struct planner_node *nodes, *before;
-
-	if (count <= l->nodes_capacity)
-		return true;
-	nodes = reallocarray(l->nodes, count * 2, sizeof(*nodes));
-	if (nodes)
-		l->nodes = nodes;
-	before = reallocarray(l->nodes_before, count * 2, sizeof(*before));
-	if (before)
-		l->nodes_before = before;
-	if (!nodes || !before)
-		return false;
-	l->nodes_capacity = count * 2;
-	return true;
-}
-
-/*
- * Parses the rows of all daemons beside those of the read before. Returns false
- * if out of memory.
- */
-static bool read_nodes(struct planner *l, const struct tbl_result *r)
-{
-	struct planner_node *before;
-
-	if (!reserve_nodes(l, r->count))
-		return false;
-	before = l->nodes;
-	l->nodes = l->nodes_before;
-	l->nodes_before = before;
-	l->node_count = planner_parse_nodes(r, l->era.first_ms, before,
-					    l->node_count, l->nodes);
-	return true;
-}
-
 /* Handles the result of a read of all daemons' rows. */
 static void on_nodes(void *arg, const struct tbl_result *r)
 {
@@ -377,7 +336,8 @@
 	}
 	l->read_us = evloop_now_us(l->parts.loop);
 	l->table_now_ms = r->now_ms;
-	if (!check_era(l, r) || !read_nodes(l, r)) {
+	if (!check_era(l, r) ||
+	    !planner_nodes_read(&l->nodes, r, l->era.first_ms)) {
 		schedule_tick(l, RETRY_US);
 		return;
 	}
--- a/packages/router/src/planner_int.h
+++ b/packages/router/src/planner_int.h
@@ -6,6 +6,9 @@
 #include "planner.h"
 #include "noderow.h"
 
+/* A lease expires this long after its end, as a renewal may be in progress. */
+#define PLANNER_EXPIRY_MARGIN_MS 50
+
 struct planner_node {
 	struct noderow row;
 	uint64_t version;
@@ -17,6 +20,22 @@
 	uint64_t seen_ms; /* first read of this version, by the table's clock */
 };
 
+/* The nodes of the last read of their table, sorted by name. */
+struct planner_nodes {
+	struct planner_node *list;
+	struct planner_node *before; /* room for the next read */
+	size_t count;
+	size_t capacity; /* of both arrays */
+};
+
+/*
+ * Replaces the nodes by those of a read, in an era that was first seen at
+ * era_ms. False if out of memory; the nodes are then unchanged.
+ */
+bool planner_nodes_read(struct planner_nodes *n, const struct tbl_result *r,
+			uint64_t era_ms);
+void planner_nodes_free(struct planner_nodes *n);
+
 struct planner_report {
 	struct noderpt report;
 	uint64_t at_us;
--- a/packages/router/src/request_runner.h
+++ b/packages/router/src/request_runner.h
@@ -49,8 +49,8 @@
 	const struct buf *body;
 	struct plat_request request;
 	const char *upstream_id;
-	struct span
-		caller_service; /* name; a part of the message or settings */
+	/* Name; a part of the message or of the settings. */
+	struct span caller_service;
 	uint32_t kind; /* groups requests of similar run time */
 	uint32_t rank;
 	bool idempotent;
--- a/packages/router/src/upstr.c
+++ b/packages/router/src/upstr.c
@@ -29,10 +29,6 @@
  */
 #define LEAVE_VALID_US (15 * US_PER_S)
 
-/* Clocks of one instance may differ by less than this. */
-#define START_AHEAD_MAX_MS 3600000
-/* Most announcements of an upstream that can be missed in a row. */
-#define SEQ_STEP_MAX 1000000
 #define STATUS_BAD_REQUEST 400
 
 /* Suspends (silent) or resumes the sending of requests to the upstream. */
@@ -270,50 +266,6 @@
 	a->silent = false;
 }
 
-/*
- * True for an announcement that the upstream beside this daemon cannot have
- * made: it would hide the true ones, which look older.
- */
-static bool is_implausible(const struct upstr *a,
-			   const struct plat_announcement *n)
-{
-	const struct rsettings *s = a->parts.settings;
-	uint64_t now_ms = clk_wall_ms(evloop_clock(a->parts.loop));
-
-	if (n->leaves)
-		return false;
-	return (s->service[0] != '\0' && strcmp(n->service, s->service) != 0) ||
-	       (uint64_t)n->start_unix_ms > now_ms + START_AHEAD_MAX_MS ||
-	       (a->announced && strcmp(a->incarnation.id, n->id) == 0 &&
-		a->incarnation.start_unix_ms == n->start_unix_ms &&
-		n->seq > a->seq && n->seq - a->seq > SEQ_STEP_MAX);
-}
-
-/*
- * True for an announcement of an earlier or ended incarnation, and for one that
- * arrived after a newer announcement of the same incarnation.
- */
-static bool is_stale(const struct upstr *a, const struct plat_announcement *n)
-{
-	/* A shutdown may be announced without the start time. */
-	if (n->leaves && n->start_unix_ms == 0)
-		return strcmp(n->id, a->incarnation.id) != 0;
-	if (strcmp(n->id, a->ended_id) == 0 &&
-	    n->start_unix_ms == a->ended_born_ms)
-		return true;
-	if (n->start_unix_ms < a->ended_born_ms)
-		return true;
-	if (a->incarnation.id[0] == '\0')
-		return n->leaves;
-	if (strcmp(n->id, a->incarnation.id) != 0 ||
-	    n->start_unix_ms != a->incarnation.start_unix_ms)
-		return n->leaves ||
-		       n->start_unix_ms < a->incarnation.start_unix_ms;
-	/* Far behind, the last one was none of the upstream's. */
-	return !n->leaves && a->announced && n->seq <= a->seq &&
-	       a->seq - n->seq <= SEQ_STEP_MAX;
-}
-
 /* Replaces the current incarnation by the announced one. */
 static void begin_incarnation(struct upstr *a,
 			      const struct plat_announcement *n)
@@ -387,7 +339,7 @@
 	uint64_t now = evloop_now_us(a->parts.loop);
 	uint64_t wait = ANSWER_DELAY_US;
 
-	if (is_implausible(a, n)) {
+	if (upstr_is_implausible(a, n)) {
 		log_emit(LOG_ANNOUNCEMENT_INVALID,
 			 "reason=\"not of this upstream\" id=%s born=%lld "
 			 "service=%s seq=%llu",
@@ -396,7 +348,7 @@
 		httpconn_reply(c, STATUS_BAD_REQUEST, "", "", 0);
 		return NULL;
 	}
-	if (is_stale(a, n)) {
+	if (upstr_is_stale(a, n)) {
 		if (n->leaves && a->incarnation.id[0] == '\0')
 			remember_leave(a, n->id, now);
 		log_emit(LOG_ANNOUNCEMENT_STALE, "id=%s born=%lld seq=%llu",
--- a/packages/router/src/upstr_int.h
+++ b/packages/router/src/upstr_int.h
@@ -58,6 +58,11 @@
 /* Suspends (silent) or resumes the sending of requests to the upstream. */
 void upstr_set_silent(struct upstr *a, bool silent, const char *reason);
 
+/* Checks of announcements; those that fail change nothing. */
+bool upstr_is_implausible(const struct upstr *a,
+			  const struct plat_announcement *n);
+bool upstr_is_stale(const struct upstr *a, const struct plat_announcement *n);
+
 /* Sends the delayed answer now, if there is one. */
 void upstr_send_answer(struct upstr *a);
 
