The name of a caller's service has to match its identifier

A daemon of an earlier version passes on all fields of a caller, so also a Geranium-Caller that the caller has forged, and the daemon beside the upstream would have sent that name as Caller-Service. It now takes the name only if its identifier is the one in Geranium-Forward. Found by reading; the test forged_caller_is_ignored failed before.

--- a/packages/router/src/peer_headers.c
+++ b/packages/router/src/peer_headers.c
@@ -58,16 +58,22 @@
 	return word;
 }
 
-/* Reads the service of the caller: its identifier, or the field of its name. */
+/*
+ * Reads the service of the caller: its identifier, or the name with this
+ * identifier. Another name was sent by the caller itself, through a daemon of an
+ * earlier version.
+ */
 static struct span read_caller(const struct httpmsg *m, struct span identifier)
 {
 	struct span name = httpmsg_find(m, PEERHDR_CALLER_FIELD);
+	char own[NAME_SIZE];
 
-	if (name.text)
-		return name;
 	if (span_is(identifier, NO_SERVICE))
 		identifier.len = 0;
-	return identifier;
+	if (!name.text)
+		return identifier;
+	name_identify(own, sizeof(own), name.text, name.len);
+	return span_is(identifier, own) ? name : identifier;
 }
 
 /* Reads the fields of a forwarded request. False if missing or invalid. */
--- a/packages/router/tests/test_peer_headers.c
+++ b/packages/router/tests/test_peer_headers.c
@@ -100,6 +100,25 @@
 		peerhdr_is_field((struct span){ "X-Geranium-Forward", 18 }));
 }
 
+/* A daemon of an earlier version passes on what its caller has forged. */
+static void forged_caller_is_ignored(void **state)
+{
+	static const char text[] = "GET / HTTP/1.1\r\n"
+				   "geranium-caller: other\r\n"
+				   "Geranium-Forward: u-1 own 1 1 1 1 1 1 0\r\n"
+				   "\r\n";
+	struct httpparse *p = httpparse_create(true, &ops, NULL);
+	struct peerhdr_request r;
+	size_t taken;
+
+	(void)state;
+	assert_int_equal(httpparse_feed(p, text, strlen(text), &taken),
+			 HTTPPARSE_DONE);
+	assert_true(peerhdr_read_request(httpparse_message(p), &r));
+	assert_true(span_is(r.caller_service, "own"));
+	httpparse_destroy(p);
+}
+
 /* A field of other daemons may be cut or changed. */
 static void invalid_fields_are_rejected(void **state)
 {
@@ -135,6 +154,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(callers_of_each_length_are_read),
 		cmocka_unit_test(fields_of_daemons_are_recognized),
+		cmocka_unit_test(forged_caller_is_ignored),
 		cmocka_unit_test(invalid_fields_are_rejected),
 	};
 
