Requests of one connection run side by side

Cause: the HTTP server read nothing while a request was being answered, so requests that a caller sent together ran one after the other, and their time counted from their turn.

Change: a connection keeps its unanswered requests in order; each has its own context, deadline from its arrival, cancellation and log lines. What may run, whose response goes out and when to read no further is decided by pipeline.c, without I/O. A request overlaps others if its route is idempotent, it has no body, and so do all before it: behind a response that closes the connection the caller sends everything again, so what cannot be repeated waits until it is first. The next response goes out once at most 64 KiB are unsent, so a caller that does not read is bounded too. A response that breaks off before its turn is replaced by 502. Connections between daemons do not overlap.

--- a/packages/io/src/httpsrv.h
+++ b/packages/io/src/httpsrv.h
@@ -3,7 +3,9 @@
 
 /*
  * HTTP/1.1 server. A request is delivered with its complete body; the response
- * body can be written in parts. A connection handles one request at a time.
+ * body can be written in parts. A client may send requests without waiting for
+ * responses: those that may overlap run side by side, and the responses go out
+ * in the order of the requests (see pipeline.h).
  */
 
 #include <stdbool.h>
@@ -14,13 +16,13 @@
 #include "pacer.h"
 
 struct httpsrv; /* a server on one listening address */
-struct httpconn; /* a connection of a client */
+struct httpconn; /* a request on a client's connection and its response */
 
 struct httpsrv_ops {
 	/*
 	 * A complete request has arrived. The user responds now and returns
 	 * NULL, or returns a context for the other callbacks and responds
-	 * later.
+	 * later. m and body are valid until the response has ended.
 	 */
 	void *(*on_request)(void *arg, struct httpconn *c,
 			    const struct httpmsg *m, const struct buf *body);
@@ -50,7 +52,20 @@
 /* From now on long responses are paced by link; NULL disables pacing. */
 void httpsrv_set_pacer(struct httpsrv *s, struct pacer *link);
 
-/* From now on each connection is closed after its current response. */
+/*
+ * True if a request is repeatable and may run before earlier ones on its
+ * connection have been answered.
+ */
+typedef bool (*httpsrv_overlap_fn)(void *arg, const struct httpmsg *m);
+
+/*
+ * Lets requests for which fn returns true overlap. held_bytes is the memory for
+ * responses that wait for earlier ones, of all connections together.
+ */
+void httpsrv_set_overlap(struct httpsrv *s, httpsrv_overlap_fn fn,
+			 size_t held_bytes);
+
+/* From now on each connection is closed after the requests it has read. */
 void httpsrv_drain(struct httpsrv *s);
 
 /*
@@ -60,7 +75,10 @@
  */
 uint32_t httpsrv_busy_count(const struct httpsrv *s);
 
-/* Sends a long response to the current request before other long ones. */
+/* Names the request in log lines of the server. */
+void httpconn_set_id(struct httpconn *c, const char *id);
+
+/* Sends a long response to this request before other long ones. */
 void httpconn_set_urgent(struct httpconn *c);
 
 /*
@@ -76,17 +94,26 @@
 /* Completes the response. */
 void httpconn_end(struct httpconn *c);
 
-/* Aborts a response so that the client detects that it is incomplete. */
+/*
+ * Aborts a response so that the client detects that it is incomplete. One of
+ * which nothing has been sent yet is replaced by 502 (Bad Gateway).
+ */
 void httpconn_abort(struct httpconn *c);
 
 /* Sends a complete response; fields may be "". */
 void httpconn_reply(struct httpconn *c, uint16_t status, const char *fields,
 		    const char *body, size_t len);
 
-/* Bytes of output not yet passed to the kernel. */
+/*
+ * Bytes of the response not yet passed to the kernel; SIZE_MAX if it waits for
+ * its turn and the memory for such responses is used up.
+ */
 size_t httpconn_unsent_bytes(struct httpconn *c);
 
-/* Arrival of the first byte of the current request, monotonic time. */
+/* Arrival of the first byte of the request, monotonic time. */
 uint64_t httpconn_start_us(const struct httpconn *c);
 
+/* Unanswered requests before this one on its connection. */
+uint32_t httpconn_earlier_count(const struct httpconn *c);
+
 #endif
--- /dev/null
+++ b/packages/io/src/httpsrv_client.c
@@ -0,0 +1,440 @@
+#include "httpsrv_int.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <utlist.h>
+
+#define STATUS_BAD_REQUEST 400
+#define STATUS_TOO_LARGE 413
+#define STATUS_UNAVAILABLE 503
+/* Input buffered while no request is read; the rest stays in the kernel. */
+#define PIPELINE_BYTES 65536
+/*
+ * The next response goes out once the connection has at most this many bytes
+ * left to send, so that a client that does not read cannot fill the memory.
+ */
+#define SEND_AHEAD_BYTES 65536
+
+/* Frees the request body and returns its bytes to the limit. */
+static void free_body(struct httpconn *c)
+{
+	c->client->server->buffered -= buf_len(&c->body);
+	buf_free(&c->body);
+}
+
+static void free_request(struct httpconn *c)
+{
+	if (!c)
+		return;
+	free_body(c);
+	buf_free(&c->head);
+	buf_free(&c->held);
+	buf_free(&c->id);
+	httpparse_destroy(c->parser);
+	free(c);
+}
+
+/* Checks Content-Length; answers Expect: 100-continue when it is its turn. */
+static bool on_head(void *arg, struct httpmsg *m)
+{
+	struct httpconn *c = arg;
+
+	if (m->length > (int64_t)c->client->server->limits.body_bytes)
+		c->error = STATUS_TOO_LARGE;
+	c->expects_continue =
+		!c->error &&
+		span_is_nocase(httpmsg_find(m, "expect"), "100-continue");
+	return c->error == 0;
+}
+
+/* Buffers the body, within the limits. */
+static void on_body(void *arg, const char *bytes, size_t len)
+{
+	struct httpconn *c = arg;
+	struct httpsrv *s = c->client->server;
+
+	if (c->error)
+		return;
+	if (buf_len(&c->body) + len > s->limits.body_bytes)
+		c->error = STATUS_TOO_LARGE;
+	else if (s->buffered + len > s->limits.buffered_bytes ||
+		 !buf_add(&c->body, bytes, len))
+		c->error = STATUS_UNAVAILABLE;
+	else
+		s->buffered += len;
+}
+
+static const struct httpparse_ops parser_ops = { on_head, on_body };
+
+/* Makes a request that was answered ready for the next one. */
+static void recycle_request(struct httpconn *c)
+{
+	struct httpclient *k = c->client;
+	struct httpparse *parser = c->parser;
+
+	if (k->spare) {
+		free_request(c);
+		return;
+	}
+	free_body(c);
+	buf_free(&c->head);
+	buf_free(&c->held);
+	buf_free(&c->id);
+	httpparse_reset(parser);
+	memset(c, 0, sizeof(*c));
+	c->client = k;
+	c->parser = parser;
+	k->spare = c;
+}
+
+/* Begins to receive a request. Returns NULL if out of memory. */
+static struct httpconn *begin_request(struct httpclient *k)
+{
+	struct httpconn *c = k->spare;
+
+	k->spare = NULL;
+	if (!c) {
+		c = calloc(1, sizeof(*c));
+		if (!c)
+			return NULL;
+		c->client = k;
+		c->parser = httpparse_create(true, &parser_ops, c);
+		if (!c->parser) {
+			free(c);
+			return NULL;
+		}
+	}
+	c->start_us = evloop_now_us(k->server->loop);
+	httpparse_set_head_bytes(c->parser, k->server->limits.head_bytes);
+	DL_APPEND(k->requests, c);
+	return c;
+}
+
+/* Puts a request that was read in its place behind the earlier ones. */
+static void add_request(struct httpconn *c)
+{
+	struct httpsrv *s = c->client->server;
+	struct httpmsg *m = httpparse_message(c->parser);
+	struct pipeline_request r = { 0 };
+
+	c->phase = HTTPCONN_WAITING;
+	c->close_after = c->error || !m->keep_alive || s->draining;
+	c->head_only = m->method && strcmp(m->method, "HEAD") == 0;
+	r.last = c->close_after;
+	r.overlaps = !c->error && s->overlaps && buf_len(&c->body) == 0 &&
+		     s->overlaps(s->arg, m);
+	r.bytes = sizeof(*c) + buf_len(&m->text);
+	c->place = pipeline_add(c->client->order, &r);
+}
+
+/* Returns the request to feed with input; NULL if none may be read now. */
+static struct httpconn *find_receiver(struct httpclient *k)
+{
+	if (k->requests && k->requests->prev->phase == HTTPCONN_RECEIVING)
+		return k->requests->prev;
+	return pipeline_may_read(k->order) ? begin_request(k) : NULL;
+}
+
+/* Answers Expect: 100-continue of the first request. */
+static void send_continue(struct httpconn *c)
+{
+	static const char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+	if (!c->expects_continue)
+		return;
+	c->expects_continue = false;
+	tcpsock_send(c->client->socket, interim, sizeof(interim) - 1);
+}
+
+/* Parses buffered input, as far as the pipeline allows. */
+static void read_requests(struct httpclient *k)
+{
+	struct buf *in;
+	struct httpconn *c = NULL;
+	bool pause;
+
+	if (k->closed)
+		return;
+	in = tcpsock_input(k->socket);
+	while (buf_len(in) > 0 && (c = find_receiver(k))) {
+		enum httpparse_state state;
+		size_t consumed = 0;
+
+		state = httpparse_feed(c->parser, buf_data(in), buf_len(in),
+				       &consumed);
+		if (consumed > buf_len(in))
+			consumed = buf_len(in);
+		buf_consume(in, consumed);
+		if (state == HTTPPARSE_INCOMPLETE) {
+			if (c == k->requests)
+				send_continue(c);
+			break;
+		}
+		if (state == HTTPPARSE_ERROR && !c->error)
+			c->error = STATUS_BAD_REQUEST;
+		add_request(c);
+	}
+	pause = !c && buf_len(in) > PIPELINE_BYTES;
+	if (pause != k->input_paused)
+		tcpsock_pause_input(k->socket, pause);
+	k->input_paused = pause;
+}
+
+/* Passes a request to the user. */
+static void start_request(struct httpconn *c)
+{
+	struct httpsrv *s = c->client->server;
+	void *request;
+
+	c->phase = HTTPCONN_RUNNING;
+	if (c->error) {
+		httpconn_reject(c, c->error);
+		return;
+	}
+	request = s->ops->on_request(s->arg, c, httpparse_message(c->parser),
+				     &c->body);
+	if (request && c->phase == HTTPCONN_RUNNING)
+		c->request = request;
+}
+
+/* Starts the requests that need not wait. */
+static void start_requests(struct httpclient *k)
+{
+	struct httpconn *c = k->requests;
+	uint32_t place;
+
+	while (!k->closed &&
+	       (place = pipeline_next_start(k->order)) != PIPELINE_NONE) {
+		while (c->place != place)
+			c = c->next;
+		pipeline_start(k->order, place);
+		start_request(c);
+	}
+}
+
+/* Removes the first request, which has been answered. */
+static void remove_first(struct httpclient *k)
+{
+	struct httpconn *c = k->requests;
+
+	DL_DELETE(k->requests, c);
+	pipeline_remove_first(k->order);
+	k->idle_since_us = evloop_now_us(k->server->loop);
+	recycle_request(c);
+}
+
+/* Sends of the first response what is there. True if it is complete. */
+static bool send_first(struct httpclient *k)
+{
+	struct httpconn *c = k->requests;
+	struct buf *out;
+
+	if (k->closed || !c)
+		return false;
+	if (c->phase == HTTPCONN_RECEIVING)
+		send_continue(c);
+	out = tcpsock_output(k->socket);
+	if (!c->begun || (!c->open && buf_len(out) > SEND_AHEAD_BYTES) ||
+	    !httpconn_send_held(c))
+		return false;
+	if (c->close_after) {
+		httpclient_close(k, true);
+		return false;
+	}
+	if (buf_len(out) > SEND_AHEAD_BYTES)
+		return false;
+	remove_first(k);
+	return true;
+}
+
+/* Tells the user of the first request that its output has been sent. */
+static void notify_drained(struct httpclient *k)
+{
+	struct httpconn *c = k->requests;
+
+	if (!k->drained)
+		return;
+	k->drained = false;
+	if (c && c->request && k->server->ops->on_drained)
+		k->server->ops->on_drained(c->request);
+}
+
+/* True if the user still references a request of the connection. */
+static bool is_referenced(const struct httpclient *k)
+{
+	const struct httpconn *c;
+
+	DL_FOREACH(k->requests, c)
+	{
+		if (c->request)
+			return true;
+	}
+	return false;
+}
+
+static void on_closed(void *arg, uint64_t now_us)
+{
+	struct httpclient *k = arg;
+
+	(void)now_us;
+	k->free_timer = 0;
+	httpclient_destroy(k);
+}
+
+/*
+ * Frees a closed connection. Requests of the user end from a timer, as the
+ * close may be part of one of the user's own calls.
+ */
+static void free_closed(struct httpclient *k)
+{
+	struct evloop *l = k->server->loop;
+
+	if (k->running || k->free_timer)
+		return;
+	if (is_referenced(k))
+		k->free_timer = tmr_at(evloop_timers(l), evloop_now_us(l),
+				       on_closed, k);
+	else
+		httpclient_destroy(k);
+}
+
+/* Sends, reads and starts until nothing changes any more. */
+void httpclient_run(struct httpclient *k)
+{
+	k->run_again = true;
+	if (k->running)
+		return;
+	k->running = true;
+	while (k->run_again && !k->closed) {
+		k->run_again = false;
+		notify_drained(k);
+		while (send_first(k))
+			;
+		read_requests(k);
+		start_requests(k);
+	}
+	k->running = false;
+	if (k->closed)
+		free_closed(k);
+}
+
+/* Closes the socket and frees the connection when it is not in use. */
+void httpclient_close(struct httpclient *k, bool after_output)
+{
+	k->closed = true;
+	pacer_cancel(&k->paced);
+	if (after_output)
+		tcpsock_close_after_output(k->socket);
+	else
+		tcpsock_close(k->socket);
+	k->socket = NULL;
+	free_closed(k);
+}
+
+/* Ends the requests of a connection and frees it. */
+void httpclient_destroy(struct httpclient *k)
+{
+	struct httpsrv *s = k->server;
+	struct httpconn *c, *next;
+
+	/* From here on, calls of the user for its requests have no effect. */
+	k->closed = true;
+	DL_FOREACH(k->requests, c)
+	{
+		void *request = c->request;
+
+		c->request = NULL;
+		if (request)
+			s->ops->on_disconnect(request);
+	}
+	tmr_cancel(evloop_timers(s->loop), k->free_timer);
+	pacer_cancel(&k->paced);
+	if (k->socket)
+		tcpsock_close(k->socket);
+	DL_FOREACH_SAFE(k->requests, c, next)
+	free_request(c);
+	free_request(k->spare);
+	pipeline_destroy(k->order);
+	DL_DELETE(s->clients, k);
+	free(k);
+}
+
+struct httpconn *httpclient_last_request(const struct httpclient *k)
+{
+	struct httpconn *c = k->requests ? k->requests->prev : NULL;
+
+	if (!c || c->phase != HTTPCONN_RECEIVING)
+		return c;
+	return c == k->requests ? NULL : c->prev;
+}
+
+/*
+ * Closes the connection behind the requests that have been received; what the
+ * client has sent of the next one is discarded.
+ */
+void httpclient_drop_incomplete(struct httpclient *k)
+{
+	struct httpconn *c = k->requests->prev;
+	struct httpconn *last = httpclient_last_request(k);
+
+	if (!last) {
+		httpclient_close(k, true);
+		return;
+	}
+	last->close_after = true;
+	pipeline_set_last(k->order, last->place);
+	DL_DELETE(k->requests, c);
+	free_request(c);
+}
+
+static void on_input(void *arg)
+{
+	httpclient_run(arg);
+}
+
+/* The output has been sent: continues a response that is in progress. */
+static void on_drained(void *arg)
+{
+	struct httpclient *k = arg;
+
+	if (k->paced.owner) {
+		pacer_resume(&k->paced);
+		return;
+	}
+	k->drained = true;
+	httpclient_run(k);
+}
+
+/* The client has closed the connection, or the connection failed. */
+static void on_end(void *arg, enum tcpsock_end_reason why)
+{
+	(void)why;
+	httpclient_destroy(arg);
+}
+
+static const struct tcpsock_ops socket_ops = { on_input, on_drained, on_end };
+
+/* Takes over an accepted connection; closes it if out of memory. */
+void httpclient_create(struct httpsrv *s, int fd)
+{
+	struct httpclient *k = calloc(1, sizeof(*k));
+
+	if (k) {
+		k->server = s;
+		k->order = pipeline_create(&s->budget);
+	}
+	if (!k || !k->order) {
+		free(k);
+		close(fd);
+		return;
+	}
+	k->socket = tcpsock_from_fd(s->loop, fd, &socket_ops, k);
+	if (!k->socket) {
+		pipeline_destroy(k->order);
+		free(k);
+		return;
+	}
+	k->idle_since_us = evloop_now_us(s->loop);
+	DL_APPEND(s->clients, k);
+}
--- a/packages/router/src/forward.c
+++ b/packages/router/src/forward.c
@@ -162,6 +162,19 @@
 				   fwd_time_limit_us(f), on_deadline, f);
 }
 
+/*
+ * True if the request of a caller may run before earlier ones on its connection
+ * have been answered: if one of these closes the connection, the caller sends
+ * it again. The body of a request may be long and has to wait.
+ */
+bool fwd_may_overlap(const struct fwd *w, const struct httpmsg *m)
+{
+	const struct rconfig_route *route = rconfig_find_route(
+		w->parts.config, httpmsg_find(m, "host"), httpmsg_target(m));
+
+	return route && route->policy.idempotent && m->length == 0;
+}
+
 /* Replies to a request that has no route, or if there is no configuration. */
 static void reply_without_route(struct fwd *w, struct httpconn *c,
 				const struct httpmsg *m)
--- a/packages/router/src/forward.h
+++ b/packages/router/src/forward.h
@@ -32,6 +32,7 @@
 struct fwd *fwd_create(const struct fwd_parts *parts);
 void fwd_destroy(struct fwd *w);
 
+bool fwd_may_overlap(const struct fwd *w, const struct httpmsg *m);
 void *fwd_accept(struct fwd *w, struct httpconn *c, const struct httpmsg *m,
 		 const struct buf *body);
 void fwd_caller_closed(void *request);
--- a/packages/router/src/forward_response.c
+++ b/packages/router/src/forward_response.c
@@ -123,6 +123,8 @@
 	}
 	record_response(f);
 	ctr_add(CTR_DONE, 1);
+	if (httpconn_earlier_count(c) > 0)
+		httpconn_set_id(c, f->request.id);
 	if (!f->head_sent)
 		send_head(f, f->length >= 0 ? f->length :
 					      (int64_t)buf_len(&f->pending));
--- a/packages/router/src/routerd_serve.c
+++ b/packages/router/src/routerd_serve.c
@@ -13,6 +13,11 @@
 
 /* Buffered bodies may use 1/BODY_MEMORY_DIVISOR of the memory limit. */
 #define BODY_MEMORY_DIVISOR 4
+/*
+ * Responses that wait for earlier ones on their connection may use
+ * 1/HELD_MEMORY_DIVISOR.
+ */
+#define HELD_MEMORY_DIVISOR 8
 #define MIB 1048576U
 #define DEFAULT_MEMORY_MB 256
 /* What daemons add to the head of a request that they forward. */
@@ -51,6 +56,14 @@
 	return NULL;
 }
 
+/* True if a request of a caller may overlap others on its connection. */
+static bool may_overlap(void *arg, const struct httpmsg *m)
+{
+	const struct routerd *r = arg;
+
+	return fwd_may_overlap(r->forwards, m);
+}
+
 static const struct httpsrv_ops caller_ops = { on_caller, fwd_caller_closed,
 					       fwd_caller_drained };
 
@@ -219,6 +232,8 @@
 		return;
 	limits.head_bytes = head_bytes(c, limits.buffered_bytes);
 	httpsrv_set_limits(r->callers, &limits);
+	httpsrv_set_overlap(r->callers, may_overlap,
+			    (size_t)memory / HELD_MEMORY_DIVISOR * MIB);
 	/* The limits for callers do not apply to messages between daemons. */
 	limits.head_bytes += PEER_HEAD_BYTES;
 	if (limits.body_bytes < limits.buffered_bytes)
