Calls of the store are counted; the leader collects renewals of leases

Cause: each daemon renews its lease by a write every 2 s and polls the plan every 4 s, whether anything has changed or not.

Change: tblcount counts the calls by table and kind. A daemon passes its row and the version that it knows to the leader, which writes the rows of many daemons in one transaction and tells the result in its responses to their reports. Only the table decides: each row has its own condition, a conflict of one row drops that row and the rest is written again, and a daemon without a result after 1.8 s writes its row itself, on the same version. A lease counts from when its row was passed on. Changes of an upstream are written by the daemon at once, as before. The leader's responses also carry a digest of the plan; while it is that of the daemon, the plan is polled every 15 s instead of every 4 s, and at once if they differ for 1 s. Daemons of earlier versions neither send nor answer these; both fall back to their own calls.

Weighed: a longer interval of renewals, which leaves less of a lease when the store goes down; a held response instead of a result with the next report, which needs another connection of each daemon.

--- a/packages/router/src/nodelease.c
+++ b/packages/router/src/nodelease.c
@@ -9,6 +9,11 @@
 #define RENEW_INTERVAL_US (2 * US_PER_S)
 /* Mean delay of a retry; the delay is random, from 50% to 150% of it. */
 #define RETRY_US (400 * US_PER_MS)
+/*
+ * A renewal that nobody has confirmed for this long is written by the daemon
+ * itself, long before the lease ends.
+ */
+#define COLLECT_WAIT_US (1800 * US_PER_MS)
 
 struct nodelease {
 	struct evloop *loop;
@@ -28,6 +33,8 @@
 	bool found_reported; /* on_found() was called */
 	bool fenced; /* the lease was lost and has not been renewed since */
 	bool calling; /* a call is in progress */
+	bool collecting; /* a collector has been given the row */
+	uint64_t collect_us; /* when the row was given to it */
 	bool lost; /* the last call failed */
 	bool dead; /* destroyed, but a call is in progress */
 };
@@ -159,6 +166,18 @@
 	r->changes++;
 }
 
+/* Records that the row written at sent_us has this version. */
+static void record_renewal(struct nodelease *r, uint64_t version,
+			   uint64_t sent_us)
+{
+	r->version = version;
+	r->lease_end_us = sent_us + KEYLEASE_TERM_MS * US_PER_MS;
+	r->fenced = false;
+	r->written = r->writing;
+	schedule_call(r, r->written == r->changes ? RENEW_INTERVAL_US : 0);
+	r->ops->on_renewed(r->arg);
+}
+
 /* Handles the result of a write of the row, which may be unknown. */
 static void on_written(void *arg, const struct tbl_result *result)
 {
@@ -185,12 +204,15 @@
 	}
 	update_clock(r, result);
 	check_new_era(r, result);
-	r->version = result->version;
-	r->lease_end_us = result->sent_us + KEYLEASE_TERM_MS * US_PER_MS;
-	r->fenced = false;
-	r->written = r->writing;
-	schedule_call(r, r->written == r->changes ? RENEW_INTERVAL_US : 0);
-	r->ops->on_renewed(r->arg);
+	record_renewal(r, result->version, result->sent_us);
+}
+
+/* Returns the row with a lease that begins now; the caller frees it. */
+static char *format_renewal(struct nodelease *r, uint64_t now_us)
+{
+	r->row.lease_until_ms =
+		keylease_latest_ms(&r->clock, now_us) + KEYLEASE_TERM_MS;
+	return noderow_format(&r->row);
 }
 
 /*
@@ -203,18 +225,44 @@
 	struct tbl_change change = { .table = NODEROW_TABLE,
 				     .key = r->row.node,
 				     .expected = r->version };
-	char *text;
+	char *text = format_renewal(r, now_us);
 
-	r->row.lease_until_ms =
-		keylease_latest_ms(&r->clock, now_us) + KEYLEASE_TERM_MS;
-	text = noderow_format(&r->row);
 	change.value = text;
 	r->calling = true;
+	r->collecting = false;
 	r->writing = r->changes;
 	r->tbl.ops->write(r->tbl.self, &change, 1, on_written, r);
 	free(text);
 }
 
+/*
+ * Lets a collector renew a lease that is held and whose row has not changed.
+ * Without a result, the next call writes the row on the version known now: if
+ * the collector has written it after all, that call ends with a conflict and
+ * brings the row. True if a collector has taken the row.
+ */
+static bool collect_row(struct nodelease *r, uint64_t now_us)
+{
+	char *text;
+	bool taken;
+
+	if (!r->ops->collect || r->collecting || r->lost || r->fenced ||
+	    r->written != r->changes || r->version == 0 ||
+	    r->era != r->row.era ||
+	    r->lease_end_us < now_us + 2 * COLLECT_WAIT_US)
+		return false;
+	text = format_renewal(r, now_us);
+	taken = r->ops->collect(r->arg, r->version, text);
+	free(text);
+	if (!taken)
+		return false;
+	r->collecting = true;
+	r->collect_us = now_us;
+	r->writing = r->changes;
+	schedule_call(r, COLLECT_WAIT_US);
+	return true;
+}
+
 /* Renews the lease, or reads the row first if its version is not known. */
 static void make_call(void *arg, uint64_t now_us)
 {
@@ -225,13 +273,33 @@
 	tmr_cancel(evloop_timers(r->loop), r->timer);
 	r->timer = 0;
 	if (r->row_known) {
-		write_row(r, now_us);
+		if (!collect_row(r, now_us))
+			write_row(r, now_us);
 		return;
 	}
 	r->calling = true;
 	r->tbl.ops->read(r->tbl.self, NODEROW_TABLE, on_read, r);
 }
 
+/*
+ * The table read its clock between the start of the renewal and now, as for a
+ * call of this daemon. A result in a later era than the row leads to a write by
+ * the daemon itself, which brings the row up to date.
+ */
+void nodelease_collected(struct nodelease *r, uint64_t expected,
+			 uint64_t version, uint64_t now_ms)
+{
+	if (!r->collecting || r->calling || expected != r->version ||
+	    tbl_era(version) != r->era || version <= r->version ||
+	    now_ms < r->clock.table_ms)
+		return;
+	r->collecting = false;
+	r->clock.table_ms = now_ms;
+	r->clock.sent_us = r->collect_us;
+	r->clock.received_us = evloop_now_us(r->loop);
+	record_renewal(r, version, r->collect_us);
+}
+
 /*
  * Starts with a read of the row of an earlier process; NULL if out of memory.
  */
--- a/packages/router/src/nodelease.h
+++ b/packages/router/src/nodelease.h
@@ -28,6 +28,12 @@
 	void (*on_lapsed)(void *arg, const char *reason);
 	/* The table service answers again after a failed call. */
 	void (*on_table_back)(void *arg);
+	/*
+	 * Passes the row on to be written on this version along with those of
+	 * other daemons; nodelease_collected() brings the result. False if
+	 * nobody collects now. May be NULL.
+	 */
+	bool (*collect)(void *arg, uint64_t expected, const char *text);
 };
 
 /* row contains node, data centre, peer address and process. */
@@ -36,6 +42,14 @@
 				   const struct nodelease_ops *ops, void *arg);
 void nodelease_destroy(struct nodelease *r);
 
+/*
+ * The row was written on the version expected, by a collector, and has this
+ * version now; now_ms is the clock of the table at the write. Ignored if it
+ * belongs to no renewal in progress.
+ */
+void nodelease_collected(struct nodelease *r, uint64_t expected,
+			 uint64_t version, uint64_t now_ms);
+
 /* Sets the upstream in the row and writes the row at once. */
 void nodelease_set_upstream(struct nodelease *r,
 			    const struct incarnation *incarnation,
--- a/packages/router/src/peer_headers.c
+++ b/packages/router/src/peer_headers.c
@@ -217,3 +217,40 @@
 	*age_us = age;
 	return true;
 }
+
+/* Writes the versions of the row before and after, and the table's clock. */
+void peerhdr_write_lease(struct buf *out, const struct leasecoll_result *r)
+{
+	buf_printf(out, "%s: %llu %llu %llu\r\n", PEERHDR_LEASE_FIELD,
+		   (unsigned long long)r->expected,
+		   (unsigned long long)r->version,
+		   (unsigned long long)r->now_ms);
+}
+
+/* Reads a renewal; false if the field is missing or invalid. */
+bool peerhdr_read_lease(const struct httpmsg *m, struct leasecoll_result *r)
+{
+	char line[LINE_MAX_BYTES];
+	unsigned long long expected, version, now_ms;
+
+	if (!span_copy(httpmsg_find(m, PEERHDR_LEASE_FIELD), line,
+		       sizeof(line)) ||
+	    sscanf(line, "%llu %llu %llu", &expected, &version, &now_ms) != 3)
+		return false;
+	*r = (struct leasecoll_result){ expected, version, now_ms };
+	return true;
+}
+
+/* Writes the digest of the plan. */
+void peerhdr_write_plan(struct buf *out, uint64_t digest)
+{
+	buf_printf(out, "%s: %llu\r\n", PEERHDR_PLAN_FIELD,
+		   (unsigned long long)digest);
+}
+
+/* Reads the digest of the plan; false if the field is missing or invalid. */
+bool peerhdr_read_plan(const struct httpmsg *m, uint64_t *digest)
+{
+	return span_number(httpmsg_find(m, PEERHDR_PLAN_FIELD), UINT64_MAX,
+			   digest);
+}
--- a/packages/router/src/peer_headers.h
+++ b/packages/router/src/peer_headers.h
@@ -12,6 +12,7 @@
 #include "buf.h"
 #include "request_runner.h"
 #include "httpmsg.h"
+#include "leasecoll.h"
 
 /* All fields of daemons begin with this; those of callers are not sent on. */
 #define PEERHDR_PREFIX "Geranium-"
@@ -23,6 +24,8 @@
 #define PEERHDR_LOAD_FIELD "Geranium-Load"
 #define PEERHDR_TIMES_FIELD "Geranium-Times"
 #define PEERHDR_CONFIG_FIELD "Geranium-Config"
+#define PEERHDR_LEASE_FIELD "Geranium-Lease"
+#define PEERHDR_PLAN_FIELD "Geranium-Plan"
 
 struct peerhdr_request {
 	char upstream_id[NAME_SIZE];
@@ -60,4 +63,12 @@
 bool peerhdr_read_config(const struct httpmsg *m, uint64_t *version,
 			 uint64_t *age_us);
 
+/* A renewal of the receiver's lease that was written for it. */
+void peerhdr_write_lease(struct buf *out, const struct leasecoll_result *r);
+bool peerhdr_read_lease(const struct httpmsg *m, struct leasecoll_result *r);
+
+/* Digest of the plan; see planview_digest(). */
+void peerhdr_write_plan(struct buf *out, uint64_t digest);
+bool peerhdr_read_plan(const struct httpmsg *m, uint64_t *digest);
+
 #endif
--- a/packages/router/src/planview.c
+++ b/packages/router/src/planview.c
@@ -4,15 +4,26 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "array.h"
 #include "log.h"
 #include "txt.h"
 
 /*
- * Batching delay of the table watch. It may be long, which saves calls, as
- * daemons send changes to each other; the watch only brings missed ones.
+ * Pause of the table watch while the leader confirms the plan. It is shorter
+ * than the history of the table, so that the next poll needs no snapshot.
+ */
+#define WATCH_DELAY_US (15 * US_PER_S)
+/*
+ * Pause without confirmations, for the leader itself too. Daemons send changes
+ * to each other; the watch brings those that were missed.
  */
-#define WATCH_DELAY_US (4 * US_PER_S)
+#define UNCONFIRMED_DELAY_US (4 * US_PER_S)
+/* Reports are sent every 500 ms; several responses of the leader may be lost. */
+#define CONFIRMED_US (2 * US_PER_S)
+/* A change that is on its way arrives within this time. */
+#define DIFFERENT_US (1 * US_PER_S)
 /* Minimum interval of reads of a plan that may be outdated. */
 #define REFRESH_MIN_US (1 * US_PER_S)
 
@@ -39,6 +50,8 @@
 	void *arg;
 	struct evloop *loop;
 	uint64_t refreshed_us;
+	uint64_t confirmed_us; /* the leader knew the same plan, 0 if never */
+	uint64_t different_us; /* since then it has not, 0 if it does */
 	uint64_t epoch;
 	bool ready;
 	bool changed;
@@ -311,6 +324,53 @@
 	on_synced(v, false);
 }
 
+/* Adds the version of a row to the digest. */
+static uint64_t digest_row(const char *key, uint64_t version)
+{
+	return XXH3_64bits_withSeed(key, strlen(key), version);
+}
+
+/* Returns a digest of the versions of all rows. */
+uint64_t planview_digest(const struct planview *v)
+{
+	uint64_t sum = digest_row(PLANVIEW_LEADER, v->leader.version) +
+		       digest_row(PLANVIEW_MEMBERS, v->members_version) +
+		       digest_row(PLANVIEW_CRASHES, v->crashes_version);
+
+	for (size_t i = 0; i < v->map_count; i++)
+		sum += digest_row(v->maps[i].service, v->maps[i].version);
+	return sum;
+}
+
+/* Compares the plan with that of the leader, by a response to a report. */
+void planview_confirm(struct planview *v, uint64_t digest)
+{
+	uint64_t now = evloop_now_us(v->loop);
+
+	if (digest == planview_digest(v)) {
+		v->confirmed_us = now;
+		v->different_us = 0;
+	} else if (v->different_us == 0) {
+		v->different_us = now;
+	}
+}
+
+/* Polls the table early if the plan may be out of date; to be called often. */
+void planview_check_age(struct planview *v)
+{
+	uint64_t now = evloop_now_us(v->loop);
+	uint64_t since = tblwatch_answered_us(v->watch);
+	bool confirmed = v->confirmed_us > 0 &&
+			 clk_elapsed(now, v->confirmed_us) < CONFIRMED_US;
+	bool different = v->different_us > 0 &&
+			 clk_elapsed(now, v->different_us) >= DIFFERENT_US;
+
+	if (clk_elapsed(now, since) >= UNCONFIRMED_DELAY_US ?
+		    !confirmed || different :
+		    different && since < v->different_us)
+		tblwatch_end_pause(v->watch);
+}
+
 /* Reads the plan again, at most once per REFRESH_MIN_US. */
 void planview_refresh(struct planview *v)
 {
--- a/packages/router/src/planview.h
+++ b/packages/router/src/planview.h
@@ -126,4 +126,19 @@
 /* Writes the row key of a service's map to out, of size PLANVIEW_KEY_MAX. */
 void planview_map_key(const char *service, char *out);
 
+/*
+ * Digest of the versions of all rows. Two daemons with the same digest know the
+ * same plan.
+ */
+uint64_t planview_digest(const struct planview *v);
+
+/*
+ * The leader has told this digest. While it is that of this daemon, the table
+ * is polled less often.
+ */
+void planview_confirm(struct planview *v, uint64_t digest);
+
+/* Polls the table if confirmations are missing; to be called twice a second. */
+void planview_check_age(struct planview *v);
+
 #endif
--- a/packages/router/src/routerd.c
+++ b/packages/router/src/routerd.c
@@ -104,7 +104,8 @@
 }
 
 static const struct nodelease_ops lease_ops = { on_found, on_renewed, on_lapsed,
-						on_table_back };
+						on_table_back,
+						routerd_collect_lease };
 
 /* Writes the state of the upstream to the row, then notifies the leader. */
 static void on_upstream(void *arg)
@@ -232,10 +233,14 @@
 /* Creates the modules; each one uses only those created before it. */
 static bool create_modules(struct routerd *r, struct err *err)
 {
-	struct tbl tbl = r->platform.ops->table(r->platform.self);
 	struct noderow row = { .process =
 				       clk_random(evloop_clock(r->loop)) >> 1 };
+	struct tbl tbl;
 
+	r->calls = tblcount_create(r->platform.ops->table(r->platform.self));
+	if (!r->calls)
+		return err_set(err, ERR_DAEMON, IO_NO_MEMORY, "out of memory");
+	tbl = tblcount_interface(r->calls);
 	txt_copy(row.node, sizeof(row.node), r->settings.instance);
 	txt_copy(row.incarnation.node, sizeof(row.incarnation.node),
 		 r->settings.instance);
@@ -267,12 +272,13 @@
 					 &r->config, routerd_publish_rows,
 					 r };
 	r->leader = planner_create(&planner);
+	r->renewals = leasecoll_create(r->loop, tbl);
 	r->config_watch =
 		tblwatch_create(r->loop, tbl, r->platform.ops->config_table,
 				CONFIG_WATCH_DELAY_US, &config_ops, r);
 	if (!r->view || !r->lease || !r->releases || !r->crashes ||
 	    !r->upstream || !r->runner || !r->forwards || !r->forwarded ||
-	    !r->leader || !r->config_watch ||
+	    !r->leader || !r->renewals || !r->config_watch ||
 	    (r->settings.link_bytes_s > 0 && !r->link))
 		return err_set(err, ERR_DAEMON, IO_NO_MEMORY, "out of memory");
 	return true;
@@ -331,6 +337,7 @@
 	routerd_close_servers(r);
 	tblwatch_destroy(r->config_watch);
 	planner_destroy(r->leader);
+	leasecoll_destroy(r->renewals);
 	peersrv_destroy(r->forwarded);
 	fwd_destroy(r->forwards);
 	reqrun_destroy(r->runner);
@@ -341,6 +348,7 @@
 	planview_destroy(r->view);
 	if (r->platform.ops)
 		r->platform.ops->destroy(r->platform.self);
+	tblcount_destroy(r->calls);
 	rconfig_free(&r->config);
 	buf_free(&r->config_text);
 	pacer_destroy(r->link);
--- a/packages/router/src/routerd_int.h
+++ b/packages/router/src/routerd_int.h
@@ -13,10 +13,12 @@
 #include "planner.h"
 #include "peer_message.h"
 #include "relqueue.h"
+#include "leasecoll.h"
 #include "nodelease.h"
 #include "routerd.h"
 #include "peer_server.h"
 #include "planview.h"
+#include "tblcount.h"
 
 /* Reports in progress whose send time is known. */
 #define ROUTERD_REPORTS_MAX 8
@@ -39,6 +41,8 @@
 	bool config_refused;
 	uint64_t config_refused_hash;
 	uint64_t config_refused_version; /* 0 if that could not be read */
+	struct tblcount *calls;
+	uint64_t calls_last[TBLCOUNT_TABLES][TBLCOUNT_KINDS]; /* at last line */
 	struct tblwatch *config_watch;
 	struct buf config_text; /* compressed configuration, at the leader */
 	uint64_t config_read; /* ticket of the last read of that text */
@@ -56,6 +60,7 @@
 	struct fwd *forwards;
 	struct peersrv *forwarded;
 	struct planner *leader;
+	struct leasecoll *renewals; /* of other daemons, at the leader */
 	struct pacer *link; /* of this instance, NULL if its rate is unknown */
 	struct httpsrv *callers;
 	struct httpsrv *peers;
@@ -84,6 +89,9 @@
 	uint32_t stop_timer;
 };
 
+/* Passes a renewal of the lease to the leader; false if there is none. */
+bool routerd_collect_lease(void *arg, uint64_t expected, const char *text);
+
 /* Starts and stops the reports to the leader and leader election. */
 void routerd_start_reports(struct routerd *r);
 void routerd_stop_reports(struct routerd *r);
--- a/packages/router/src/routerd_leader.c
+++ b/packages/router/src/routerd_leader.c
@@ -4,6 +4,7 @@
 #include <jansson.h>
 
 #include "log.h"
+#include "peer_headers.h"
 #include "peer_message.h"
 #include "routerd_int.h"
 #include "txt.h"
@@ -11,10 +12,13 @@
 /* Interval of reports and of rounds of the election. */
 #define REPORT_US (500 * US_PER_MS)
 #define POOL_IDLE_US (5 * US_PER_S)
+/* A leader that has not responded for this long gets no renewals. */
+#define LEADER_SILENT_US (1100 * US_PER_MS)
 
 #define REPORT_TARGET "/-/report"
 #define WAKE_TARGET "/-/wake"
 #define CRASHES_TARGET "/-/crashes"
+#define RENEW_TARGET "/-/renew"
 #define STATUS_OK 200
 #define STATUS_NOT_FOUND 404
 #define STATUS_NOT_LEADER 409
@@ -75,9 +79,19 @@
 {
 	struct routerd_report *x = arg;
 
-	on_answer(x->owner, m);
-	if (m && m->status == STATUS_OK)
-		routerd_confirm_config(x->owner, m, x->sent_us);
+	struct routerd *r = x->owner;
+	struct leasecoll_result renewal;
+	uint64_t digest;
+
+	on_answer(r, m);
+	if (!m || m->status != STATUS_OK)
+		return;
+	routerd_confirm_config(r, m, x->sent_us);
+	if (peerhdr_read_plan(m, &digest))
+		planview_confirm(r->view, digest);
+	if (peerhdr_read_lease(m, &renewal))
+		nodelease_collected(r->lease, renewal.expected, renewal.version,
+				    renewal.now_ms);
 }
 
 /* Sends a message to the leader, if its address is known. */
@@ -112,6 +126,63 @@
 	free(text);
 }
 
+/*
+ * Sends the row to the leader, whose responses to reports bring the result. The
+ * leader writes its own row itself.
+ */
+bool routerd_collect_lease(void *arg, uint64_t expected, const char *text)
+{
+	struct routerd *r = arg;
+	uint64_t now = evloop_now_us(r->loop);
+	json_t *message;
+	char *body;
+
+	if (r->stop_began_us || planner_is_leader(r->leader) ||
+	    planview_leader(r->view)->version == 0 ||
+	    clk_elapsed(now, r->election.heard_us) >= LEADER_SILENT_US)
+		return false;
+	message = json_pack("[s,I,s]", r->settings.instance,
+			    (json_int_t)expected, text);
+	body = json_dumps(message, JSON_COMPACT);
+	json_decref(message);
+	send_to_leader(r, RENEW_TARGET, body, &r->leader_sender);
+	free(body);
+	return true;
+}
+
+/* Collects the renewal of a message; false if it cannot be parsed. */
+static bool add_renewal(struct routerd *r, const struct buf *body)
+{
+	json_t *message = buf_len(body) ? json_loadb(buf_data(body),
+						     buf_len(body), 0, NULL) :
+					  NULL;
+	const char *node, *text;
+	json_int_t expected;
+	bool ok = json_unpack(message, "[s,I,s!]", &node, &expected, &text) ==
+			  0 &&
+		  expected > 0 &&
+		  leasecoll_add(r->renewals, node, (uint64_t)expected, text,
+				strlen(text));
+
+	json_decref(message);
+	return ok;
+}
+
+/*
+ * Writes what the response to a report tells: the version of the configuration,
+ * the digest of the plan and a renewal of the lease.
+ */
+static void write_report_answer(const struct routerd *r, const char *node,
+				struct buf *fields)
+{
+	struct leasecoll_result renewal;
+
+	routerd_write_config_version(r, fields);
+	peerhdr_write_plan(fields, planview_digest(r->view));
+	if (leasecoll_find_result(r->renewals, node, &renewal))
+		peerhdr_write_lease(fields, &renewal);
+}
+
 /* Claims leadership if the conditions still hold after the delay. */
 static void claim(void *arg, uint64_t now_us)
 {
@@ -139,6 +210,7 @@
 
 	if (!planview_is_ready(r->view))
 		return;
+	planview_check_age(r->view);
 	fill_report(r, &report);
 	if (planner_is_leader(r->leader)) {
 		elect_leader_responded(&r->election, now_us);
@@ -240,12 +312,16 @@
 		if (noderpt_parse(buf_data(body), buf_len(body), &report)) {
 			planner_add_report(r->leader, &report);
 			routerd_send_config(r, &report);
-			routerd_write_config_version(r, &fields);
+			write_report_answer(r, report.incarnation.node,
+					    &fields);
 			status = STATUS_OK;
 		}
 	} else if (span_is(httpmsg_target(m), WAKE_TARGET)) {
 		planner_request_read(r->leader);
 		status = STATUS_OK;
+	} else if (span_is(httpmsg_target(m), RENEW_TARGET)) {
+		if (add_renewal(r, body))
+			status = STATUS_OK;
 	} else if (span_is(httpmsg_target(m), CRASHES_TARGET)) {
 		if (routerd_apply_crashes_message(r, body))
 			status = STATUS_OK;
--- a/packages/router/src/routerd_stats.c
+++ b/packages/router/src/routerd_stats.c
@@ -129,12 +129,48 @@
 		 r->config.unread_count, planview_leader(r->view)->node);
 }
 
+/*
+ * Logs the calls of the table service since the last line: of each table those
+ * that read it, write it and watch it.
+ */
+static void log_calls(struct routerd *r)
+{
+	uint64_t n[TBLCOUNT_TABLES][TBLCOUNT_KINDS];
+	uint64_t all = 0;
+
+	for (int t = 0; t < TBLCOUNT_TABLES; t++) {
+		for (int k = 0; k < TBLCOUNT_KINDS; k++) {
+			uint64_t total = tblcount_calls(r->calls, t, k);
+
+			n[t][k] = total - r->calls_last[t][k];
+			r->calls_last[t][k] = total;
+			all += n[t][k];
+		}
+	}
+	if (all == 0)
+		return;
+	log_emit(LOG_TABLE_LOAD,
+		 "leases=%llu/%llu/%llu plan=%llu/%llu/%llu "
+		 "config=%llu/%llu/%llu leader=%d",
+		 (unsigned long long)n[TBLCOUNT_LEASES][TBLCOUNT_READ],
+		 (unsigned long long)n[TBLCOUNT_LEASES][TBLCOUNT_WRITE],
+		 (unsigned long long)n[TBLCOUNT_LEASES][TBLCOUNT_WATCH],
+		 (unsigned long long)n[TBLCOUNT_PLAN][TBLCOUNT_READ],
+		 (unsigned long long)n[TBLCOUNT_PLAN][TBLCOUNT_WRITE],
+		 (unsigned long long)n[TBLCOUNT_PLAN][TBLCOUNT_WATCH],
+		 (unsigned long long)n[TBLCOUNT_CONFIG][TBLCOUNT_READ],
+		 (unsigned long long)n[TBLCOUNT_CONFIG][TBLCOUNT_WRITE],
+		 (unsigned long long)n[TBLCOUNT_CONFIG][TBLCOUNT_WATCH],
+		 planner_is_leader(r->leader));
+}
+
 /* Writes the periodic log lines. */
 static void on_period(void *arg, uint64_t now_us)
 {
 	(void)now_us;
 	log_load(arg);
 	log_config(arg);
+	log_calls(arg);
 }
 
 /* Starts the periodic log lines. */
--- a/packages/router/src/tblwatch.c
+++ b/packages/router/src/tblwatch.c
@@ -196,6 +196,15 @@
 	call_next(f, 0);
 }
 
+/* Polls at once for what has changed since the last answer. */
+void tblwatch_end_pause(struct tblwatch *f)
+{
+	if (!f->timer || f->lost)
+		return;
+	tmr_cancel(evloop_timers(f->loop), f->timer);
+	call_next(f, 0);
+}
+
 /* Stops the watch; the result of a call in progress is discarded. */
 void tblwatch_destroy(struct tblwatch *f)
 {
--- a/packages/router/src/tblwatch.h
+++ b/packages/router/src/tblwatch.h
@@ -43,6 +43,9 @@
  */
 void tblwatch_restart(struct tblwatch *f);
 
+/* Ends the pause after an answer; has no effect at any other time. */
+void tblwatch_end_pause(struct tblwatch *f);
+
 /*
  * Reads a new snapshot while the watch goes on. Returns a ticket: the read is
  * complete once tblwatch_ticket() is equal to it or greater.
--- a/packages/router/tests/test_upstr.c
+++ b/packages/router/tests/test_upstr.c
@@ -109,7 +109,7 @@
 }
 
 static const struct nodelease_ops lease_ops = { on_found, on_renewed, on_lapsed,
-						on_table_back };
+						on_table_back, NULL };
 
 static void on_rows(void *arg, const struct tbl_change *rows, size_t count,
 		    uint64_t version)
