Changes of the plan reach many daemons by way of others

Cause: the leader sends each change of the plan to every daemon, some kilobytes to 294 of them, which fills its link of 20 Mbit/s for a second and more. Reports and the requests of its own callers wait behind that.

--- a/packages/router/src/routerd.c
+++ b/packages/router/src/routerd.c
@@ -327,6 +327,7 @@
 {
 	if (!r)
 		return;
+	routerd_free_pushes(r);
 	if (r->loop && r->leader) {
 		routerd_stop_stats(r);
 		routerd_stop_config_checks(r);
--- a/packages/router/src/routerd_int.h
+++ b/packages/router/src/routerd_int.h
@@ -30,6 +30,18 @@
 	struct peermsg_sender sender;
 };
 
+/* Groups of daemons to which a change of the plan is being sent. */
+#define ROUTERD_PUSHES_MAX 128
+
+/* Rows that another daemon is asked to pass on to a group. */
+struct routerd_push {
+	struct routerd *owner;
+	struct peermsg_sender sender;
+	struct buf names; /* of the group, each with its NUL */
+	struct buf rows; /* as they are sent */
+	bool active; /* without an answer so far */
+};
+
 struct routerd {
 	struct rsettings settings;
 	const char *settings_path;
@@ -76,6 +88,8 @@
 	struct peermsg_sender leader_sender; /* for other messages */
 	struct routerd_report reports[ROUTERD_REPORTS_MAX];
 	size_t next_report;
+	struct routerd_push pushes[ROUTERD_PUSHES_MAX];
+	size_t next_push;
 	uint64_t sent_era; /* earlier maps were sent to a leader in this era */
 	uint64_t sent_leader; /* version of the row of that leader */
 	struct elect election; /* for the leader that leader_pool connects to */
@@ -114,6 +128,13 @@
 bool routerd_apply_rows_message(struct routerd *r, const struct buf *body);
 #define ROUTERD_PLAN_TARGET "/-/plan"
 
+/* The same for rows that are to be passed on to other daemons. */
+bool routerd_relay_rows_message(struct routerd *r, const struct buf *body);
+#define ROUTERD_RELAY_TARGET "/-/relay"
+
+/* Forgets the rows that wait for an answer. */
+void routerd_free_pushes(struct routerd *r);
+
 /* Apply the configuration from the table, or from a message of the leader. */
 void routerd_apply_config_row(struct routerd *r, const struct tbl_row *row);
 bool routerd_apply_config_message(struct routerd *r, const struct buf *body);
--- a/packages/router/src/routerd_leader.c
+++ b/packages/router/src/routerd_leader.c
@@ -302,6 +302,9 @@
 	if (span_is(httpmsg_target(m), ROUTERD_PLAN_TARGET)) {
 		if (routerd_apply_rows_message(r, body))
 			status = STATUS_OK;
+	} else if (span_is(httpmsg_target(m), ROUTERD_RELAY_TARGET)) {
+		if (routerd_relay_rows_message(r, body))
+			status = STATUS_OK;
 	} else if (span_is(httpmsg_target(m), ROUTERD_CONFIG_TARGET)) {
 		if (routerd_apply_config_message(r, body))
 			status = STATUS_OK;
--- a/packages/router/src/routerd_push.c
+++ b/packages/router/src/routerd_push.c
@@ -5,11 +5,13 @@
 
 #include "log.h"
 #include "peer_message.h"
+#include "pushtree.h"
 #include "routerd_int.h"
 #include "zip.h"
 
 /* Maximum number of daemons that are notified of one release. */
 #define OWNERS_MAX 64
+#define STATUS_OK 200
 
 /*
  * Logs a failure. No retry is needed, as the table watch brings the rows too.
@@ -98,17 +100,104 @@
 	planview_free_rows(rows, count);
 }
 
-/* Sends to all other daemons. */
+/* Sends the rows of a push to a group directly and forgets the push. */
+static void send_directly(struct routerd_push *p)
+{
+	const char *name = buf_data(&p->names);
+	const char *end = name + buf_len(&p->names);
+
+	for (; name < end; name += strlen(name) + 1) {
+		struct memb *m =
+			membs_find(planview_members(p->owner->view), name);
+
+		if (m)
+			send_to(m, &p->rows);
+	}
+}
+
+/* A daemon of an earlier version, or one that is gone, passes nothing on. */
+static void on_relay_answer(void *arg, const struct httpmsg *m)
+{
+	struct routerd_push *p = arg;
+
+	if (!p->active)
+		return;
+	p->active = false;
+	if (!m || m->status != STATUS_OK) {
+		log_emit(LOG_PLAN_NOT_SENT, "status=%u", m ? m->status : 0);
+		send_directly(p);
+	}
+	buf_free(&p->names);
+	buf_free(&p->rows);
+}
+
+/* Sends to a group by way of its first daemon that was reachable lately. */
+static void send_to_group(struct routerd *r, struct memb **group, size_t count,
+			  const struct buf *rows)
+{
+	struct routerd_push *p =
+		&r->pushes[r->next_push++ % ROUTERD_PUSHES_MAX];
+	uint64_t now = evloop_now_us(r->loop);
+	struct buf message = { 0 };
+	size_t relay = 0;
+
+	while (relay + 1 < count && now < group[relay]->avoid_until_us)
+		relay++;
+	buf_free(&p->names);
+	buf_free(&p->rows);
+	p->owner = r;
+	p->sender = (struct peermsg_sender){ on_relay_answer, p };
+	p->active = true;
+	for (size_t i = 0; i < count; i++) {
+		const char *name = group[i]->incarnation.node;
+
+		buf_add(&p->names, name, strlen(name) + 1);
+		if (i == relay)
+			continue;
+		buf_add_text(&message, name);
+		buf_add_text(&message, "\n");
+	}
+	/* An empty line ends the names. */
+	buf_add_text(&message, "\n");
+	buf_add(&message, buf_data(rows), buf_len(rows));
+	buf_add(&p->rows, buf_data(rows), buf_len(rows));
+	if (!peermsg_send_bytes(group[relay]->pool, ROUTERD_RELAY_TARGET,
+				buf_data(&message), buf_len(&message),
+				&p->sender))
+		on_relay_answer(p, NULL);
+	buf_free(&message);
+}
+
+/*
+ * Sends to all other daemons, to many of them by way of others. The groups
+ * change each time, so that one daemon that does not pass rows on keeps nobody
+ * uninformed for long.
+ */
 static void send_to_all(struct routerd *r, const struct buf *text)
 {
 	struct membs *members = planview_members(r->view);
+	size_t count = membs_count(members);
+	struct memb **list = calloc(count + 1, sizeof(*list));
+	size_t receivers = 0, groups;
+	size_t start =
+		clk_random_below(evloop_clock(r->loop), (uint32_t)count + 1);
 
-	for (size_t i = 0; i < membs_count(members); i++) {
-		struct memb *m = membs_at(members, i);
+	for (size_t i = 0; list && i < count; i++) {
+		struct memb *m = membs_at(members, (start + i) % count);
 
-		if (strcmp(m->incarnation.node, r->settings.instance) != 0)
-			send_to(m, text);
+		if (m->pool &&
+		    strcmp(m->incarnation.node, r->settings.instance) != 0)
+			list[receivers++] = m;
 	}
+	groups = pushtree_group_count(receivers);
+	for (size_t i = 0; i < groups; i++) {
+		struct pushtree_group g = pushtree_group(receivers, groups, i);
+
+		send_to_group(r, list + g.first, g.count, text);
+	}
+	for (size_t i = 0; groups == 0 && i < receivers; i++)
+		send_to(list[i], text);
+	free(list);
 }
 
 /*
@@ -218,3 +307,46 @@
 	routerd_plan_changed(r);
 	return true;
 }
+
+/* Applies the rows of a message and passes them on to the daemons it names. */
+bool routerd_relay_rows_message(struct routerd *r, const struct buf *body)
+{
+	struct buf rows = { 0 };
+	struct buf names = { 0 };
+	const char *end = buf_len(body) ? memmem(buf_data(body), buf_len(body),
+						 "\n\n", 2) :
+					  NULL;
+	char *name, *rest = NULL;
+	bool ok;
+
+	/* A group of one daemon has no names. */
+	if (buf_len(body) > 0 && buf_data(body)[0] == '\n')
+		end = buf_data(body) - 1;
+	if (!end)
+		return false;
+	buf_add(&names, buf_data(body), (size_t)(end + 1 - buf_data(body)));
+	buf_add(&names, "", 1);
+	buf_add(&rows, end + 2,
+		buf_len(body) - (size_t)(end + 2 - buf_data(body)));
+	/* The rows may list daemons that were not known before. */
+	ok = routerd_apply_rows_message(r, &rows);
+	for (name = strtok_r((char *)buf_data(&names), "\n", &rest); ok && name;
+	     name = strtok_r(NULL, "\n", &rest)) {
+		struct memb *m = membs_find(planview_members(r->view), name);
+
+		if (m)
+			send_to(m, &rows);
+	}
+	buf_free(&rows);
+	buf_free(&names);
+	return ok;
+}
+
+void routerd_free_pushes(struct routerd *r)
+{
+	for (size_t i = 0; i < ROUTERD_PUSHES_MAX; i++) {
+		r->pushes[i].active = false;
+		buf_free(&r->pushes[i].names);
+		buf_free(&r->pushes[i].rows);
+	}
+}
