Upstreams of equal cost are drawn, not taken in the order of the list

Cause: each of 295 daemons knows of no load of most upstreams and chose the first one of those of equal cost, the same one everywhere in a data centre.

Change: a draw among equal ones.

--- a/packages/router/src/membs.c
+++ b/packages/router/src/membs.c
@@ -210,7 +210,11 @@
 	return false;
 }
 
-/* Chooses the lowest cost: utilisation, distance and recent failures. */
+/*
+ * Chooses the lowest cost: utilisation, distance and recent failures. Draws
+ * among equal ones: hundreds of daemons, most of which know of no load, would
+ * otherwise all choose the first one of the list.
+ */
 struct memb *membs_choose(const struct membs *m, const char *service,
 			  const char *own, const char *data_centre,
 			  const char *const *tried, size_t tried_count,
@@ -218,6 +222,7 @@
 {
 	struct memb *best = NULL;
 	double best_cost = 0;
+	uint32_t equal = 0; /* members with this cost */
 
 	for (size_t i = 0; i < m->count; i++) {
 		struct memb *r = m->list[i];
@@ -239,6 +244,11 @@
 		if (!best || cost < best_cost) {
 			best = r;
 			best_cost = cost;
+			equal = 1;
+		} else if (cost <= best_cost &&
+			   clk_random_below(evloop_clock(m->loop), ++equal) ==
+				   0) {
+			best = r;
 		}
 	}
 	return best;
