--- a/packages/router/src/planview.c
+++ b/packages/router/src/planview.c
@@ -11,15 +11,20 @@
 #include "txt.h"
 
 /*
- * Pause of the table watch while the leader confirms the plan. It is shorter
- * than the history of the table, so that the next poll needs no snapshot.
+ * Pause of the table watch while the leader confirms the plan. It is ended when
+ * confirmations are missing.
  */
-#define WATCH_DELAY_US (15 * US_PER_S)
+#define WATCH_DELAY_US (60 * US_PER_S)
 /*
  * Pause without confirmations, for the leader itself too. Daemons send changes
  * to each other; the watch brings those that were missed.
  */
 #define UNCONFIRMED_DELAY_US (4 * US_PER_S)
+/*
+ * After a longer pause a snapshot is read. The changes of 15 s were a megabyte
+ * with 295 daemons, as each version of a row counts.
+ */
+#define SNAPSHOT_AFTER_US (8 * US_PER_S)
 /* Reports are sent every 500 ms; several responses of the leader may be lost. */
 #define CONFIRMED_US (2 * US_PER_S)
 /* A change that is on its way arrives within this time. */
@@ -368,7 +373,8 @@
 	if (clk_elapsed(now, since) >= UNCONFIRMED_DELAY_US ?
 		    !confirmed || different :
 		    different && since < v->different_us)
-		tblwatch_end_pause(v->watch);
+		tblwatch_end_pause(v->watch, clk_elapsed(now, since) >=
+						     SNAPSHOT_AFTER_US);
 }
 
 /* Reads the plan again, at most once per REFRESH_MIN_US. */
--- a/packages/router/src/tblwatch.c
+++ b/packages/router/src/tblwatch.c
@@ -197,10 +197,11 @@
 }
 
 /* Polls at once for what has changed since the last answer. */
-void tblwatch_end_pause(struct tblwatch *f)
+void tblwatch_end_pause(struct tblwatch *f, bool snapshot)
 {
 	if (!f->timer || f->lost)
 		return;
+	f->read_next = f->read_next || snapshot;
 	tmr_cancel(evloop_timers(f->loop), f->timer);
 	call_next(f, 0);
 }
--- a/packages/router/src/tblwatch.h
+++ b/packages/router/src/tblwatch.h
@@ -43,8 +43,12 @@
  */
 void tblwatch_restart(struct tblwatch *f);
 
-/* Ends the pause after an answer; has no effect at any other time. */
-void tblwatch_end_pause(struct tblwatch *f);
+/*
+ * Ends the pause after an answer; has no effect at any other time. With
+ * snapshot, the rows are read instead of their changes: a row that changes
+ * often is sent once and not in each of its versions.
+ */
+void tblwatch_end_pause(struct tblwatch *f, bool snapshot);
 
 /*
  * Reads a new snapshot while the watch goes on. Returns a ticket: the read is
