--- a/packages/router/src/routerd_push.c
+++ b/packages/router/src/routerd_push.c
@@ -177,7 +177,7 @@
 {
 	struct membs *members = planview_members(r->view);
 	size_t count = membs_count(members);
-	struct memb **list = calloc(count + 1, sizeof(*list));
+	struct memb **list = calloc(count + 1, sizeof(struct memb *));
 	size_t receivers = 0, groups;
 	size_t start =
 		clk_random_below(evloop_clock(r->loop), (uint32_t)count + 1);
