--- a/packages/router/src/planview.c
+++ b/packages/router/src/planview.c
@@ -8,6 +8,7 @@
 
 #include "array.h"
 #include "log.h"
+#include "planage.h"
 #include "txt.h"
 
 /*
@@ -15,20 +16,6 @@
  * confirmations are missing.
  */
 #define WATCH_DELAY_US (60 * US_PER_S)
-/*
- * Pause without confirmations, for the leader itself too. Daemons send changes
- * to each other; the watch brings those that were missed.
- */
-#define UNCONFIRMED_DELAY_US (4 * US_PER_S)
-/*
- * After a longer pause a snapshot is read. The changes of 15 s were a megabyte
- * with 295 daemons, as each version of a row counts.
- */
-#define SNAPSHOT_AFTER_US (8 * US_PER_S)
-/* Reports are sent every 500 ms; several responses of the leader may be lost. */
-#define CONFIRMED_US (2 * US_PER_S)
-/* A change that is on its way arrives within this time. */
-#define DIFFERENT_US (1 * US_PER_S)
 /* Minimum interval of reads of a plan that may be outdated. */
 #define REFRESH_MIN_US (1 * US_PER_S)
 
@@ -55,8 +42,7 @@
 	void *arg;
 	struct evloop *loop;
 	uint64_t refreshed_us;
-	uint64_t confirmed_us; /* the leader knew the same plan, 0 if never */
-	uint64_t different_us; /* since then it has not, 0 if it does */
+	struct planage age;
 	uint64_t epoch;
 	bool ready;
 	bool changed;
@@ -350,31 +336,19 @@
 /* Compares the plan with that of the leader, by a response to a report. */
 void planview_confirm(struct planview *v, uint64_t digest)
 {
-	uint64_t now = evloop_now_us(v->loop);
-
-	if (digest == planview_digest(v)) {
-		v->confirmed_us = now;
-		v->different_us = 0;
-	} else if (v->different_us == 0) {
-		v->different_us = now;
-	}
+	planage_record(&v->age, digest == planview_digest(v),
+		       evloop_now_us(v->loop));
 }
 
 /* Polls the table early if the plan may be out of date; to be called often. */
 void planview_check_age(struct planview *v)
 {
-	uint64_t now = evloop_now_us(v->loop);
-	uint64_t since = tblwatch_answered_us(v->watch);
-	bool confirmed = v->confirmed_us > 0 &&
-			 clk_elapsed(now, v->confirmed_us) < CONFIRMED_US;
-	bool different = v->different_us > 0 &&
-			 clk_elapsed(now, v->different_us) >= DIFFERENT_US;
-
-	if (clk_elapsed(now, since) >= UNCONFIRMED_DELAY_US ?
-		    !confirmed || different :
-		    different && since < v->different_us)
-		tblwatch_end_pause(v->watch, clk_elapsed(now, since) >=
-						     SNAPSHOT_AFTER_US);
+	enum planage_poll poll =
+		planage_due(&v->age, tblwatch_answered_us(v->watch),
+			    evloop_now_us(v->loop));
+
+	if (poll != PLANAGE_NONE)
+		tblwatch_end_pause(v->watch, poll == PLANAGE_SNAPSHOT);
 }
 
 /* Reads the plan again, at most once per REFRESH_MIN_US. */
--- a/packages/router/tests/test_planview.c
+++ b/packages/router/tests/test_planview.c
@@ -12,6 +12,7 @@
 #include <cmocka.h>
 
 #include "fake_table.h"
+#include "planage.h"
 #include "planview.h"
 
 #define REPORT_US (500 * US_PER_MS)
@@ -111,6 +112,33 @@
 	assert_int_not_equal(planview_digest(f->view), before);
 }
 
+/* A long pause is ended by a snapshot, not by each version of each row. */
+static void poll_follows_the_age(void **state)
+{
+	struct planage a = { 0 };
+	uint64_t second = US_PER_S;
+
+	(void)state;
+	assert_int_equal(planage_due(&a, 10 * second, 13 * second),
+			 PLANAGE_NONE);
+	assert_int_equal(planage_due(&a, 10 * second, 14 * second),
+			 PLANAGE_CHANGES);
+	assert_int_equal(planage_due(&a, 10 * second, 18 * second),
+			 PLANAGE_SNAPSHOT);
+	planage_record(&a, true, 50 * second);
+	assert_int_equal(planage_due(&a, 10 * second, 51 * second),
+			 PLANAGE_NONE);
+	planage_record(&a, false, 51 * second);
+	assert_int_equal(planage_due(&a, 10 * second, 51 * second),
+			 PLANAGE_NONE);
+	planage_record(&a, false, 52 * second);
+	assert_int_equal(planage_due(&a, 10 * second, 52 * second),
+			 PLANAGE_SNAPSHOT);
+	/* The answer has brought nothing: the leader may be behind. */
+	assert_int_equal(planage_due(&a, 53 * second, 54 * second),
+			 PLANAGE_NONE);
+}
+
 #define CASE(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -119,6 +147,7 @@
 		CASE(confirmed_plan_is_not_polled),
 		CASE(unconfirmed_plan_is_polled),
 		CASE(different_plan_is_polled_soon),
+		cmocka_unit_test(poll_follows_the_age),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
