A write names no more entries than the table service takes

Cause: the collector wrote up to 90 rows in a call, each of which counts twice, as a condition and as a value. The planner had the same limit of 90 changes.

Change: one limit for both, half of the entries of a call; a collector that has filled one call sends the next at once. The simulated table of the tests refuses more than 100 entries; the test fails with the old limit.

--- a/packages/router/src/leasecoll.c
+++ b/packages/router/src/leasecoll.c
@@ -10,8 +10,8 @@
 
 /* Renewals that arrive within this time share a call. */
 #define FLUSH_US (300 * US_PER_MS)
-/* Rows in one call of the table service, which takes 100. */
-#define ROWS_MAX 90
+/* Rows in one call. */
+#define ROWS_MAX TBL_CHANGES_MAX
 
 enum entry_state {
 	ENTRY_IDLE,
@@ -134,8 +134,9 @@
 		log_emit(LOG_RENEWALS_NOT_WRITTEN,
 			 "rows=%zu status=%d reason=\"%s\"", written, r->status,
 			 r->reason ? r->reason : "");
+	/* A full write has left others behind. */
 	if (waiting)
-		schedule_flush(c, again ? 0 : FLUSH_US);
+		schedule_flush(c, again || written == ROWS_MAX ? 0 : FLUSH_US);
 }
 
 /* Writes the renewals that wait, as many as fit into one call. */
--- a/packages/router/src/planner.c
+++ b/packages/router/src/planner.c
@@ -18,7 +18,7 @@
 /* A leader without a read for this long is to be replaced. */
 #define STUCK_AFTER_US (1500 * US_PER_MS)
 /* Changes in one write, and how many of them may mark expired leases. */
-#define CHANGES_MAX 90
+#define CHANGES_MAX TBL_CHANGES_MAX
 #define EXPIRIES_MAX 20
 
 struct planner {
--- a/packages/router/src/tbl.h
+++ b/packages/router/src/tbl.h
@@ -66,6 +66,14 @@
 
 #define TBL_VERSION_ANY UINT64_MAX /* no condition on the version */
 
+/*
+ * Most entries of a write. A change with a value or a removal is one, and its
+ * condition another.
+ */
+#define TBL_ENTRIES_MAX 100
+/* So many changes fit into a write in any case. */
+#define TBL_CHANGES_MAX (TBL_ENTRIES_MAX / 2)
+
 struct tbl_change {
 	const char *table;
 	const char *key;
--- a/packages/router/tests/fake_table.c
+++ b/packages/router/tests/fake_table.c
@@ -91,6 +91,17 @@
 	snprintf(c->table, sizeof(c->table), "%s", table);
 }
 
+/* Counts the conditions and the values of a write. */
+static size_t count_entries(const struct tbl_change *changes, size_t count)
+{
+	size_t entries = 0;
+
+	for (size_t i = 0; i < count; i++)
+		entries += (changes[i].expected != TBL_VERSION_ANY) +
+			   (changes[i].value || changes[i].remove);
+	return entries;
+}
+
 static void faketbl_write(void *self, const struct tbl_change *changes,
 			  size_t count, tbl_fn fn, void *arg)
 {
@@ -100,6 +111,10 @@
 	f->writes++;
 	if (f->down)
 		return;
+	if (count_entries(changes, count) > TBL_ENTRIES_MAX) {
+		c->status = TBL_UNKNOWN;
+		return;
+	}
 	for (size_t i = 0; i < count; i++) {
 		const struct faketbl_row *r =
 			faketbl_find(f, changes[i].table, changes[i].key);
--- a/packages/router/tests/fake_table.h
+++ b/packages/router/tests/fake_table.h
@@ -9,7 +9,7 @@
 #include "evloop.h"
 #include "tbl.h"
 
-#define FAKETBL_ROWS_MAX 32
+#define FAKETBL_ROWS_MAX 128
 #define FAKETBL_CALLS_MAX 32
 
 struct faketbl_row {
--- a/packages/router/tests/test_leasecoll.c
+++ b/packages/router/tests/test_leasecoll.c
@@ -20,6 +20,7 @@
 #include "tblcount.h"
 
 #define DAEMONS 20
+#define MANY_DAEMONS 100
 #define SETTLE_US (400 * US_PER_MS)
 
 struct fixture {
@@ -163,16 +164,21 @@
 	assert_int_equal(f->table.writes, 0);
 }
 
-/* More renewals than fit into a call are written by several. */
-static void every_daemon_is_renewed(void **state)
+/*
+ * Guards against a call with more entries than the table service takes, which
+ * refuses all of them. Each renewal has two.
+ */
+static void more_renewals_than_fit_are_written_by_several_calls(void **state)
 {
 	struct fixture *f = *state;
+	struct leasecoll_result r;
 
-	for (int i = 0; i < 100; i++)
-		assert_true(add(f, i, 7, 1000));
+	for (int i = 0; i < MANY_DAEMONS; i++)
+		assert_true(add(f, i, 0, 1000));
 	run(f, 3 * SETTLE_US);
-	/* The rows are not there, so each call ends with a conflict. */
 	assert_int_equal(f->table.writes, 2);
+	for (int i = 0; i < MANY_DAEMONS; i++)
+		assert_true(find(f, i, &r));
 }
 
 static void on_result(void *arg, const struct tbl_result *r)
@@ -211,7 +217,7 @@
 		CASE(conflict_of_one_row_does_not_cost_the_others),
 		CASE(refused_write_has_no_result),
 		CASE(foreign_rows_are_rejected),
-		CASE(every_daemon_is_renewed),
+		CASE(more_renewals_than_fit_are_written_by_several_calls),
 		CASE(calls_are_counted_by_kind),
 	};
 
