Log how far a request had come when its caller left

Callers saw GONE on the large deployment, and the logs of both daemons on the way had no line of such a request.

CALLER_LEFT at the first daemon and FORWARD_CANCELLED at the second one say how long ago the request was read, sent on and sent to the upstream, and when the close was polled.

No decision changes. Not measured yet.

--- a/packages/io/src/evloop.c
+++ b/packages/io/src/evloop.c
@@ -10,13 +10,16 @@
 	struct ev_loop *ev;
 	struct tmr *timers;
 	ev_prepare prepare;
+	ev_check check;
 	ev_timer wakeup;
 	ev_signal signals[SIGNAL_COUNT];
 	evloop_signal_fn on_signal;
 	void *signal_arg;
+	uint64_t polled_us; /* when the present round began */
+	uint64_t longest_round_us;
 };
 
-/* Runs the timers that are due. schedule_wakeup() arms the next wait. */
+/* Runs the timers that are due. end_round() arms the next wait. */
 static void run_timers(struct ev_loop *ev, ev_timer *w, int events)
 {
 	struct evloop *l = w->data;
@@ -26,18 +29,30 @@
 	tmr_run_due(l->timers, clk_mono_us(l->clk));
 }
 
-/* Arms the wakeup timer for the next expiry of the timer service. */
-static void schedule_wakeup(struct ev_loop *ev, ev_prepare *w, int events)
+/* Begins a round, before the callback of any event that the poll has found. */
+static void begin_round(struct ev_loop *ev, ev_check *w, int events)
+{
+	struct evloop *l = w->data;
+
+	(void)ev;
+	(void)events;
+	l->polled_us = clk_mono_us(l->clk);
+}
+
+/* Ends a round: arms the wakeup timer for the next expiry of a timer. */
+static void end_round(struct ev_loop *ev, ev_prepare *w, int events)
 {
 	struct evloop *l = w->data;
 	uint64_t next = tmr_next_due(l->timers);
-	uint64_t now;
+	uint64_t now = clk_mono_us(l->clk);
+	uint64_t round = clk_elapsed(now, l->polled_us);
 
 	(void)events;
+	if (round > l->longest_round_us)
+		l->longest_round_us = round;
 	ev_timer_stop(ev, &l->wakeup);
 	if (next == TMR_NEVER)
 		return;
-	now = clk_mono_us(l->clk);
 	ev_now_update(ev);
 	ev_timer_set(&l->wakeup,
 		     next > now ? (double)(next - now) / (double)US_PER_S : 0.0,
@@ -68,9 +83,14 @@
 	}
 	ev_init(&l->wakeup, run_timers);
 	l->wakeup.data = l;
-	ev_prepare_init(&l->prepare, schedule_wakeup);
+	l->polled_us = clk_mono_us(clk);
+	ev_prepare_init(&l->prepare, end_round);
 	l->prepare.data = l;
 	ev_prepare_start(l->ev, &l->prepare);
+	ev_check_init(&l->check, begin_round);
+	ev_set_priority(&l->check, EV_MAXPRI);
+	l->check.data = l;
+	ev_check_start(l->ev, &l->check);
 	signal(SIGPIPE, SIG_IGN);
 	return l;
 }
@@ -84,6 +104,7 @@
 		for (size_t i = 0; l->on_signal && i < SIGNAL_COUNT; i++)
 			ev_signal_stop(l->ev, &l->signals[i]);
 		ev_prepare_stop(l->ev, &l->prepare);
+		ev_check_stop(l->ev, &l->check);
 		ev_timer_stop(l->ev, &l->wakeup);
 		ev_loop_destroy(l->ev);
 	}
@@ -165,3 +186,16 @@
 {
 	return clk_mono_us(l->clk);
 }
+
+uint64_t evloop_polled_us(const struct evloop *l)
+{
+	return l->polled_us;
+}
+
+uint64_t evloop_take_longest_round_us(struct evloop *l)
+{
+	uint64_t longest = l->longest_round_us;
+
+	l->longest_round_us = 0;
+	return longest;
+}
--- a/packages/io/src/evloop.h
+++ b/packages/io/src/evloop.h
@@ -50,4 +50,13 @@
 /* Reads the monotonic clock, in microseconds. */
 uint64_t evloop_now_us(struct evloop *l);
 
+/*
+ * A round handles all events that one poll has found. Returns the time of the
+ * last poll; the events in hand had occurred by then.
+ */
+uint64_t evloop_polled_us(const struct evloop *l);
+
+/* Returns the longest round since the last call, in microseconds. */
+uint64_t evloop_take_longest_round_us(struct evloop *l);
+
 #endif
--- a/packages/router/src/forward.c
+++ b/packages/router/src/forward.c
@@ -244,11 +244,31 @@
 	return f;
 }
 
+/* Logs how far a request had come, with times relative to the line's time. */
+static void log_caller_left(const struct fwd_request *f)
+{
+	struct evloop *l = f->owner->parts.loop;
+	uint64_t now = evloop_now_us(l);
+
+	log_emit(LOG_CALLER_LEFT,
+		 "request=%s target=%s attempts=%u waited_us=%llu "
+		 "sent_us=%llu polled_us=%llu left_us=%llu plan=%d sent=%d",
+		 f->request.id,
+		 f->tried_count ? f->tried[f->tried_count - 1] : "-",
+		 f->attempts, (unsigned long long)(now - f->arrival_us),
+		 (unsigned long long)(f->sent_us ? now - f->sent_us : 0),
+		 (unsigned long long)clk_elapsed(now, evloop_polled_us(l)),
+		 (unsigned long long)clk_elapsed(f->deadline_us, now),
+		 f->awaiting_plan,
+		 f->exchange ? httpcall_has_sent(f->exchange) : 0);
+}
+
 /* Cancels a request whose caller has closed the connection. */
 void fwd_caller_closed(void *request)
 {
 	struct fwd_request *f = request;
 
+	log_caller_left(f);
 	ctr_add(CTR_CALLERS_GONE, 1);
 	rstats_count_outcome(f->owner->stats, f->stats, RSTATS_CALLER_CLOSED);
 	fwd_free(f);
--- a/packages/router/src/peer_server.c
+++ b/packages/router/src/peer_server.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "log.h"
 #include "peer_headers.h"
 
 /* Reading from the upstream pauses when the peer is this many bytes behind. */
@@ -205,11 +206,29 @@
 	send_reply(&f, STATUS_UNAVAILABLE, &fields);
 }
 
+/* Logs how far a request had come, with times relative to the line's time. */
+static void log_cancelled(const struct forwarded *f)
+{
+	struct evloop *l = f->server->loop;
+	uint64_t now = evloop_now_us(l);
+	struct reqrun_times t;
+
+	reqrun_times(f->job, &t);
+	log_emit(LOG_FORWARD_CANCELLED,
+		 "request=%s queue_us=%llu run_us=%llu polled_us=%llu "
+		 "told_left_us=%llu",
+		 reqrun_request_id(f->job), (unsigned long long)t.queue_us,
+		 (unsigned long long)t.run_us,
+		 (unsigned long long)clk_elapsed(now, evloop_polled_us(l)),
+		 (unsigned long long)f->peer_request.left_us);
+}
+
 /* Cancels a request whose sender has closed the connection. */
 void peersrv_peer_closed(void *request)
 {
 	struct forwarded *f = request;
 
+	log_cancelled(f);
 	reqrun_cancel(f->job);
 	free(f);
 }
--- a/packages/router/src/request_runner.c
+++ b/packages/router/src/request_runner.c
@@ -451,9 +451,16 @@
 void reqrun_times(const struct reqrun_job *j, struct reqrun_times *out)
 {
 	uint64_t now = evloop_now_us(j->owner->loop);
+	uint64_t started = j->started_us ? j->started_us : now;
 
-	out->queue_us = j->started_us - j->arrival_us;
-	out->run_us = now - j->started_us;
+	out->queue_us = started - j->arrival_us;
+	out->run_us = now - started;
+}
+
+/* Returns the id that the caller has given the request. */
+const char *reqrun_request_id(const struct reqrun_job *j)
+{
+	return j->request.request.id;
 }
 
 /*
--- a/packages/router/src/request_runner.h
+++ b/packages/router/src/request_runner.h
@@ -81,6 +81,7 @@
 	uint64_t queue_us, run_us;
 };
 void reqrun_times(const struct reqrun_job *j, struct reqrun_times *out);
+const char *reqrun_request_id(const struct reqrun_job *j);
 
 void reqrun_keys_changed(struct reqrun *x);
 
--- a/packages/router/src/routerd_stats.c
+++ b/packages/router/src/routerd_stats.c
@@ -164,10 +164,19 @@
 		 planner_is_leader(r->leader));
 }
 
+/* Logs the longest time for which other events waited for those in hand. */
+static void log_loop(const struct routerd *r)
+{
+	uint64_t longest = evloop_take_longest_round_us(r->loop);
+
+	log_emit(LOG_LOOP_LOAD, "longest_us=%llu", (unsigned long long)longest);
+}
+
 /* Writes the periodic log lines. */
 static void on_period(void *arg, uint64_t now_us)
 {
 	(void)now_us;
+	log_loop(arg);
 	log_load(arg);
 	log_config(arg);
 	log_calls(arg);
