A request is not sent on once its caller has closed the connection

Callers saw GONE on the large deployment: requests whose callers had left reached upstreams, by way of a second daemon, and were cut some milliseconds later.

Cause: a daemon decided from the events that it had handled, not from those that had come. A daemon short of processor time finds a request and the close behind it together; one read returns the request, which starts at once, and the close follows in the next round. In the same way the end of one request lets a queued one start whose close is among the events in hand.

Before a request is sent to the upstream or to another daemon, the kernel is asked whether the caller, or the sending daemon, has closed the connection, unread data before the close or not. If so the request ends there, before it takes a slot or a token of the limit (event 2152 REQUEST_ABANDONED). The close is known at the only place from which work starts, so no order of events can pass it by.

--- a/packages/io/src/httpsrv.h
+++ b/packages/io/src/httpsrv.h
@@ -110,6 +110,12 @@
  */
 size_t httpconn_unsent_bytes(struct httpconn *c);
 
+/*
+ * True if the client has closed the connection, even if on_disconnect has not
+ * been called yet: work for a request should not start any more.
+ */
+bool httpconn_client_has_left(const struct httpconn *c);
+
 /* Arrival of the first byte of the request, monotonic time. */
 uint64_t httpconn_start_us(const struct httpconn *c);
 
--- a/packages/io/src/httpsrv_response.c
+++ b/packages/io/src/httpsrv_response.c
@@ -272,6 +272,12 @@
 	return pipeline_is_over_budget(k->order) ? SIZE_MAX : buf_len(&c->held);
 }
 
+/* True if the client has closed the connection. */
+bool httpconn_client_has_left(const struct httpconn *c)
+{
+	return c->client->closed || tcpsock_peer_has_closed(c->client->socket);
+}
+
 /* Returns the arrival of the first byte of the request, monotonic time. */
 uint64_t httpconn_start_us(const struct httpconn *c)
 {
--- a/packages/io/src/tcpsock.c
+++ b/packages/io/src/tcpsock.c
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -335,6 +336,15 @@
 	return s->connected;
 }
 
+/* Asks the kernel, as the event may be among those not handled yet. */
+bool tcpsock_peer_has_closed(const struct tcpsock *s)
+{
+	struct pollfd p = { .fd = s->fd, .events = POLLRDHUP };
+
+	return s->closed || (poll(&p, 1, 0) > 0 &&
+			     (p.revents & (POLLRDHUP | POLLHUP | POLLERR)));
+}
+
 /* Reports whether any byte has been passed to the kernel. */
 bool tcpsock_has_sent(const struct tcpsock *s)
 {
--- a/packages/io/src/tcpsock.h
+++ b/packages/io/src/tcpsock.h
@@ -72,6 +72,12 @@
 
 bool tcpsock_is_connected(const struct tcpsock *s);
 
+/*
+ * True if the peer has closed or reset the connection, even if that or the data
+ * before it has not been read yet.
+ */
+bool tcpsock_peer_has_closed(const struct tcpsock *s);
+
 /* True if any byte has been passed to the kernel. */
 bool tcpsock_has_sent(const struct tcpsock *s);
 
--- a/packages/io/tests/test_overlap.c
+++ b/packages/io/tests/test_overlap.c
@@ -502,6 +502,23 @@
 	assert_true(f->requests[0].left && f->requests[1].left);
 }
 
+/* Guards against work that starts while the close is among unread events. */
+static void client_that_left_is_known_before_its_close_is_read(void **state)
+{
+	struct fixture *f = *state;
+
+	send_text(f, GET("/a"), 1);
+	assert_false(httpconn_client_has_left(f->requests[0].connection));
+	assert_int_equal(write(f->fd, GET("/b"), strlen(GET("/b"))),
+			 strlen(GET("/b")));
+	assert_false(httpconn_client_has_left(f->requests[0].connection));
+	shutdown(f->fd, SHUT_RDWR);
+	assert_true(httpconn_client_has_left(f->requests[0].connection));
+	assert_false(f->requests[0].left);
+	run(f, 3);
+	assert_true(f->requests[0].left);
+}
+
 /* Guards against a deep call stack when many requests are answered at once. */
 static void many_requests_in_one_segment(void **state)
 {
@@ -537,6 +554,7 @@
 		CASE(client_that_does_not_read_is_bounded),
 		CASE(paused_response_goes_on_in_its_turn),
 		CASE(destroyed_server_ends_all_requests),
+		CASE(client_that_left_is_known_before_its_close_is_read),
 		CASE(many_requests_in_one_segment),
 	};
 
--- a/packages/router/src/forward.c
+++ b/packages/router/src/forward.c
@@ -274,6 +274,15 @@
 	fwd_free(f);
 }
 
+/* Ends a request whose caller is found to have left before it is sent on. */
+void fwd_abandon(struct fwd_request *f)
+{
+	struct httpconn *c = f->connection;
+
+	fwd_caller_closed(f);
+	httpconn_abort(c);
+}
+
 /* Resumes reading of the response when the caller's connection is drained. */
 void fwd_caller_drained(void *request)
 {
--- a/packages/router/src/forward_attempt.c
+++ b/packages/router/src/forward_attempt.c
@@ -298,6 +298,10 @@
 	struct fwd_request *f = arg;
 
 	f->job = NULL;
+	if (why == REQRUN_ABANDONED) {
+		fwd_abandon(f);
+		return;
+	}
 	f->refusal = why;
 	f->retry_after_us = wait_us;
 	fwd_end_attempt(f, FWD_REJECTED);
@@ -316,8 +320,17 @@
 		fwd_end_attempt(f, FWD_FAILED);
 }
 
-static const struct reqrun_ops job_ops = { on_head, on_body, on_done,
-					   on_refused, on_failed };
+/* True if the caller has closed the connection. */
+static bool is_abandoned(void *arg)
+{
+	const struct fwd_request *f = arg;
+
+	return httpconn_client_has_left(f->connection);
+}
+
+static const struct reqrun_ops job_ops = {
+	is_abandoned, on_head, on_body, on_done, on_refused, on_failed
+};
 
 /* Runs the request at the local upstream. */
 static void send_to_local(struct fwd_request *f, struct memb *m)
@@ -410,6 +423,10 @@
 	struct buf head = { 0 };
 	struct httpcall_request r = { .head = &head, .reuse_us = UINT64_MAX };
 
+	if (is_abandoned(f)) {
+		fwd_abandon(f);
+		return;
+	}
 	fwd_write_peer_head(f, m, now_us, &head);
 	if (buf_len(f->body) > 0)
 		r.body = buf_data(f->body);
--- a/packages/router/src/forward_int.h
+++ b/packages/router/src/forward_int.h
@@ -101,6 +101,7 @@
 /* These end and free the request. */
 void fwd_reject(struct fwd_request *f, enum rstats_outcome why);
 void fwd_fail(struct fwd_request *f, uint16_t status, enum rstats_outcome why);
+void fwd_abandon(struct fwd_request *f);
 void fwd_free(struct fwd_request *f);
 
 #endif
--- a/packages/router/src/peer_server.c
+++ b/packages/router/src/peer_server.c
@@ -96,14 +96,26 @@
 	httpconn_end(c);
 }
 
-/* Replies that the request has not run. */
+/* True if the sender has closed the connection. */
+static bool is_abandoned(void *arg)
+{
+	const struct forwarded *f = arg;
+
+	return httpconn_client_has_left(f->connection);
+}
+
+/* Replies that the request has not run, if there is anyone to reply to. */
 static void on_refused(void *arg, enum reqrun_rejection why, uint64_t wait_us)
 {
 	struct forwarded *f = arg;
 	struct buf fields = { 0 };
 
-	peerhdr_write_rejection(&fields, why, wait_us);
-	send_reply(f, STATUS_UNAVAILABLE, &fields);
+	if (why == REQRUN_ABANDONED) {
+		httpconn_abort(f->connection);
+	} else {
+		peerhdr_write_rejection(&fields, why, wait_us);
+		send_reply(f, STATUS_UNAVAILABLE, &fields);
+	}
 	free_request(f);
 }
 
@@ -123,8 +135,9 @@
 	free_request(f);
 }
 
-static const struct reqrun_ops job_ops = { on_head, on_body, on_done,
-					   on_refused, on_failed };
+static const struct reqrun_ops job_ops = {
+	is_abandoned, on_head, on_body, on_done, on_refused, on_failed
+};
 
 /* Creates a server. Returns NULL when memory is exhausted. */
 struct peersrv *peersrv_create(struct evloop *l, const struct plat *platform,
--- a/packages/router/src/request_queue.c
+++ b/packages/router/src/request_queue.c
@@ -256,21 +256,39 @@
 }
 
 /*
- * Dequeues the next request, honouring the minimum share of the less urgent
- * ranks. Returns NULL if the queue is empty.
+ * Selects the next request, honouring the minimum share of the less urgent
+ * ranks, and sets *other to the first one of these ranks. Returns NULL if the
+ * queue is empty.
  */
-struct rqueue_item *rqueue_pop(struct rqueue *q, uint64_t now_us)
+static struct rqueue_item *select_next(const struct rqueue *q, uint64_t now_us,
+				       struct rqueue_item **other)
 {
 	struct rqueue_item *first = find_first(q, 0, now_us);
+
+	*other = first ? find_first(q, first->rank + 1, now_us) : NULL;
+	if (*other && q->share_credit_us >= (*other)->estimate_us)
+		return *other;
+	return first;
+}
+
+/* Returns the request that rqueue_pop() would dequeue, NULL if there is none. */
+struct rqueue_item *rqueue_peek(const struct rqueue *q, uint64_t now_us)
+{
+	struct rqueue_item *other;
+
+	return select_next(q, now_us, &other);
+}
+
+/* Dequeues the next request. Returns NULL if the queue is empty. */
+struct rqueue_item *rqueue_pop(struct rqueue *q, uint64_t now_us)
+{
 	struct rqueue_item *other;
+	struct rqueue_item *first = select_next(q, now_us, &other);
 
 	if (!first)
 		return NULL;
-	other = find_first(q, first->rank + 1, now_us);
 	if (!other)
 		q->share_credit_us = 0;
-	else if (q->share_credit_us >= other->estimate_us)
-		first = other;
 	if (first == other)
 		q->share_credit_us -= other->estimate_us;
 	else if (other)
--- a/packages/router/src/request_queue.h
+++ b/packages/router/src/request_queue.h
@@ -40,6 +40,7 @@
 void rqueue_push(struct rqueue *q, struct rqueue_item *item);
 void rqueue_remove(struct rqueue *q, struct rqueue_item *item);
 
+struct rqueue_item *rqueue_peek(const struct rqueue *q, uint64_t now_us);
 struct rqueue_item *rqueue_pop(struct rqueue *q, uint64_t now_us);
 struct rqueue_item *rqueue_pop_unservable(struct rqueue *q, uint64_t now_us);
 
--- a/packages/router/src/request_runner.c
+++ b/packages/router/src/request_runner.c
@@ -153,12 +153,21 @@
 	}
 }
 
+/*
+ * The close of the caller may have come without having been handled yet, as a
+ * daemon short of processor time has many events in hand.
+ */
+static bool is_abandoned(const struct reqrun_job *j)
+{
+	return j->ops->is_abandoned && j->ops->is_abandoned(j->arg);
+}
+
 /* Sends queued requests to the upstream while it has free slots. */
 void reqrun_dispatch(struct reqrun *x)
 {
 	uint64_t now = evloop_now_us(x->loop);
 	uint32_t slots = usable_slots(x);
-	struct rqueue_item *item;
+	struct reqrun_job *j;
 
 	if (x->closed || rqueue_count(x->queue) == 0)
 		return;
@@ -169,10 +178,21 @@
 	}
 	/* A request that fails at once dispatches others: count every time. */
 	while (rqueue_count(x->queue) > 0 &&
-	       count_busy_slots(x, evloop_now_us(x->loop)) < slots &&
-	       ratelimit_take(&x->limit, now)) {
-		item = rqueue_pop(x->queue, now);
-		reqrun_send((struct reqrun_job *)item);
+	       count_busy_slots(x, evloop_now_us(x->loop)) < slots) {
+		j = (struct reqrun_job *)rqueue_peek(x->queue, now);
+		if (is_abandoned(j)) {
+			rqueue_remove(x->queue, &j->item);
+			log_emit(LOG_REQUEST_ABANDONED,
+				 "request=%s queue_us=%llu",
+				 j->request.request.id,
+				 (unsigned long long)(now - j->arrival_us));
+			reqrun_reject(j, REQRUN_ABANDONED, 0);
+			continue;
+		}
+		if (!ratelimit_take(&x->limit, now))
+			return;
+		rqueue_pop(x->queue, now);
+		reqrun_send(j);
 	}
 }
 
--- a/packages/router/src/request_runner.h
+++ b/packages/router/src/request_runner.h
@@ -24,7 +24,8 @@
 	REQRUN_BUSY, /* it would not finish in time */
 	REQRUN_NO_UPSTREAM, /* the upstream is absent, draining or another one */
 	REQRUN_NOT_OWNER, /* the upstream does not hold the key */
-	REQRUN_SHED /* the upstream rejected it */
+	REQRUN_SHED, /* the upstream rejected it */
+	REQRUN_ABANDONED /* its caller has left; not sent to other daemons */
 };
 
 /* Why a request failed; it may have run. */
@@ -34,6 +35,8 @@
 };
 
 struct reqrun_ops {
+	/* True if nobody waits for the response any more. May be NULL. */
+	bool (*is_abandoned)(void *arg);
 	void (*on_head)(void *arg, const struct httpmsg *m);
 	void (*on_body)(void *arg, const char *bytes, size_t len);
 	/* One of these three is called once, last; it ends the job. */
--- a/packages/router/tests/test_request_queue.c
+++ b/packages/router/tests/test_request_queue.c
@@ -87,9 +87,13 @@
 
 	while ((i = rqueue_pop_unservable(p->queue, now)))
 		reject(p, (struct request *)i, now);
-	while (p->running_count < p->slots && (i = rqueue_pop(p->queue, now))) {
-		struct request *r = (struct request *)i;
+	while (p->running_count < p->slots && rqueue_count(p->queue) > 0) {
+		struct request *r;
 
+		/* The one that is looked at first is the one that starts. */
+		i = rqueue_peek(p->queue, now);
+		assert_ptr_equal(rqueue_pop(p->queue, now), i);
+		r = (struct request *)i;
 		r->finish_us = now + p->kinds[r->kind].work_us;
 		r->next_running = p->running;
 		p->running = r;
--- a/packages/router/tests/test_upstr.c
+++ b/packages/router/tests/test_upstr.c
@@ -269,9 +269,9 @@
 	(void)why;
 }
 
-static const struct reqrun_ops job_ops = { on_job_head, on_job_body,
-					   on_job_done, on_job_refused,
-					   on_job_failed };
+static const struct reqrun_ops job_ops = { NULL,	   on_job_head,
+					   on_job_body,	   on_job_done,
+					   on_job_refused, on_job_failed };
 
 /* Starts a request without a key and with a deadline of 5 s. */
 static struct reqrun_job *start_request(void)
