The time on the way between daemons counts towards the deadline

What callers saw: a request that waited on its way to a second daemon was held for valid there, and its upstream told of more time, for as long as it had waited. A caller that leaves at its deadline leaves such a request behind; the queue's order and its early refusals suffered too.

Cause: a forwarded request says how much time is left when it is written, and the second daemon counted from when it read it.

Each daemon knows the clock of the table service within bounds, from the renewals of its lease. A forwarded request now carries the latest time by that clock at its writing; the second daemon subtracts what has passed since then at least, by its own bounds. The difference is never too large, however far the clocks of both daemons are apart, so no request is refused that still has time. No message is added. An earlier version does not send the two numbers, and ignores them; an era of the table service is not compared with another.

Weighed: the least difference between the clocks of both daemons seen before. At 295 daemons a pair exchanges a request every ten seconds or so, too few for a least difference that means anything.

--- a/packages/router/src/forward.h
+++ b/packages/router/src/forward.h
@@ -14,6 +14,7 @@
 #include "httpsrv.h"
 #include "router_settings.h"
 #include "planview.h"
+#include "tblclock.h"
 
 struct fwd; /* the forwarder */
 
@@ -27,6 +28,7 @@
 	struct reqrun *runner; /* of the local upstream */
 	struct upstr *upstream;
 	const struct crashwatch *crashes; /* NULL if there is none */
+	const struct tblclock *clock;
 };
 
 struct fwd *fwd_create(const struct fwd_parts *parts);
--- a/packages/router/src/forward_head.c
+++ b/packages/router/src/forward_head.c
@@ -41,6 +41,7 @@
 		.idempotent = f->policy.idempotent,
 		.keyed = f->keyed,
 		.sender_stopping = f->owner->end_us > 0,
+		.sent = tblclock_make_stamp(f->owner->parts.clock, now_us),
 	};
 
 	txt_copy(peer_request.upstream_id, sizeof(peer_request.upstream_id),
--- a/packages/router/src/nodelease.c
+++ b/packages/router/src/nodelease.c
@@ -22,6 +22,7 @@
 	void *arg;
 	struct noderow row;
 	struct keylease_clock clock;
+	struct tblclock table_clock;
 	uint64_t version; /* of the row */
 	uint64_t lease_end_us;
 	uint64_t era; /* of the table service at the last renewal */
@@ -67,6 +68,7 @@
 	r->clock.sent_us = result->sent_us;
 	r->clock.received_us = evloop_now_us(r->loop);
 	r->clock.known = true;
+	tblclock_add(&r->table_clock, &r->clock, tbl_era(result->version));
 	if (!r->lost)
 		return;
 	log_emit(LOG_TABLE_BACK, "table=%s", NODEROW_TABLE);
@@ -297,6 +299,7 @@
 	r->clock.table_ms = now_ms;
 	r->clock.sent_us = r->collect_us;
 	r->clock.received_us = evloop_now_us(r->loop);
+	tblclock_add(&r->table_clock, &r->clock, r->era);
 	record_renewal(r, version, r->collect_us);
 }
 
@@ -360,6 +363,11 @@
 	return r->era;
 }
 
+const struct tblclock *nodelease_clock(const struct nodelease *r)
+{
+	return &r->table_clock;
+}
+
 /* True once the stored row contains all changes. */
 bool nodelease_is_written(const struct nodelease *r)
 {
--- a/packages/router/src/nodelease.h
+++ b/packages/router/src/nodelease.h
@@ -13,6 +13,7 @@
 #include "keylease.h"
 #include "noderow.h"
 #include "tbl.h"
+#include "tblclock.h"
 
 struct nodelease;
 
@@ -65,6 +66,9 @@
 /* Era of the table service at the last renewal, 0 before it. */
 uint64_t nodelease_era(const struct nodelease *r);
 
+/* Returns the clock of the table service, as far as the renewals show it. */
+const struct tblclock *nodelease_clock(const struct nodelease *r);
+
 /* True once the row contains the last nodelease_set_upstream(). */
 bool nodelease_is_written(const struct nodelease *r);
 
--- a/packages/router/src/peer_headers.c
+++ b/packages/router/src/peer_headers.c
@@ -33,11 +33,13 @@
 	if (caller.len > 0)
 		name_identify(identifier, sizeof(identifier), caller.text,
 			      caller.len);
-	buf_printf(out, "%s: %s %s %llu %llu %u %u %d %d %d\r\n",
+	buf_printf(out, "%s: %s %s %llu %llu %u %u %d %d %d %llu %llu\r\n",
 		   PEERHDR_REQUEST_FIELD, r->upstream_id, identifier,
 		   (unsigned long long)r->left_us,
 		   (unsigned long long)r->objective_left_us, r->rank, r->kind,
-		   r->idempotent, r->keyed, r->sender_stopping);
+		   r->idempotent, r->keyed, r->sender_stopping,
+		   (unsigned long long)r->sent.latest_ms,
+		   (unsigned long long)r->sent.era);
 	if (caller.len == 0 || span_is(caller, identifier))
 		return;
 	buf_add_text(out, PEERHDR_CALLER_FIELD ": ");
@@ -82,6 +84,7 @@
 	struct span field = httpmsg_find(m, PEERHDR_REQUEST_FIELD);
 	char line[LINE_MAX_BYTES];
 	unsigned long long left, objective;
+	unsigned long long sent_ms = 0, sent_era = 0;
 	int idempotent, keyed;
 	int sender_stopping = 0;
 	int n;
@@ -95,9 +98,10 @@
 	r->caller_service = read_caller(m, take_word(&field));
 	if (!span_copy(field, line, sizeof(line)))
 		return false;
-	/* Earlier versions do not send the last value. */
-	n = sscanf(line, "%llu %llu %u %u %d %d %d", &left, &objective,
-		   &r->rank, &r->kind, &idempotent, &keyed, &sender_stopping);
+	/* Earlier versions do not send the last values. */
+	n = sscanf(line, "%llu %llu %u %u %d %d %d %llu %llu", &left,
+		   &objective, &r->rank, &r->kind, &idempotent, &keyed,
+		   &sender_stopping, &sent_ms, &sent_era);
 	if (n < REQUEST_VALUES_MIN || left > TIME_MAX_US ||
 	    objective > TIME_MAX_US)
 		return false;
@@ -106,6 +110,7 @@
 	r->idempotent = idempotent != 0;
 	r->keyed = keyed != 0;
 	r->sender_stopping = sender_stopping != 0;
+	r->sent = (struct tblclock_stamp){ sent_ms, sent_era };
 	return true;
 }
 
--- a/packages/router/src/peer_headers.h
+++ b/packages/router/src/peer_headers.h
@@ -13,6 +13,7 @@
 #include "request_runner.h"
 #include "httpmsg.h"
 #include "leasecoll.h"
+#include "tblclock.h"
 
 /* All fields of daemons begin with this; those of callers are not sent on. */
 #define PEERHDR_PREFIX "Geranium-"
@@ -38,6 +39,7 @@
 	bool idempotent;
 	bool keyed; /* the request may run only where its key is held */
 	bool sender_stopping; /* the sender has little time left */
+	struct tblclock_stamp sent; /* when left_us was true */
 };
 
 /* True for the name of a field that only daemons send. */
--- a/packages/router/src/peer_server.c
+++ b/packages/router/src/peer_server.c
@@ -17,6 +17,7 @@
 	struct evloop *loop;
 	const struct plat *platform;
 	struct reqrun *runner;
+	const struct tblclock *clock;
 };
 
 /* A forwarded request and its connection. */
@@ -25,6 +26,7 @@
 	struct httpconn *connection;
 	struct reqrun_job *job;
 	struct peerhdr_request peer_request;
+	uint64_t way_us; /* least time between the daemons */
 	bool head_sent;
 	bool reading_paused;
 	bool *ended; /* set if the request ends during its start, or NULL */
@@ -141,7 +143,8 @@
 
 /* Creates a server. Returns NULL when memory is exhausted. */
 struct peersrv *peersrv_create(struct evloop *l, const struct plat *platform,
-			       struct reqrun *runner)
+			       struct reqrun *runner,
+			       const struct tblclock *clock)
 {
 	struct peersrv *s = calloc(1, sizeof(*s));
 
@@ -150,6 +153,7 @@
 	s->loop = l;
 	s->platform = platform;
 	s->runner = runner;
+	s->clock = clock;
 	return s;
 }
 
@@ -159,25 +163,30 @@
 	free(s);
 }
 
-/* Builds the request to run from the fields of the sending daemon. */
-static void build_request(const struct forwarded *f, const struct httpmsg *m,
+/*
+ * Builds the request to run from the fields of the sending daemon. The time for
+ * which it was on the way is no longer left to it.
+ */
+static void build_request(struct forwarded *f, const struct httpmsg *m,
 			  const struct buf *body, struct reqrun_request *r)
 {
 	uint64_t now = evloop_now_us(f->server->loop);
+	const struct peerhdr_request *p = &f->peer_request;
 
+	f->way_us = tblclock_elapsed_us(f->server->clock, &p->sent, now);
 	memset(r, 0, sizeof(*r));
 	r->message = m;
 	r->body = body;
 	f->server->platform->ops->read_request(m, &r->request);
-	if (!f->peer_request.keyed)
+	if (!p->keyed)
 		r->request.key = PLAT_NO_KEY;
-	r->upstream_id = f->peer_request.upstream_id;
-	r->caller_service = f->peer_request.caller_service;
-	r->kind = f->peer_request.kind;
-	r->rank = f->peer_request.rank;
-	r->idempotent = f->peer_request.idempotent;
-	r->deadline_us = now + f->peer_request.left_us;
-	r->objective_us = now + f->peer_request.objective_left_us;
+	r->upstream_id = p->upstream_id;
+	r->caller_service = p->caller_service;
+	r->kind = p->kind;
+	r->rank = p->rank;
+	r->idempotent = p->idempotent;
+	r->deadline_us = now + clk_elapsed(p->left_us, f->way_us);
+	r->objective_us = now + clk_elapsed(p->objective_left_us, f->way_us);
 }
 
 /*
@@ -229,11 +238,12 @@
 	reqrun_times(f->job, &t);
 	log_emit(LOG_FORWARD_CANCELLED,
 		 "request=%s queue_us=%llu run_us=%llu polled_us=%llu "
-		 "told_left_us=%llu",
+		 "told_left_us=%llu way_us=%llu",
 		 reqrun_request_id(f->job), (unsigned long long)t.queue_us,
 		 (unsigned long long)t.run_us,
 		 (unsigned long long)clk_elapsed(now, evloop_polled_us(l)),
-		 (unsigned long long)f->peer_request.left_us);
+		 (unsigned long long)f->peer_request.left_us,
+		 (unsigned long long)f->way_us);
 }
 
 /* Cancels a request whose sender has closed the connection. */
--- a/packages/router/src/peer_server.h
+++ b/packages/router/src/peer_server.h
@@ -5,11 +5,13 @@
 
 #include "request_runner.h"
 #include "httpsrv.h"
+#include "tblclock.h"
 
 struct peersrv;
 
 struct peersrv *peersrv_create(struct evloop *l, const struct plat *platform,
-			       struct reqrun *runner);
+			       struct reqrun *runner,
+			       const struct tblclock *clock);
 void peersrv_destroy(struct peersrv *s);
 
 void *peersrv_accept(struct peersrv *s, struct httpconn *c,
--- a/packages/router/src/routerd.c
+++ b/packages/router/src/routerd.c
@@ -262,11 +262,14 @@
 				  r->settings.upstream_address);
 	if (r->runner)
 		reqrun_set_crashwatch(r->runner, r->crashes);
-	struct fwd_parts fwd = { r->loop,     &r->platform, &r->settings,
-				 &r->config,  r->view,	    r->runner,
-				 r->upstream, r->crashes };
+	struct fwd_parts fwd = {
+		r->loop,     &r->platform, &r->settings,
+		&r->config,  r->view,	   r->runner,
+		r->upstream, r->crashes,   nodelease_clock(r->lease)
+	};
 	r->forwards = fwd_create(&fwd);
-	r->forwarded = peersrv_create(r->loop, &r->platform, r->runner);
+	r->forwarded = peersrv_create(r->loop, &r->platform, r->runner,
+				      nodelease_clock(r->lease));
 	struct planner_parts planner = { r->loop,    tbl,
 					 r->view,    &r->settings,
 					 &r->config, routerd_publish_rows,
--- a/packages/router/tests/test_peer_headers.c
+++ b/packages/router/tests/test_peer_headers.c
@@ -44,6 +44,7 @@
 		.kind = UINT32_MAX,
 		.idempotent = true,
 		.sender_stopping = true,
+		.sent = { UINT64_MAX, 7 },
 	};
 	struct httpparse *p = httpparse_create(true, &ops, NULL);
 	struct peerhdr_request r;
@@ -67,6 +68,8 @@
 	assert_true(r.idempotent);
 	assert_false(r.keyed);
 	assert_true(r.sender_stopping);
+	assert_int_equal(r.sent.latest_ms, UINT64_MAX);
+	assert_int_equal(r.sent.era, 7);
 	httpparse_destroy(p);
 	buf_free(&text);
 }
