A plan of many upstreams takes milliseconds, not seconds

What callers saw: the daemon that leads answered nothing for 1.7 s and 2.6 s at a time; callers left, and their requests were read after that and sent on (GONE). Other daemons took the leader for lost and claimed the lead.

Cause: the plan of all keys is computed in one round of the event loop. For each of up to one move for two upstreams, each range was compared with each upstream, and each piece of it with each measured load.

keywork sums the work up by key once, so that the work of any range is a difference of two sums, and the owner of a range is found by its index. A piece ends with the load that ends next, as its comment said; with loads that overlap, another one could be taken before.

--- a/packages/keys/src/keyplan.c
+++ b/packages/keys/src/keyplan.c
@@ -43,37 +43,16 @@
 	struct keymap *map;
 	struct keyplan_target *targets;
 	size_t target_count;
-	const struct keyplan_load *loads;
-	size_t load_count;
-	double cold_per_key;
+	const struct keywork *work;
+	/* Targets by the index of their incarnation in the map, or NULL. */
+	struct keyplan_target *owners[KEYMAP_INCARNATIONS_MAX];
 };
 
-/*
- * Returns the work of the keys from first to last in seconds of standard work a
- * second. The work of a measured range counts in proportion to the keys.
- */
-static double work_of_keys(const struct plan *plan, uint32_t first,
-			   uint32_t last)
-{
-	double work = plan->cold_per_key * (double)(last - first + 1);
-
-	for (size_t i = 0; i < plan->load_count; i++) {
-		const struct keyplan_load *load = &plan->loads[i];
-		uint32_t from = load->first > first ? load->first : first;
-		uint32_t to = load->last < last ? load->last : last;
-
-		if (from <= to)
-			work += load->work * (double)(to - from + 1) /
-				(double)(load->last - load->first + 1);
-	}
-	return work;
-}
-
 /* Returns the target with this incarnation, NULL if there is none. */
 static struct keyplan_target *find_target(const struct plan *plan,
 					  const struct incarnation *incarnation)
 {
-	for (size_t i = 0; incarnation && i < plan->target_count; i++) {
+	for (size_t i = 0; i < plan->target_count; i++) {
 		if (incarnation_equal(&plan->targets[i].incarnation,
 				      incarnation))
 			return &plan->targets[i];
@@ -81,6 +60,36 @@
 	return NULL;
 }
 
+/* Finds the targets of the incarnations in the map. */
+static void find_owners(struct plan *plan)
+{
+	for (uint16_t i = 0; i < keymap_incarnation_count(plan->map); i++)
+		plan->owners[i] =
+			find_target(plan, keymap_incarnation(plan->map, i));
+}
+
+/* Returns the target that owns a range, NULL if it has no such owner. */
+static struct keyplan_target *owner_of(const struct plan *plan,
+				       const struct keymap_range *range)
+{
+	return range->owner == KEYMAP_NO_INCARNATION ?
+		       NULL :
+		       plan->owners[range->owner];
+}
+
+/* Assigns keys to a target, whose incarnation may be new to the map. */
+static uint32_t assign_keys(struct plan *plan, uint32_t first, uint32_t last,
+			    struct keyplan_target *target)
+{
+	uint16_t known = keymap_incarnation_count(plan->map);
+	uint32_t changed =
+		keymap_assign(plan->map, first, last, &target->incarnation);
+
+	if (keymap_incarnation_count(plan->map) > known)
+		plan->owners[known] = target;
+	return changed;
+}
+
 /* Returns the load of a target as a fraction of its capacity. */
 static double target_use(const struct keyplan_target *target)
 {
@@ -134,9 +143,9 @@
 	for (size_t i = 0; i < keymap_range_count(plan->map); i++) {
 		const struct keymap_range *range =
 			keymap_range_at(plan->map, i);
-		struct keyplan_target *target = find_target(
-			plan, keymap_incarnation(plan->map, range->owner));
-		double work = work_of_keys(plan, range->first, range->last);
+		struct keyplan_target *target = owner_of(plan, range);
+		double work =
+			keywork_sum(plan->work, range->first, range->last);
 
 		total += work;
 		if (target)
@@ -155,17 +164,12 @@
 {
 	uint32_t share = KEYMAP_KEYS /
 			 (uint32_t)(PIECES_PER_TARGET * plan->target_count);
+	uint32_t load_end = keywork_load_end(plan->work, first);
 	uint32_t end = last;
 
 	if (share > 0 && last - first >= share)
 		end = first + share - 1;
-	for (size_t i = 0; i < plan->load_count; i++) {
-		const struct keyplan_load *load = &plan->loads[i];
-
-		if (load->last >= first && load->last < end)
-			return load->last;
-	}
-	return end;
+	return load_end < end ? load_end : end;
 }
 
 /*
@@ -181,13 +185,12 @@
 
 	while (first <= last) {
 		uint32_t end = find_piece_end(plan, first, last);
-		double work = work_of_keys(plan, first, end);
+		double work = keywork_sum(plan->work, first, end);
 
 		if (!target ||
 		    (target->load + work / 2) / target->capacity > mean_use)
 			target = find_least_used(plan, work);
-		assigned += keymap_assign(plan->map, first, end,
-					  &target->incarnation);
+		assigned += assign_keys(plan, first, end, target);
 		target->load += work;
 		first = end + 1;
 	}
@@ -203,8 +206,7 @@
 	while (key < KEYMAP_KEYS) {
 		struct keymap_range range = *keymap_find(plan->map, key);
 
-		if (!find_target(plan,
-				 keymap_incarnation(plan->map, range.owner)))
+		if (!owner_of(plan, &range))
 			assigned += distribute_keys(plan, range.first,
 						    range.last, mean_use);
 		key = range.last + 1;
@@ -226,28 +228,23 @@
 			       const struct keyplan_target *from,
 			       double work_max, struct piece *best)
 {
-	uint32_t key = 0;
-
 	best->work = 0;
-	while (key < KEYMAP_KEYS) {
-		const struct keymap_range *range = keymap_find(plan->map, key);
-		uint32_t end = find_piece_end(plan, key, range->last);
-		double work;
+	for (size_t i = 0; i < keymap_range_count(plan->map); i++) {
+		const struct keymap_range *range =
+			keymap_range_at(plan->map, i);
+		uint32_t first = range->first;
 
 		if (range->former != KEYMAP_NO_INCARNATION ||
-		    find_target(plan,
-				keymap_incarnation(plan->map, range->owner)) !=
-			    from) {
-			key = range->last + 1;
+		    owner_of(plan, range) != from)
 			continue;
+		while (first <= range->last) {
+			uint32_t end = find_piece_end(plan, first, range->last);
+			double work = keywork_sum(plan->work, first, end);
+
+			if (work <= work_max && work > best->work)
+				*best = (struct piece){ first, end, work };
+			first = end + 1;
 		}
-		work = work_of_keys(plan, key, end);
-		if (work <= work_max && work > best->work) {
-			best->first = key;
-			best->last = end;
-			best->work = work;
-		}
-		key = end + 1;
 	}
 	return best->work > 0;
 }
@@ -319,8 +316,7 @@
 			continue;
 		}
 		i++;
-		moved += keymap_assign(plan->map, piece.first, piece.last,
-				       &to->incarnation);
+		moved += assign_keys(plan, piece.first, piece.last, to);
 		from->load -= piece.work;
 		to->load += piece.work;
 	}
@@ -334,8 +330,11 @@
 				  const struct keyplan_load *loads,
 				  size_t load_count, uint64_t settled_fence)
 {
-	struct plan plan = { map, targets, target_count, loads, load_count, 0 };
+	struct plan plan = { .map = map,
+			     .targets = targets,
+			     .target_count = target_count };
 	struct keyplan_result result = { 0, 0 };
+	struct keywork *work;
 	double capacity = 0;
 	double total;
 
@@ -343,10 +342,15 @@
 		return result;
 	for (size_t i = 0; i < target_count; i++)
 		capacity += targets[i].capacity;
-	plan.cold_per_key = COLD_LOAD_FRACTION * capacity / KEYMAP_KEYS;
+	work = keywork_create(loads, load_count, COLD_LOAD_FRACTION * capacity);
+	if (!work)
+		return result;
+	plan.work = work;
+	find_owners(&plan);
 	total = sum_loads(&plan);
 	result.keys_assigned = assign_unowned(&plan, total / capacity);
 	result.keys_moved = rebalance(&plan, total / capacity);
 	keymap_merge(map, RANGES_PER_TARGET * target_count, settled_fence);
+	keywork_destroy(work);
 	return result;
 }
--- a/packages/keys/src/keyplan.h
+++ b/packages/keys/src/keyplan.h
@@ -14,6 +14,7 @@
 #include <stdint.h>
 
 #include "keymap.h"
+#include "keywork.h"
 
 /* An upstream that can own keys. */
 struct keyplan_target {
@@ -29,12 +30,6 @@
 	bool fixed; /* owns no piece that can be moved */
 };
 
-/* Measured work of the keys from first to last. */
-struct keyplan_load {
-	uint32_t first, last;
-	double work; /* seconds of standard work a second */
-};
-
 struct keyplan_result {
 	uint32_t keys_assigned; /* keys that had no available owner */
 	uint32_t keys_moved; /* keys moved for balance */
@@ -44,8 +39,8 @@
  * Assigns all ranges of the map to targets and balances their use. Incarnations
  * that are not targets lose their ranges, but those that they may still hold
  * are not granted to others before keymap_release() or
- * keymap_end_incarnation(). Without targets the map stays unchanged. loads must
- * be sorted by their first key; settled_fence is passed to keymap_merge().
+ * keymap_end_incarnation(). Without targets or memory the map stays unchanged.
+ * settled_fence is passed to keymap_merge().
  */
 struct keyplan_result keyplan_run(struct keymap *map,
 				  struct keyplan_target *targets,
--- a/packages/keys/tests/test_keyplan.c
+++ b/packages/keys/tests/test_keyplan.c
@@ -4,6 +4,7 @@
 #include <stdint.h>
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
 
 #include <cmocka.h>
 
@@ -308,6 +309,56 @@
 	assert_int_equal(moved, 0);
 }
 
+/* Upstreams of a service that is divided by key, of 295 instances. */
+#define LARGE_TARGETS 231
+/*
+ * A plan is computed in one piece. A caller that leaves meanwhile may be noticed
+ * half a second late at most, and a daemon may have a tenth of a core.
+ */
+#define PLAN_CPU_MS_MAX 50
+
+/* Guards against a leader that handles no event while it plans. */
+static void test_plan_of_a_large_deployment_is_short(void **state)
+{
+	static struct keyplan_load loads[LARGE_TARGETS * LOADS_PER_TARGET];
+	static struct keyplan_target targets[LARGE_TARGETS];
+	struct keymap *map = keymap_create();
+	uint32_t keys = KEYMAP_KEYS / (LARGE_TARGETS * LOADS_PER_TARGET);
+	clock_t longest = 0;
+	uint32_t moved = 0;
+	uint64_t seed = 1;
+
+	(void)state;
+	make_targets(targets, LARGE_TARGETS);
+	keyplan_run(map, targets, LARGE_TARGETS, NULL, 0, 0);
+	release_all(map);
+	for (int i = 0; i < 20; i++) {
+		clock_t began;
+
+		/* Every fifth plan some upstreams have left. */
+		size_t count = LARGE_TARGETS - (i % 5 == 4 ? 60 : 0);
+
+		for (uint32_t n = 0; n < LARGE_TARGETS * LOADS_PER_TARGET; n++)
+			loads[n] = (struct keyplan_load){
+				n * keys, n * keys + keys - 1,
+				SLOTS * next_random(&seed) / LOADS_PER_TARGET
+			};
+		began = clock();
+		moved += keyplan_run(map, targets, count, loads,
+				     LARGE_TARGETS * LOADS_PER_TARGET, 0)
+				 .keys_moved;
+		if (clock() - began > longest)
+			longest = clock() - began;
+		release_all(map);
+	}
+	printf("%zu ranges, %u keys moved, longest plan: %ld ms\n",
+	       keymap_range_count(map), moved,
+	       (long)(longest * 1000 / CLOCKS_PER_SEC));
+	assert_true(moved > 0);
+	assert_true(longest * 1000 / CLOCKS_PER_SEC < PLAN_CPU_MS_MAX);
+	keymap_destroy(map);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -320,6 +371,7 @@
 		cmocka_unit_test(test_sampling_noise_moves_few_keys),
 		cmocka_unit_test(test_hot_key_does_not_stop_other_moves),
 		cmocka_unit_test(test_overload_of_all_targets_moves_nothing),
+		cmocka_unit_test(test_plan_of_a_large_deployment_is_short),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
