Test: the partition daemon starts no request that arrives with its close

The range daemon sent on requests whose close it had received and not yet handled. The partition daemon, with another event loop and a connection for all messages between two daemons, was looked at for the same cause: it starts none of them at the owner or at the caller's daemon, while a request beside it whose caller stays does run. No code changes.

--- a/packages/daemon/tests/test_cancel.c
+++ b/packages/daemon/tests/test_cancel.c
@@ -147,6 +147,46 @@
 	}
 }
 
+/*
+ * A stopped daemon finds the request and its end together, as a slow one does.
+ * One caller leaves meanwhile, another one stays and shows that requests run.
+ */
+static void start_only_what_is_waited_for(const char *key, int hops,
+					  bool at_owner)
+{
+	char path[96];
+	char left[64], stays[64];
+	size_t node = daemon_at(key, hops);
+	size_t stopped = at_owner ? daemon_at(key, 1) : node;
+	int fd, other;
+
+	make_path(path, sizeof(path), key, "deposits");
+	cluster_new_id(left, sizeof(left));
+	cluster_new_id(stays, sizeof(stays));
+	cluster_signal_daemon(cluster, stopped, SIGSTOP);
+	fd = raw_post(cluster, node, path, left);
+	other = raw_post(cluster, node, path, stays);
+	cluster_sleep(cluster, GONE_AFTER_MS);
+	close(fd);
+	cluster_sleep(cluster, GONE_AFTER_MS);
+	cluster_signal_daemon(cluster, stopped, SIGCONT);
+	cluster_sleep(cluster, SLACK_MS);
+	printf("%d hops, stopped at the %s: %zu runs\n", hops,
+	       at_owner ? "owner" : "caller's daemon", find_runs(path).starts);
+	assert_true(cluster_did_run(cluster, "bookings", stays));
+	assert_false(cluster_did_run(cluster, "bookings", left));
+	close(other);
+	cluster_sleep(cluster, SLACK_MS);
+}
+
+static void a_request_that_arrives_with_its_close_is_not_started(void **state)
+{
+	(void)state;
+	start_only_what_is_waited_for("stuck-both1", 1, true);
+	start_only_what_is_waited_for("stuck-both2", 2, false);
+	start_only_what_is_waited_for("stuck-both3", 2, true);
+}
+
 static void a_deadline_of_the_caller_stops_the_work(void **state)
 {
 	static const char *const whats[] = { "deposits", "history" };
@@ -334,6 +374,8 @@
 		cmocka_unit_test(
 			a_queued_request_past_its_deadline_is_not_started),
 		cmocka_unit_test(a_caller_that_leaves_stops_the_work),
+		cmocka_unit_test(
+			a_request_that_arrives_with_its_close_is_not_started),
 		cmocka_unit_test(a_deadline_of_the_caller_stops_the_work),
 		cmocka_unit_test(the_deadline_of_the_kind_stops_the_work),
 		cmocka_unit_test(a_frozen_owner_does_not_use_up_the_deadline),
