Bounds of the table service's clock widen with the drift of the local one

The sample with the closest bounds may be minutes old, as collected renewals have wide ones. Two clocks that drift apart by 0.1 % for that long would have counted a fraction of a second as time on the way that was none, and requests could have been refused for it. Not seen; found on reading.

--- a/packages/router/src/tblclock.c
+++ b/packages/router/src/tblclock.c
@@ -2,40 +2,46 @@
 
 #include "clk.h"
 
-/* Assumed drift between two clocks, twice that of a clock that NTP slews. */
+/* Greatest drift of a local clock, twice that of one that NTP slews. */
 #define DRIFT_PPM 1000
 #define MILLION 1000000
 
-/* Returns how far apart the bounds of a sample are, in microseconds. */
-static uint64_t uncertainty_us(const struct keylease_clock *sample)
+/* Returns by how much the bounds have widened since the sample, in ms. */
+static uint64_t drift_ms(const struct keylease_clock *sample, uint64_t now_us)
 {
-	return clk_elapsed(sample->received_us, sample->sent_us);
+	uint64_t age = clk_elapsed(now_us, sample->sent_us);
+
+	return age * DRIFT_PPM / MILLION / US_PER_MS;
 }
 
-/* True if the clock cannot have both times: it has been set or replaced. */
-static bool contradicts(const struct tblclock *c,
-			const struct keylease_clock *sample)
+static uint64_t latest_ms(const struct keylease_clock *sample, uint64_t now_us)
 {
-	uint64_t at = sample->received_us;
+	return keylease_latest_ms(sample, now_us) + drift_ms(sample, now_us);
+}
 
-	return keylease_earliest_ms(&c->best, at) >
-		       keylease_latest_ms(sample, at) ||
-	       keylease_latest_ms(&c->best, at) <
-		       keylease_earliest_ms(sample, at);
+static uint64_t earliest_ms(const struct keylease_clock *sample,
+			    uint64_t now_us)
+{
+	return clk_elapsed(keylease_earliest_ms(sample, now_us),
+			   drift_ms(sample, now_us));
 }
 
 /*
- * Takes a sample if its bounds are at least as close as those of the one before,
- * which widen with its age, or if the clock has changed.
+ * Takes a sample if its bounds are at least as close as those of the one before
+ * are by now, or if no time is within both: the clock has been set.
  */
 void tblclock_add(struct tblclock *c, const struct keylease_clock *sample,
 		  uint64_t era)
 {
-	uint64_t age = clk_elapsed(sample->received_us, c->best.received_us);
+	uint64_t now = sample->received_us;
+	uint64_t earliest = earliest_ms(sample, now);
+	uint64_t latest = latest_ms(sample, now);
+	uint64_t known_earliest = earliest_ms(&c->best, now);
+	uint64_t known_latest = latest_ms(&c->best, now);
 
-	if (c->best.known && c->era == era && !contradicts(c, sample) &&
-	    uncertainty_us(sample) >
-		    uncertainty_us(&c->best) + age * DRIFT_PPM / MILLION)
+	if (c->best.known && c->era == era && earliest <= known_latest &&
+	    latest >= known_earliest &&
+	    latest - earliest > known_latest - known_earliest)
 		return;
 	c->best = *sample;
 	c->era = era;
@@ -48,7 +54,7 @@
 	struct tblclock_stamp stamp = { 0, c->era };
 
 	if (c->best.known)
-		stamp.latest_ms = keylease_latest_ms(&c->best, now_us);
+		stamp.latest_ms = latest_ms(&c->best, now_us);
 	return stamp;
 }
 
@@ -62,7 +68,6 @@
 {
 	if (!c->best.known || since->latest_ms == 0 || since->era != c->era)
 		return 0;
-	return clk_elapsed(keylease_earliest_ms(&c->best, now_us),
-			   since->latest_ms) *
+	return clk_elapsed(earliest_ms(&c->best, now_us), since->latest_ms) *
 	       US_PER_MS;
 }
