--- a/packages/io/src/evloop.c
+++ b/packages/io/src/evloop.c
@@ -187,11 +187,13 @@
 	return clk_mono_us(l->clk);
 }
 
+/* Returns when the present round began, in microseconds. */
 uint64_t evloop_polled_us(const struct evloop *l)
 {
 	return l->polled_us;
 }
 
+/* Returns the longest round and begins to measure anew. */
 uint64_t evloop_take_longest_round_us(struct evloop *l)
 {
 	uint64_t longest = l->longest_round_us;
--- a/packages/keys/src/keyplan.c
+++ b/packages/keys/src/keyplan.c
@@ -4,6 +4,8 @@
 #include <stdbool.h>
 #include <stdlib.h>
 
+#include "keywork.h"
+
 /*
  * Fraction of the total capacity that is added to the load, spread evenly over
  * all keys. Without it, keys without measured load would have no weight and
--- a/packages/keys/src/keyplan.h
+++ b/packages/keys/src/keyplan.h
@@ -14,7 +14,6 @@
 #include <stdint.h>
 
 #include "keymap.h"
-#include "keywork.h"
 
 /* An upstream that can own keys. */
 struct keyplan_target {
@@ -30,6 +29,12 @@
 	bool fixed; /* owns no piece that can be moved */
 };
 
+/* Measured work of the keys from first to last. */
+struct keyplan_load {
+	uint32_t first, last;
+	double work; /* seconds of standard work a second */
+};
+
 struct keyplan_result {
 	uint32_t keys_assigned; /* keys that had no available owner */
 	uint32_t keys_moved; /* keys moved for balance */
--- a/packages/keys/src/keywork.c
+++ b/packages/keys/src/keywork.c
@@ -3,7 +3,7 @@
 #include <stdbool.h>
 #include <stdlib.h>
 
-#include "keymap.h"
+#include "keyplan.h"
 
 struct keywork {
 	double below[KEYMAP_KEYS + 1]; /* work of all keys below this one */
@@ -59,6 +59,7 @@
 	}
 }
 
+/* Sums up the loads; invalid ones are left out. */
 struct keywork *keywork_create(const struct keyplan_load *loads, size_t count,
 			       double even_work)
 {
@@ -71,16 +72,19 @@
 	return w;
 }
 
+/* Frees the sums. */
 void keywork_destroy(struct keywork *w)
 {
 	free(w);
 }
 
+/* Returns the work of a range, in seconds of standard work a second. */
 double keywork_sum(const struct keywork *w, uint32_t first, uint32_t last)
 {
 	return w->below[last + 1] - w->below[first];
 }
 
+/* Returns where the next load ends. */
 uint32_t keywork_load_end(const struct keywork *w, uint32_t key)
 {
 	return w->load_end[key];
--- a/packages/keys/src/keywork.h
+++ b/packages/keys/src/keywork.h
@@ -9,12 +9,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* Measured work of the keys from first to last. */
-struct keyplan_load {
-	uint32_t first, last;
-	double work; /* seconds of standard work a second */
-};
-
+struct keyplan_load;
 struct keywork;
 
 /*
--- a/packages/router/src/nodelease.c
+++ b/packages/router/src/nodelease.c
@@ -21,8 +21,8 @@
 	const struct nodelease_ops *ops;
 	void *arg;
 	struct noderow row;
-	struct keylease_clock clock;
-	struct tblclock table_clock;
+	struct keylease_clock clock; /* from the last answer */
+	struct tblclock table_clock; /* from the answer with the best bounds */
 	uint64_t version; /* of the row */
 	uint64_t lease_end_us;
 	uint64_t era; /* of the table service at the last renewal */
@@ -363,6 +363,7 @@
 	return r->era;
 }
 
+/* Returns the table service's clock; valid as long as the lease. */
 const struct tblclock *nodelease_clock(const struct nodelease *r)
 {
 	return &r->table_clock;
--- a/packages/router/src/tblclock.c
+++ b/packages/router/src/tblclock.c
@@ -14,11 +14,13 @@
 	return age * DRIFT_PPM / MILLION / US_PER_MS;
 }
 
+/* Returns the latest time that the table service's clock can show. */
 static uint64_t latest_ms(const struct keylease_clock *sample, uint64_t now_us)
 {
 	return keylease_latest_ms(sample, now_us) + drift_ms(sample, now_us);
 }
 
+/* Returns the earliest time that it can show. */
 static uint64_t earliest_ms(const struct keylease_clock *sample,
 			    uint64_t now_us)
 {
