--- a/packages/daemon/tests/test_cancel.c
+++ b/packages/daemon/tests/test_cancel.c
@@ -147,10 +147,7 @@
 	}
 }
 
-/*
- * A stopped daemon finds the request and its end together, as a slow one does.
- * One caller leaves meanwhile, another one stays and shows that requests run.
- */
+/* One caller leaves while the daemon is stopped, another one stays. */
 static void start_only_what_is_waited_for(const char *key, int hops,
 					  bool at_owner)
 {
