Long source files are split by job; a warm-up of the testbed is shared

request_runner.c and adapter_table.c had grown over 500 lines: what is asked of a job moves to request_runner_exchange.c, decoding the rows of a response to adapter_rows.c. No change of behaviour.

--- a/packages/router/src/request_runner.c
+++ b/packages/router/src/request_runner.c
@@ -454,35 +454,6 @@
 		reqrun_dispatch(x);
 }
 
-/* Pauses or resumes reading of the response. */
-void reqrun_pause(struct reqrun_job *j, bool held)
-{
-	if (j->exchange)
-		httpcall_pause(j->exchange, held);
-}
-
-/* True if any byte of the request may have reached the upstream. */
-bool reqrun_was_sent(const struct reqrun_job *j)
-{
-	return j->exchange && httpcall_has_sent(j->exchange);
-}
-
-/* Reports the queueing and run times of a running job, in microseconds. */
-void reqrun_times(const struct reqrun_job *j, struct reqrun_times *out)
-{
-	uint64_t now = evloop_now_us(j->owner->loop);
-	uint64_t started = j->started_us ? j->started_us : now;
-
-	out->queue_us = started - j->arrival_us;
-	out->run_us = now - started;
-}
-
-/* Returns the id that the caller has given the request. */
-const char *reqrun_request_id(const struct reqrun_job *j)
-{
-	return j->request.request.id;
-}
-
 /*
  * Re-evaluates the queued and held requests after a change of the upstream's
  * keys, incarnation or state.
