--- a/review/standins-2/rv.c
+++ b/review/standins-2/rv.c
@@ -378,6 +378,15 @@
 
 struct rv_call *rv_send(struct rv *v, size_t node, const char *path,
 			bool unsafe, uint32_t key)
+{
+	char own[RV_TEXT_MAX];
+
+	snprintf(own, sizeof(own), "%s%u", path, v->call_count);
+	return rv_send_path(v, node, own, unsafe, key);
+}
+
+struct rv_call *rv_send_path(struct rv *v, size_t node, const char *path,
+			     bool unsafe, uint32_t key)
 {
 	struct rv_call *c = &v->calls[v->call_count];
 	struct buf head = { 0 };
@@ -392,16 +401,15 @@
 	c->key = key;
 	c->sent_us = rv_now(v);
 	buf_printf(&head,
-		   "%s %s%u HTTP/1.1\r\nHost: valet.example\r\n"
+		   "%s %s HTTP/1.1\r\nHost: valet.example\r\n"
 		   "Request-Id: q%u\r\nDeadline-Ms: %u\r\n",
-		   unsafe ? "POST" : "GET", path, c->number, c->number,
-		   v->deadline_ms);
+		   unsafe ? "POST" : "GET", path, c->number, v->deadline_ms);
 	if (key != UINT32_MAX)
 		buf_printf(&head, "Shard-Key: %u\r\n", key);
 	buf_add_text(&head,
 		     unsafe ? "Content-Length: 3\r\n\r\nabc" : "\r\n");
-	rv_note(v, "q%u: %s%u to machine-%zu, key %d", c->number, path,
-		c->number, node, key == UINT32_MAX ? -1 : (int)key);
+	rv_note(v, "q%u: %s to machine-%zu, key %d", c->number, path, node,
+		key == UINT32_MAX ? -1 : (int)key);
 	if (!httpcall_start(v->clients[node], &r, &call_ops, c))
 		exit(RV_NOT_RUN);
 	buf_free(&head);
--- a/review/standins-2/rv.h
+++ b/review/standins-2/rv.h
@@ -76,6 +76,10 @@
 	uint32_t arrived_late; /* later than drain_ms after left_acked_us */
 	uint64_t first_late_us, last_late_us;
 	uint32_t late_cut; /* of those, how many its exit cut off */
+	/* A request whose path has "/deadly-" ends it after this time. */
+	uint32_t crash_ms;
+	uint32_t down_ms; /* from then to its next start */
+	uint32_t crash_timer;
 };
 
 /* A request of a client. */
@@ -156,6 +160,11 @@
 /* Sends a request; key UINT32_MAX is none. */
 struct rv_call *rv_send(struct rv *v, size_t node, const char *path,
 			bool unsafe, uint32_t key);
+/* The same, with exactly this path. */
+struct rv_call *rv_send_path(struct rv *v, size_t node, const char *path,
+			     bool unsafe, uint32_t key);
+/* Called when a backend begins to run a request with "/deadly-N" in its path. */
+extern void (*rv_on_deadly)(struct rv *v, uint32_t n);
 /* Waits until a request to each node is answered with 200; false if not. */
 bool rv_wait_served(struct rv *v, const char *path, uint32_t key, uint32_t ms);
 
--- a/review/standins-2/rv_backend.c
+++ b/review/standins-2/rv_backend.c
@@ -27,6 +27,8 @@
 	bool late;
 };
 
+void (*rv_on_deadly)(struct rv *v, uint32_t n);
+
 static void send_next_beat(void *arg, uint64_t now_us);
 
 bool rv_holds(const struct rv_backend *b, uint32_t key, uint64_t now_us)
@@ -417,6 +419,52 @@
 	return true;
 }
 
+static void on_back(void *arg, uint64_t now_us)
+{
+	struct rv_backend *b = arg;
+	struct rv_backend before = *b;
+
+	(void)now_us;
+	rv_start_backend(before.rv, before.node, before.service, before.keyed,
+			 before.work_ms);
+	b->crash_ms = before.crash_ms;
+	b->down_ms = before.down_ms;
+}
+
+/* Ends at once, and starts again after some time. */
+static void on_crash(void *arg, uint64_t now_us)
+{
+	struct rv_backend *b = arg;
+
+	b->crash_timer = 0;
+	rv_note(b->rv, "%s: a request has crashed it", b->id);
+	rv_stop_backend(b->rv, b->node);
+	b->crash_timer = tmr_at(evloop_timers(b->rv->loop),
+				now_us + (uint64_t)b->down_ms * US_PER_MS,
+				on_back, b);
+}
+
+/* True if the request is one that crashes the backend, which then begins. */
+static bool begin_crash(struct rv_backend *b, const struct httpmsg *m)
+{
+	static const char name[] = "/deadly-";
+	struct span target = httpmsg_target(m);
+	const char *at = memmem(target.text, target.len, name, strlen(name));
+
+	if (!at || b->crash_ms == 0)
+		return false;
+	if (rv_on_deadly)
+		rv_on_deadly(b->rv,
+			     (uint32_t)strtoul(at + strlen(name), NULL, 10));
+	if (!b->crash_timer)
+		b->crash_timer =
+			tmr_at(evloop_timers(b->rv->loop),
+			       rv_now(b->rv) +
+				       (uint64_t)b->crash_ms * US_PER_MS,
+			       on_crash, b);
+	return true;
+}
+
 static void *on_request(void *arg, struct httpconn *c, const struct httpmsg *m,
 			const struct buf *body)
 {
@@ -462,6 +510,8 @@
 	b->running++;
 	DL_APPEND(b->runs, x);
 	span_number(httpmsg_find(m, "deadline-ms"), UINT32_MAX, &left_ms);
+	if (begin_crash(b, m))
+		ms = 2 * v->deadline_ms;
 	if (ms > left_ms)
 		ms = (uint32_t)left_ms;
 	x->timer = tmr_at(evloop_timers(v->loop),
