--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -13,9 +13,9 @@
 target/libkeys.a target/libio.a target/libroute.a target/libconfig.a \
 target/libstate.a target/libbase.a"
 for n in 6 7 8 9 10; do
-	[ -f "review/$n/case.c" ] || continue
+	[ -f "review/$n/play.c" ] || continue
 	gcc -std=gnu11 -D_GNU_SOURCE -O2 -g -Wall -Wextra $incs \
-		"review/$n/case.c" review/standins-2/*.c \
+		"review/$n/play.c" review/standins-2/*.c \
 		platform/tests/testbed_store.c $libs -o "$out/case_$n" \
 		-lwebsockets -lhttp_parser -lev -lyaml -lcyaml -ljansson \
 		-lxxhash -lz -lm
