Count and log how each response ended

An incident reports a part of a response that a caller received as a complete one. The log told neither a reset from a close nor a failed send from a failed receive, and nothing at all of complete responses. Each end is counted now, and one by a close or before the end of the response is logged, with the errno of a send that failed on the connection. No change of logic.

--- a/packages/io/src/httpmsg.h
+++ b/packages/io/src/httpmsg.h
@@ -30,6 +30,7 @@
 	uint8_t minor; /* minor version x of HTTP/1.x */
 	bool keep_alive;
 	int64_t length; /* of the body in bytes, -1 if unknown */
+	bool chunked; /* the body has a last chunk */
 };
 
 /* A part of the text of a message; not NUL-terminated. */
--- a/packages/io/src/httpparse.c
+++ b/packages/io/src/httpparse.c
@@ -137,6 +137,7 @@
 	}
 	m->minor = (uint8_t)parser->http_minor;
 	m->keep_alive = http_should_keep_alive(parser) != 0;
+	m->chunked = (parser->flags & F_CHUNKED) != 0;
 	m->length = -1;
 	if (parser->flags & F_CONTENTLENGTH)
 		m->length = (int64_t)parser->content_length;
--- a/packages/io/src/httppool.c
+++ b/packages/io/src/httppool.c
@@ -25,12 +25,15 @@
 	free(x);
 }
 
-/* Closes the connection and reports a failure. */
-static void fail_call(struct httpcall *x, enum httpcall_failure failure)
+/* Closes the connection and reports a failure; how tells what ended it. */
+static void fail_call(struct httpcall *x, enum httpcall_failure failure,
+		      enum httpend how)
 {
 	const struct httpcall_ops *ops = x->ops;
 	void *arg = x->arg;
 
+	if (failure == HTTPCALL_NO_RESPONSE || failure == HTTPCALL_TRUNCATED)
+		httpcall_record_end(x, how);
 	free_call(x);
 	if (ops)
 		ops->on_failed(arg, failure);
@@ -90,6 +93,7 @@
 	struct httpcall *x = arg;
 
 	x->body_received += len;
+	x->body_total += len;
 	if (!x->skip_response && x->ops)
 		x->ops->on_body(x->arg, bytes, len);
 }
@@ -141,8 +145,15 @@
 	send_body(x);
 }
 
+/* Returns what completed a response whose connection has not ended. */
+static enum httpend end_of_message(const struct httpcall *x)
+{
+	return httpparse_message(x->parser)->chunked ? HTTPEND_LAST_CHUNK :
+						       HTTPEND_LENGTH;
+}
+
 /* Response complete: keeps the connection as idle or closes it. */
-static void complete_call(struct httpcall *x)
+static void complete_call(struct httpcall *x, enum httpend how)
 {
 	const struct httpcall_ops *ops = x->ops;
 	void *arg = x->arg;
@@ -154,6 +165,7 @@
 		      buf_len(tcpsock_input(x->socket)) == 0 &&
 		      buf_len(tcpsock_output(x->socket)) == 0;
 
+	httpcall_record_end(x, how);
 	x->ops = NULL;
 	x->held_body = NULL;
 	x->body_len = 0;
@@ -205,7 +217,7 @@
 			return;
 		}
 		if (state == HTTPPARSE_ERROR) {
-			fail_call(x, failure_of(x));
+			fail_call(x, failure_of(x), HTTPEND_INVALID);
 			return;
 		}
 		buf_consume(in, consumed);
@@ -219,7 +231,7 @@
 			continue;
 		}
 		if (!x->skip_response) {
-			complete_call(x);
+			complete_call(x, end_of_message(x));
 			return;
 		}
 		httpparse_reset(x->parser);
@@ -227,6 +239,16 @@
 	}
 }
 
+/* Returns what ended a connection before the end of the response. */
+static enum httpend end_of_connection(const struct httpcall *x,
+				      enum tcpsock_end_reason why)
+{
+	if (why == TCPSOCK_EOF)
+		return HTTPEND_CUT;
+	return tcpsock_send_error(x->socket) ? HTTPEND_WRITE_ERROR :
+					       HTTPEND_RESET;
+}
+
 /* The connection has ended; an orderly close may complete a response. */
 static void on_end(void *arg, enum tcpsock_end_reason why)
 {
@@ -239,13 +261,13 @@
 	if (why == TCPSOCK_EOF && x->reported_head &&
 	    httpparse_eof(x->parser) == HTTPPARSE_DONE) {
 		x->close_after = true;
-		complete_call(x);
+		complete_call(x, HTTPEND_CLOSE);
 		return;
 	}
 	if (!x->reported_head && why == TCPSOCK_REFUSED)
-		fail_call(x, HTTPCALL_REFUSED);
+		fail_call(x, HTTPCALL_REFUSED, HTTPEND_RESET);
 	else
-		fail_call(x, failure_of(x));
+		fail_call(x, failure_of(x), end_of_connection(x, why));
 }
 
 /* The connect is complete, or more of the body can be sent. */
@@ -382,6 +404,7 @@
 	x->refusal = false;
 	x->counters = r->counters;
 	x->uncounted_body = 0;
+	x->body_total = 0;
 	x->held_body = r->await_continue ? r->body : NULL;
 	x->held_len = r->body_len;
 	x->is_abandoned = r->is_abandoned;
--- a/packages/io/src/httppool_heads.c
+++ b/packages/io/src/httppool_heads.c
@@ -23,6 +23,22 @@
 	ctr_add(x->counters->request_bodies, body);
 }
 
+/* Counts and logs how the response ended. */
+void httpcall_record_end(const struct httpcall *x, enum httpend how)
+{
+	struct httpend_details d = {
+		.server = &x->pool->address,
+		.status = x->reported_head ?
+				  httpparse_message(x->parser)->status :
+				  0,
+		.received = x->body_total,
+		.unsent = buf_len(tcpsock_output(x->socket)) + x->body_len,
+		.send_error = tcpsock_send_error(x->socket),
+	};
+
+	httpend_record(how, &d);
+}
+
 /* Counts bytes of the response that have been parsed. */
 void httpcall_count_received(struct httpcall *x, size_t len)
 {
--- a/packages/io/src/httppool_int.h
+++ b/packages/io/src/httppool_int.h
@@ -4,6 +4,7 @@
 /* Private types of the HTTP client: its connections and their calls. */
 
 #include "headcodec.h"
+#include "httpend.h"
 #include "httppool.h"
 #include "tcpsock.h"
 
@@ -21,6 +22,7 @@
 	size_t uncounted_head; /* bytes of the request not yet counted */
 	size_t uncounted_body;
 	size_t body_received; /* bytes of the body in the input being parsed */
+	uint64_t body_total; /* bytes of the body of this response */
 	uint64_t idle_since_us;
 	uint64_t idle_limit_us;
 	bool used; /* has carried a call before */
@@ -55,6 +57,9 @@
 /* Counts the bytes of the request that the kernel has accepted. */
 void httpcall_count_sent(struct httpcall *x);
 
+/* Counts and logs how the response ended. */
+void httpcall_record_end(const struct httpcall *x, enum httpend how);
+
 /* Counts bytes of the response that have been parsed. */
 void httpcall_count_received(struct httpcall *x, size_t len);
 
--- a/packages/io/src/tcpsock.c
+++ b/packages/io/src/tcpsock.c
@@ -43,6 +43,7 @@
 	int fd;
 	bool in_callback; /* inside a callback; must not be freed yet */
 	int connect_error; /* errno of a connect() that failed immediately */
+	int send_error; /* errno of a send that failed, or 0 */
 	bool connected;
 	bool sent;
 	uint64_t moved; /* bytes received and sent */
@@ -141,8 +142,13 @@
 
 		if (n < 0 && errno == EINTR)
 			continue;
-		if (n < 0)
-			return errno == EAGAIN || errno == EWOULDBLOCK;
+		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+			return true;
+		if (n < 0) {
+			if (s->send_error == 0)
+				s->send_error = errno;
+			return false;
+		}
 		s->sent = true;
 		s->moved += (uint64_t)n;
 		if (s->closing)
@@ -411,6 +417,12 @@
 	return s->sent;
 }
 
+/* Returns the errno of the first send that failed, or 0. */
+int tcpsock_send_error(const struct tcpsock *s)
+{
+	return s->send_error;
+}
+
 struct tcplisten {
 	struct evloop *loop;
 	ev_io accept_watcher;
--- a/packages/io/src/tcpsock.h
+++ b/packages/io/src/tcpsock.h
@@ -93,6 +93,9 @@
 /* True if any byte has been passed to the kernel. */
 bool tcpsock_has_sent(const struct tcpsock *s);
 
+/* Errno of the first send that failed, or 0. */
+int tcpsock_send_error(const struct tcpsock *s);
+
 /* Listening socket; passes each accepted fd to fn, which then owns it. */
 struct tcplisten;
 typedef void (*tcplisten_accept_fn)(void *arg, int fd);
