tcpsock: a reset that a send finds is no orderly close

Callers got a part of a response without a length as a complete one when the upstream had reset the connection during a long upload.

Cause: Linux reports the error of a reset once. tcpsock_flush() dropped it when its send found it; the next recv() returned 0, and httppool took that for the close that completes a body. Also, a write event that failed ended a connection at once, even while its input was paused, and lost what had arrived before.

The errno of a failed send is kept now. Nothing is sent after it, and the end of the input counts as a reset, unless the errno is EPIPE, that of a reset behind an orderly close. A client's socket delivers its input first and reports the end behind it; a server's one ends at once, as nobody waits for its answers.

--- a/packages/io/src/httppool.c
+++ b/packages/io/src/httppool.c
@@ -276,7 +276,12 @@
 	send_body(arg);
 }
 
-static const struct tcpsock_ops socket_ops = { on_input, on_drained, on_end };
+static const struct tcpsock_ops socket_ops = {
+	.on_input = on_input,
+	.on_drained = on_drained,
+	.on_end = on_end,
+	.input_first = true,
+};
 
 /* Closes connections that exceed their idle limit. */
 static void close_idle(void *arg, uint64_t now_us)
--- a/packages/io/src/httpsrv_client.c
+++ b/packages/io/src/httpsrv_client.c
@@ -486,7 +486,11 @@
 	httpclient_destroy(arg);
 }
 
-static const struct tcpsock_ops socket_ops = { on_input, on_drained, on_end };
+static const struct tcpsock_ops socket_ops = {
+	.on_input = on_input,
+	.on_drained = on_drained,
+	.on_end = on_end,
+};
 
 /* Takes over an accepted connection; closes it if it cannot be kept. */
 void httpclient_create(struct httpsrv *s, int fd)
--- a/packages/io/src/tcpsock.c
+++ b/packages/io/src/tcpsock.c
@@ -133,9 +133,11 @@
 	s->ops->on_end(s->arg, why);
 }
 
-/* Sends until the kernel would block. Returns false on a socket error. */
+/* Sends until the kernel would block. Returns false once it has failed. */
 static bool send_output(struct tcpsock *s)
 {
+	if (s->send_error != 0)
+		return false;
 	while (buf_len(&s->out) > 0) {
 		ssize_t n = send(s->fd, buf_data(&s->out), buf_len(&s->out),
 				 MSG_NOSIGNAL);
@@ -145,8 +147,7 @@
 		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
 			return true;
 		if (n < 0) {
-			if (s->send_error == 0)
-				s->send_error = errno;
+			s->send_error = errno;
 			return false;
 		}
 		s->sent = true;
@@ -159,6 +160,20 @@
 	return true;
 }
 
+/* Sending has failed: reports the end, or leaves that to the read event. */
+static void end_output(struct tcpsock *s)
+{
+	struct ev_loop *ev = evloop_libev(s->loop);
+
+	if (!s->ops->input_first || s->closing) {
+		report_end(s, TCPSOCK_RESET);
+		return;
+	}
+	ev_io_stop(ev, &s->write_watcher);
+	if (ev_is_active(&s->read_watcher))
+		ev_feed_event(ev, &s->read_watcher, EV_READ);
+}
+
 /* Handles writability; the first event completes the connect. */
 static void on_writable(struct ev_loop *ev, ev_io *w, int events)
 {
@@ -179,7 +194,7 @@
 		report_end(s, error == ECONNREFUSED ? TCPSOCK_REFUSED :
 						      TCPSOCK_RESET);
 	} else if (!send_output(s)) {
-		report_end(s, TCPSOCK_RESET);
+		end_output(s);
 	} else if (buf_len(&s->out) == 0) {
 		ev_io_stop(ev, &s->write_watcher);
 		if (s->closing)
@@ -191,6 +206,19 @@
 	end_callback(s); /* NOLINT(clang-analyzer-unix.Malloc) */
 }
 
+/*
+ * Returns how a connection without further input has ended. The kernel reports
+ * an error once only: after a send that failed, recv() returns 0 as if the
+ * connection had been closed in order. EPIPE is that of a reset behind an
+ * orderly close, the end of the input.
+ */
+static enum tcpsock_end_reason end_of_input(const struct tcpsock *s, ssize_t n)
+{
+	if (n == 0 && (s->send_error == 0 || s->send_error == EPIPE))
+		return TCPSOCK_EOF;
+	return TCPSOCK_RESET;
+}
+
 /* Reads once and reports the data or the end of the connection. */
 static void on_readable(struct ev_loop *ev, ev_io *w, int events)
 {
@@ -203,7 +231,8 @@
 	if (!space)
 		return;
 	n = recv(s->fd, space, READ_BYTES, 0);
-	if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+	if (n < 0 &&
+	    (errno == EINTR || (errno == EAGAIN && s->send_error == 0))) {
 		buf_shrink(&s->in, 0);
 		return;
 	}
@@ -216,7 +245,7 @@
 		else
 			s->ops->on_input(s->arg);
 	} else {
-		report_end(s, n == 0 ? TCPSOCK_EOF : TCPSOCK_RESET);
+		report_end(s, end_of_input(s, n));
 	}
 	/* The analyzer misses that a socket in a callback is not freed. */
 	end_callback(s); /* NOLINT(clang-analyzer-unix.Malloc) */
@@ -308,6 +337,10 @@
 /* Releases the socket, which closes once its output has been sent. */
 void tcpsock_close_after_output(struct tcpsock *s)
 {
+	if (s->send_error != 0) {
+		tcpsock_close(s);
+		return;
+	}
 	if (buf_len(&s->out) == 0) {
 		shutdown(s->fd, SHUT_WR);
 		tcpsock_close(s);
@@ -391,10 +424,13 @@
 {
 	if (s->closed)
 		return;
-	if (paused)
+	if (paused) {
 		ev_io_stop(evloop_libev(s->loop), &s->read_watcher);
-	else
-		ev_io_start(evloop_libev(s->loop), &s->read_watcher);
+		return;
+	}
+	ev_io_start(evloop_libev(s->loop), &s->read_watcher);
+	if (s->send_error != 0)
+		ev_feed_event(evloop_libev(s->loop), &s->read_watcher, EV_READ);
 }
 
 bool tcpsock_is_connected(const struct tcpsock *s)
--- a/packages/io/src/tcpsock.h
+++ b/packages/io/src/tcpsock.h
@@ -17,7 +17,7 @@
 
 enum tcpsock_end_reason {
 	TCPSOCK_EOF, /* orderly shutdown by the peer */
-	TCPSOCK_RESET, /* connection reset, unreachable or timed out */
+	TCPSOCK_RESET, /* reset, unreachable, timed out, or sending failed */
 	TCPSOCK_REFUSED /* connection refused: no process listens */
 };
 
@@ -28,6 +28,11 @@
 	void (*on_drained)(void *arg);
 	/* The connection has ended; the user must call tcpsock_close(). */
 	void (*on_end)(void *arg, enum tcpsock_end_reason why);
+	/*
+	 * If sending fails, deliver what was received before, then the end;
+	 * while input is paused, neither. Otherwise the end comes at once.
+	 */
+	bool input_first;
 };
 
 /* Parses "ADDRESS:PORT" with an IPv4 address. Returns false if invalid. */
--- a/packages/io/tests/test_http.c
+++ b/packages/io/tests/test_http.c
@@ -94,7 +94,10 @@
 	f->raw = NULL;
 }
 
-static const struct tcpsock_ops raw_ops = { raw_input, NULL, raw_end };
+static const struct tcpsock_ops raw_ops = {
+	.on_input = raw_input,
+	.on_end = raw_end,
+};
 
 static void raw_accept(void *arg, int fd)
 {
--- a/packages/router/src/upstr_probe.c
+++ b/packages/router/src/upstr_probe.c
@@ -63,7 +63,11 @@
 				 probe_again, a);
 }
 
-static const struct tcpsock_ops probe_ops = { on_input, on_connected, on_end };
+static const struct tcpsock_ops probe_ops = {
+	.on_input = on_input,
+	.on_drained = on_connected,
+	.on_end = on_end,
+};
 
 /* Repeats the probe. */
 static void probe_again(void *arg, uint64_t now_us)
