httpsrv: a response that ends by the close is reset if it is cut

A caller of HTTP/1.0 got a part of a response without a length as a complete one whenever the daemon cut it: the upstream failed, the server was destroyed, or the process ended.

Cause: such a body ends with the connection, and every close of ours was an orderly one, also that of httpconn_abort() and those that the kernel does for a process that ends.

While such a response is open its socket has a linger time of 0, with which any close is a reset. It is cleared when all output of the complete response has been passed to the kernel, before the orderly close.

--- a/packages/io/src/httpsrv_response.c
+++ b/packages/io/src/httpsrv_response.c
@@ -70,13 +70,25 @@
 	pipeline_hold(c->client->order, c->place, len);
 }
 
-/* Writes the head, whose fields are final once the response has its turn. */
+/* True if the close of the connection marks the end of the body. */
+static bool ends_by_close(const struct httpconn *c)
+{
+	return c->length < 0 && !c->chunked && !c->no_body && !c->head_only;
+}
+
+/*
+ * Writes the head, whose fields are final once the response has its turn. Until
+ * a body that ends by the close is complete, any other end of the connection is
+ * a reset.
+ */
 static void open_response(struct httpconn *c)
 {
 	struct httpclient *k = c->client;
 	struct pacer *link = k->server->link;
 
 	c->open = true;
+	if (ends_by_close(c))
+		tcpsock_reset_on_close(k->socket);
 	if (c->close_after) {
 		buf_add_text(&c->head, "Connection: close\r\n");
 		pipeline_set_last(k->order, c->place);
--- a/packages/io/src/tcpsock.c
+++ b/packages/io/src/tcpsock.c
@@ -46,6 +46,7 @@
 	int send_error; /* errno of a send that failed, or 0 */
 	bool connected;
 	bool sent;
+	bool resets; /* its close is a reset */
 	uint64_t moved; /* bytes received and sent */
 	uint64_t sent_us; /* time of the last output, while closing */
 	bool closing; /* closes after its output; makes no callbacks */
@@ -113,12 +114,29 @@
 	free_if_closed(s);
 }
 
-/* Sets a linger time of 0, with which close() resets the connection. */
+/* With a linger time of 0, close() and the end of the process reset. */
+static void set_resets(struct tcpsock *s, bool resets)
+{
+	const struct linger linger = { .l_onoff = resets, .l_linger = 0 };
+
+	if (s->resets != resets)
+		setsockopt(s->fd, SOL_SOCKET, SO_LINGER, &linger,
+			   sizeof(linger));
+	s->resets = resets;
+}
+
+/* Makes the close a reset. */
 void tcpsock_reset_on_close(struct tcpsock *s)
 {
-	const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+	set_resets(s, true);
+}
 
-	setsockopt(s->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+/* Closes in order, as all output has been passed to the kernel. */
+static void close_in_order(struct tcpsock *s)
+{
+	set_resets(s, false);
+	shutdown(s->fd, SHUT_WR);
+	tcpsock_close(s);
 }
 
 /* Reports the end once, or closes a socket that has no user any more. */
@@ -198,7 +216,7 @@
 	} else if (buf_len(&s->out) == 0) {
 		ev_io_stop(ev, &s->write_watcher);
 		if (s->closing)
-			tcpsock_close(s);
+			close_in_order(s);
 		else if (s->ops->on_drained)
 			s->ops->on_drained(s->arg);
 	}
@@ -342,8 +360,7 @@
 		return;
 	}
 	if (buf_len(&s->out) == 0) {
-		shutdown(s->fd, SHUT_WR);
-		tcpsock_close(s);
+		close_in_order(s);
 		return;
 	}
 	s->closing = true;
--- a/packages/io/src/tcpsock.h
+++ b/packages/io/src/tcpsock.h
@@ -51,12 +51,16 @@
 void tcpsock_close(struct tcpsock *s);
 
 /*
- * Makes the close a reset, which also discards what the kernel has not sent
- * yet: on a busy link a request would otherwise arrive after its cancellation.
+ * Makes the close a reset, also if the process ends. It discards what the
+ * kernel has not sent yet: on a busy link a request would otherwise arrive
+ * after its cancellation.
  */
 void tcpsock_reset_on_close(struct tcpsock *s);
 
-/* Closes once the output has been sent. No more callbacks are made. */
+/*
+ * Closes in order once the output has been passed to the kernel. No more
+ * callbacks are made.
+ */
 void tcpsock_close_after_output(struct tcpsock *s);
 
 /* Number of sockets in this process that are closing after their output. */
