httpparse: each line of a head is checked by RFC 9112

Callers got responses with a blank in the name of a field, with a control byte in a value, or with a body that began with the upstream's own header fields.

Cause: Debian builds http_parser without its strict mode. It accepts blanks in names and folded lines, looks at no first byte of a value, and takes a CR followed by any byte for the end of a line, or of the head.

httplines checks the bytes of a head before they are parsed, for responses and requests alike, as callers, daemons, upstreams and the store are read by the same parser.

io/test_message_lines failed before with 267 messages accepted that are none. io/test_status_line and platform/test_bad_status held before and still do.

--- a/packages/io/src/httpparse.c
+++ b/packages/io/src/httpparse.c
@@ -6,15 +6,13 @@
 #include <http_parser.h>
 
 #include "array.h"
+#include "httplines.h"
 #include "membud.h"
 
 #define STATUS_INTERIM_MAX 199 /* 1xx responses precede the final one */
 #define STATUS_SWITCHING 101
 /* What the parser counts beyond the text of a head: separators and the like. */
 #define HEAD_EXTRA_BYTES 16384
-/* Status lines accepted: 'x' is any digit, 's' the first digit of a status. */
-#define STATUS_LINE "HTTP/1.x sxx"
-#define STATUS_LINE_LEN (sizeof(STATUS_LINE) - 1)
 /* A parser that waits for its next message keeps this much of the last one. */
 #define KEPT_TEXT_BYTES 2048
 #define KEPT_FIELDS 32
@@ -25,7 +23,7 @@
 	const struct httpparse_ops *ops;
 	void *arg;
 	uint32_t head_bytes; /* limit of a head */
-	uint32_t line_at; /* checked bytes of the status line */
+	struct httplines lines;
 	bool in_value;
 	bool in_message;
 	bool ended;
@@ -165,7 +163,6 @@
 	http_parser_pause(parser, 1);
 	if (parser->type == HTTP_RESPONSE &&
 	    parser->status_code <= STATUS_INTERIM_MAX) {
-		p->line_at = 0;
 		p->interim = true;
 	} else {
 		p->ended = true;
@@ -197,6 +194,7 @@
 	p->ops = ops;
 	p->arg = arg;
 	p->head_bytes = HTTPMSG_HEAD_BYTES;
+	httplines_begin(&p->lines, requests);
 	return p;
 }
 
@@ -252,34 +250,27 @@
 	p->no_body = no_body;
 }
 
-/* Returns whether a byte may stand at this place of a status line. */
-static bool is_status_line_byte(uint32_t at, char byte)
+/*
+ * Returns how many of the next bytes to parse at once: those of the head, which
+ * are checked first, or all behind it. Returns 0 if they are invalid.
+ */
+static size_t check_part(struct httpparse *p, const char *bytes, size_t len)
 {
-	if (at == STATUS_LINE_LEN)
-		return byte == ' ' || byte == '\r' || byte == '\n';
-	if (STATUS_LINE[at] == 'x')
-		return byte >= '0' && byte <= '9';
-	if (STATUS_LINE[at] == 's')
-		return byte >= '1' && byte <= '5';
-	return byte == STATUS_LINE[at];
+	return httplines_ended(&p->lines) ?
+		       len :
+		       httplines_check(&p->lines, bytes, len);
 }
 
-/*
- * Checks the next bytes of a status line. http_parser accepts one with any
- * version and any number up to 999 as its status, with any number of digits,
- * and skips spaces before it. Empty lines before a response are allowed.
- */
-static bool check_status_line(struct httpparse *p, const char *bytes,
-			      size_t len)
+/* Ends a feed behind a complete message or an interim response. */
+static enum httpparse_state end_message(struct httpparse *p)
 {
-	for (size_t i = 0; i < len && p->line_at <= STATUS_LINE_LEN; i++) {
-		if (p->line_at == 0 && (bytes[i] == '\r' || bytes[i] == '\n'))
-			continue;
-		if (!is_status_line_byte(p->line_at, bytes[i]))
-			return false;
-		p->line_at++;
-	}
-	return true;
+	if (HTTP_PARSER_ERRNO(&p->parser) == HPE_PAUSED)
+		http_parser_pause(&p->parser, 0);
+	if (p->ended)
+		return HTTPPARSE_DONE;
+	p->interim = false;
+	httplines_begin(&p->lines, false);
+	return HTTPPARSE_INTERIM;
 }
 
 /*
@@ -291,20 +282,20 @@
 				    size_t len, size_t *consumed)
 {
 	*consumed = 0;
-	if (len == 0)
-		return HTTPPARSE_INCOMPLETE;
-	if (p->parser.type == HTTP_RESPONSE &&
-	    !check_status_line(p, bytes, len))
-		return HTTPPARSE_ERROR;
-	*consumed = http_parser_execute(&p->parser, &settings, bytes, len);
-	if (p->ended || p->interim) {
-		if (HTTP_PARSER_ERRNO(&p->parser) == HPE_PAUSED)
-			http_parser_pause(&p->parser, 0);
-		p->interim = false;
-		return p->ended ? HTTPPARSE_DONE : HTTPPARSE_INTERIM;
+	while (*consumed < len) {
+		const char *next = bytes + *consumed;
+		size_t part = check_part(p, next, len - *consumed);
+
+		if (part == 0)
+			return HTTPPARSE_ERROR;
+		*consumed +=
+			http_parser_execute(&p->parser, &settings, next, part);
+		if (p->ended || p->interim)
+			return end_message(p);
+		if (HTTP_PARSER_ERRNO(&p->parser) != HPE_OK ||
+		    p->parser.upgrade)
+			return HTTPPARSE_ERROR;
 	}
-	if (HTTP_PARSER_ERRNO(&p->parser) != HPE_OK || p->parser.upgrade)
-		return HTTPPARSE_ERROR;
 	return HTTPPARSE_INCOMPLETE;
 }
 
@@ -326,7 +317,7 @@
 	enum http_parser_type type = p->parser.type;
 
 	http_parser_init(&p->parser, type);
-	p->line_at = 0;
+	httplines_begin(&p->lines, type == HTTP_REQUEST);
 	p->ended = false;
 	p->in_message = false;
 	p->no_body = false;
