httpparse: the framing of chunked bodies is checked

Callers could get a body that was not the upstream's: two bytes behind each chunk were dropped whatever they were, so that a size that is too small went unnoticed, and invalid trailers were accepted.

httpchunks follows the chunks beside the parser and checks sizes, extensions, line ends and, by httplines, the trailer section.

--- a/packages/io/src/httplines.c
+++ b/packages/io/src/httplines.c
@@ -25,6 +25,13 @@
 	l->state = EMPTY_LINES;
 }
 
+/* Starts at the first line of a trailer section. */
+void httplines_begin_trailers(struct httplines *l)
+{
+	memset(l, 0, sizeof(*l));
+	l->state = LINE_START;
+}
+
 /* True for the bytes of a token (RFC 9110, 5.6.2). */
 static bool is_token_byte(char byte)
 {
--- a/packages/io/src/httplines.h
+++ b/packages/io/src/httplines.h
@@ -2,7 +2,7 @@
 #define HTTPLINES_H
 
 /*
- * Checks each line of the head of a message by RFC 9110 and RFC 9112, as
+ * Checks each line of the head or the trailer section of a message by RFC 9110 and RFC 9112, as
  * http_parser lets some through that are none. docs/platform.md lists the
  * deviations that are accepted.
  */
@@ -21,6 +21,9 @@
 /* Starts at the first line of a message. */
 void httplines_begin(struct httplines *l, bool request);
 
+/* Starts at the first line of a trailer section. */
+void httplines_begin_trailers(struct httplines *l);
+
 /*
  * Checks the next bytes, at least one, up to the end of the head. Returns the
  * number of those that belong to it, 0 if they are invalid.
--- a/packages/io/src/httpparse.c
+++ b/packages/io/src/httpparse.c
@@ -6,6 +6,7 @@
 #include <http_parser.h>
 
 #include "array.h"
+#include "httpchunks.h"
 #include "httplines.h"
 #include "membud.h"
 
@@ -24,6 +25,7 @@
 	void *arg;
 	uint32_t head_bytes; /* limit of a head */
 	struct httplines lines;
+	struct httpchunks chunks;
 	bool in_value;
 	bool in_message;
 	bool ended;
@@ -136,6 +138,7 @@
 	m->minor = (uint8_t)parser->http_minor;
 	m->keep_alive = http_should_keep_alive(parser) != 0;
 	m->chunked = (parser->flags & F_CHUNKED) != 0;
+	httpchunks_begin(&p->chunks);
 	m->length = -1;
 	if (parser->flags & F_CONTENTLENGTH)
 		m->length = (int64_t)parser->content_length;
@@ -251,14 +254,16 @@
 }
 
 /*
- * Returns how many of the next bytes to parse at once: those of the head, which
- * are checked first, or all behind it. Returns 0 if they are invalid.
+ * Returns how many of the next bytes to parse at once, up to the end of the
+ * head or of the body, and checks them before. Returns 0 if they are invalid.
  */
 static size_t check_part(struct httpparse *p, const char *bytes, size_t len)
 {
-	return httplines_ended(&p->lines) ?
-		       len :
-		       httplines_check(&p->lines, bytes, len);
+	if (!httplines_ended(&p->lines))
+		return httplines_check(&p->lines, bytes, len);
+	if (p->message.chunked)
+		return httpchunks_check(&p->chunks, bytes, len);
+	return len;
 }
 
 /* Ends a feed behind a complete message or an interim response. */
--- a/packages/io/tests/test_message_lines.c
+++ b/packages/io/tests/test_message_lines.c
@@ -16,6 +16,8 @@
 
 #define STATUS_LINE "HTTP/1.1 200 OK\r\n"
 #define REQUEST_LINE "POST /x HTTP/1.1\r\n"
+#define CHUNKED "Transfer-Encoding: chunked\r\n"
+#define LAST_CHUNK "2\r\nok\r\n0\r\n"
 #define REST "Content-Length: 2\r\n\r\nok"
 #define TEXT_MAX 512
 
@@ -246,10 +248,14 @@
 	{ false, STATUS_LINE, "\r\n" REST, 0 },
 	{ false, STATUS_LINE "A: 1\r\n", "\r\n" REST, 0 },
 	{ false, STATUS_LINE "Content-Length: 2\r\n", "\r\n\r\nok", 0 },
+	{ false, STATUS_LINE CHUNKED "\r\n" LAST_CHUNK, "\r\n\r\n", 1 },
+	{ false, STATUS_LINE CHUNKED "\r\n" LAST_CHUNK "A: 1\r\n", "\r\n\r\n",
+	  1 },
 	{ false, "HTTP/1.1 100 Continue\r\n", "\r\n\r\n" STATUS_LINE REST, 0 },
 	{ true, REQUEST_LINE, "\r\n" REST, 0 },
 	{ true, REQUEST_LINE "A: 1\r\n", "\r\n" REST, 0 },
 	{ true, REQUEST_LINE "Content-Length: 2\r\n", "\r\n\r\nok", 0 },
+	{ true, REQUEST_LINE CHUNKED "\r\n" LAST_CHUNK, "\r\n\r\n", 1 },
 };
 
 static void invalid_field_lines_are_errors(void **state)
@@ -306,7 +312,7 @@
 	assert_int_equal(wrong, 0);
 }
 
-/* The line that ends a head. */
+/* The line that ends a head or a trailer section. */
 static void a_head_ends_with_an_empty_line(void **state)
 {
 	static const struct text bad[] = {
@@ -314,11 +320,69 @@
 		T(STATUS_LINE "Content-Length: 2\r\n\r\rok"),
 		T(STATUS_LINE "Content-Length: 2\r\n \r\nok"),
 	};
+	static const struct text bad_trailers[] = {
+		T(STATUS_LINE CHUNKED "\r\n" LAST_CHUNK "\rX"),
+		T(STATUS_LINE CHUNKED "\r\n" LAST_CHUNK "A: 1\r\n\rX"),
+	};
 	size_t wrong = 0;
 
 	(void)state;
 	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
 		wrong += count_accepted(false, &bad[i], 0);
+	for (size_t i = 0; i < sizeof(bad_trailers) / sizeof(bad_trailers[0]);
+	     i++)
+		wrong += count_accepted(false, &bad_trailers[i], 1);
+	assert_int_equal(wrong, 0);
+}
+
+/* Chunked bodies by RFC 9112, 7.1, behind a valid head. */
+static const struct text bad_chunks[] = {
+	T("2\r\nokXX0\r\n\r\n"),     T("2\r\nok\n0\r\n\r\n"),
+	T("2\r\nok\rX0\r\n\r\n"),    T("2\r\nokX\n0\r\n\r\n"),
+	T("2\r\nok\r\r\n0\r\n\r\n"), T("2\r\nok0\r\n\r\n"),
+	T("1\r\nok\r\n0\r\n\r\n"),   T("3\r\nok\r\n0\r\n\r\n"),
+	T("2\nok\r\n0\r\n\r\n"),     T("2\rXok\r\n0\r\n\r\n"),
+	T("2\r\rok\r\n0\r\n\r\n"),   T("2;a\nok\r\n0\r\n\r\n"),
+	T("2;a\rXok\r\n0\r\n\r\n"),  T("2;a\001\r\nok\r\n0\r\n\r\n"),
+	T("2 2\r\nok\r\n0\r\n\r\n"), T(" 2\r\nok\r\n0\r\n\r\n"),
+	T("+2\r\nok\r\n0\r\n\r\n"),  T("-2\r\nok\r\n0\r\n\r\n"),
+	T("0x2\r\nok\r\n0\r\n\r\n"), T("2h\r\nok\r\n0\r\n\r\n"),
+	T("g\r\nok\r\n0\r\n\r\n"),   T("\r\nok\r\n0\r\n\r\n"),
+	T(";a\r\nok\r\n0\r\n\r\n"),  T("10000000000000002\r\nok\r\n0\r\n\r\n"),
+	T("2\r\nok\r\n0\n\r\n"),     T("2\r\nok\r\n0\rX\r\n"),
+};
+
+static const struct text good_chunks[] = {
+	T("2\r\nok\r\n0\r\n\r\n"),
+	T("1\r\no\r\n1\r\nk\r\n0\r\n\r\n"),
+	T("0002\r\nok\r\n000\r\n\r\n"),
+	T("2;a=b\r\nok\r\n0;c\r\n\r\n"),
+	T("2 ;a=\"b c\"\r\nok\r\n0\r\n\r\n"),
+	T("2  \r\nok\r\n0\r\n\r\n"),
+	T("2\r\nok\r\n0\r\nA: 1\r\nB: 2\r\n\r\n"),
+};
+
+static void chunks_have_to_be_valid(void **state)
+{
+	static const char *const heads[] = { STATUS_LINE CHUNKED "\r\n",
+					     REQUEST_LINE CHUNKED "\r\n" };
+	size_t wrong = 0;
+
+	(void)state;
+	for (size_t k = 0; k < 2; k++) {
+		for (size_t i = 0;
+		     i < sizeof(bad_chunks) / sizeof(bad_chunks[0]); i++) {
+			struct text t = join(heads[k], &bad_chunks[i], "");
+
+			wrong += count_accepted(k == 1, &t, 1);
+		}
+		for (size_t i = 0;
+		     i < sizeof(good_chunks) / sizeof(good_chunks[0]); i++) {
+			struct text t = join(heads[k], &good_chunks[i], "");
+
+			wrong += count_refused(k == 1, &t, "ok");
+		}
+	}
 	assert_int_equal(wrong, 0);
 }
 
@@ -329,6 +393,7 @@
 		cmocka_unit_test(valid_field_lines_are_accepted),
 		cmocka_unit_test(invalid_start_lines_are_errors),
 		cmocka_unit_test(a_head_ends_with_an_empty_line),
+		cmocka_unit_test(chunks_have_to_be_valid),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
