httpparse: a body needs a length that is certain

Callers could get a body in a transfer coding that its head did not name any more: "gzip, chunked" was taken for chunked, any other coding for a body up to the close, and the field itself is not passed on. The same held for requests.

Cause: http_parser only looks for chunked as the last coding, also in messages of HTTP/1.0, and allows a length that does not fit a signed number.

A response with a coding besides chunked, a message of HTTP/1.0 with any, and one with such a length are errors (RFC 9112, 6.1 and 6.2). A request with an unknown coding gets 501 at both kinds of server.

io/test_message_lines failed before with 39 responses accepted (13 in three ways of feeding them), io/test_http with 200 in place of 501. Lengths that differ, that are not numbers or that stand beside chunks were refused before.

--- a/packages/io/src/httpmsg.h
+++ b/packages/io/src/httpmsg.h
@@ -31,6 +31,7 @@
 	bool keep_alive;
 	int64_t length; /* of the body in bytes, -1 if unknown */
 	bool chunked; /* the body has a last chunk */
+	bool other_coding; /* the body has a transfer coding besides it */
 };
 
 /* A part of the text of a message; not NUL-terminated. */
--- a/packages/io/src/httpparse.c
+++ b/packages/io/src/httpparse.c
@@ -120,6 +120,41 @@
 	return add_text(p, at, len);
 }
 
+/* True if the body has another transfer coding than chunked, once. */
+static bool has_other_coding(const struct httpmsg *m)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < m->field_count; i++) {
+		if (!span_is_nocase(httpmsg_name(m, i), "transfer-encoding"))
+			continue;
+		count++;
+		if (!span_is_nocase(httpmsg_value(m, i), "chunked"))
+			return true;
+	}
+	return count > 1;
+}
+
+/*
+ * Reads how the body is framed. Returns false if that is not clear (RFC 9112,
+ * 6.1 and 6.2); a request with an unknown coding is left to the server.
+ */
+static bool read_framing(const http_parser *parser, struct httpmsg *m)
+{
+	m->chunked = (parser->flags & F_CHUNKED) != 0;
+	m->other_coding = has_other_coding(m);
+	m->length = -1;
+	if (parser->flags & F_CONTENTLENGTH)
+		m->length = (int64_t)parser->content_length;
+	else if (parser->type == HTTP_REQUEST && !m->chunked)
+		m->length = 0;
+	if (parser->uses_transfer_encoding && parser->http_minor == 0)
+		return false;
+	if (m->other_coding && parser->type == HTTP_RESPONSE)
+		return false;
+	return !(parser->flags & F_CONTENTLENGTH) || m->length >= 0;
+}
+
 /* Passes the header section to the user; ignores interim responses. */
 static int on_head(http_parser *parser)
 {
@@ -137,14 +172,8 @@
 	}
 	m->minor = (uint8_t)parser->http_minor;
 	m->keep_alive = http_should_keep_alive(parser) != 0;
-	m->chunked = (parser->flags & F_CHUNKED) != 0;
 	httpchunks_begin(&p->chunks);
-	m->length = -1;
-	if (parser->flags & F_CONTENTLENGTH)
-		m->length = (int64_t)parser->content_length;
-	else if (parser->type == HTTP_REQUEST && !(parser->flags & F_CHUNKED))
-		m->length = 0;
-	if (!p->ops->on_head(p->arg, m))
+	if (!read_framing(parser, m) || !p->ops->on_head(p->arg, m))
 		return -1;
 	return p->no_body ? 1 : 0;
 }
--- a/packages/io/src/httpsrv_client.c
+++ b/packages/io/src/httpsrv_client.c
@@ -9,6 +9,7 @@
 
 #define STATUS_BAD_REQUEST 400
 #define STATUS_TOO_LARGE 413
+#define STATUS_NOT_IMPLEMENTED 501
 #define STATUS_UNAVAILABLE 503
 /* Input buffered while no request is read; the rest stays in the kernel. */
 #define PIPELINE_BYTES 65536
@@ -58,7 +59,9 @@
 	httpclient_read_offer(c->client, m);
 	c->discards_body =
 		m->length != 0 && s->needs_body && !s->needs_body(s->arg, m);
-	if (m->length > (int64_t)s->limits.body_bytes)
+	if (m->other_coding)
+		c->error = STATUS_NOT_IMPLEMENTED;
+	else if (m->length > (int64_t)s->limits.body_bytes)
 		c->error = STATUS_TOO_LARGE;
 	else if (m->length != 0 && !c->discards_body &&
 		 !httpguard_may_begin(s->guard,
--- a/packages/io/tests/test_http.c
+++ b/packages/io/tests/test_http.c
@@ -249,6 +249,19 @@
 	assert_int_equal(httppool_opened_count(f->pool), 1);
 }
 
+/* Guards against a body that is passed on without its transfer coding. */
+static void test_unknown_transfer_coding_is_rejected(void **state)
+{
+	struct fixture *f = *state;
+
+	call(f, SERVER_ADDRESS,
+	     "POST /x HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+	     "2\r\nab\r\n0\r\n\r\n",
+	     0, true);
+	assert_int_equal(f->status, 501);
+	assert_int_equal(f->requests, 0);
+}
+
 /* Guards against request smuggling by Content-Length and Transfer-Encoding. */
 static void test_ambiguous_length_is_rejected(void **state)
 {
@@ -578,6 +591,7 @@
 		CASE(test_target_is_not_normalized),
 		CASE(heads_within_the_limit_are_accepted),
 		CASE(test_chunked_request),
+		CASE(test_unknown_transfer_coding_is_rejected),
 		CASE(test_ambiguous_length_is_rejected),
 		CASE(test_pipelined_requests),
 		CASE(test_response_to_other_request_is_skipped),
--- a/packages/io/tests/test_message_lines.c
+++ b/packages/io/tests/test_message_lines.c
@@ -386,6 +386,52 @@
 	assert_int_equal(wrong, 0);
 }
 
+/* Responses whose body has no length that is certain. */
+static const struct text unclear_bodies[] = {
+	T(STATUS_LINE "Transfer-Encoding: gzip\r\n\r\nok"),
+	T(STATUS_LINE "Transfer-Encoding: identity\r\n\r\nok"),
+	T(STATUS_LINE "Transfer-Encoding: xchunked\r\n\r\nok"),
+	T(STATUS_LINE "Transfer-Encoding:\r\n\r\nok"),
+	T(STATUS_LINE "Transfer-Encoding: chunked;a=b\r\n\r\n" LAST_CHUNK
+		      "\r\n"),
+	T(STATUS_LINE "Transfer-Encoding: gzip, chunked\r\n\r\n" LAST_CHUNK
+		      "\r\n"),
+	T(STATUS_LINE "Transfer-Encoding: gzip\r\n" CHUNKED "\r\n" LAST_CHUNK
+		      "\r\n"),
+	T(STATUS_LINE CHUNKED "Transfer-Encoding: gzip\r\n\r\nok"),
+	T(STATUS_LINE "Transfer-Encoding: chunked, gzip\r\n\r\nok"),
+	T(STATUS_LINE "Transfer-Encoding: chunked, chunked\r\n\r\n" LAST_CHUNK
+		      "\r\n"),
+	T(STATUS_LINE CHUNKED CHUNKED "\r\n" LAST_CHUNK "\r\n"),
+	T("HTTP/1.0 200 OK\r\n" CHUNKED "\r\n" LAST_CHUNK "\r\n"),
+	T(STATUS_LINE CHUNKED "Content-Length: 2\r\n\r\n" LAST_CHUNK "\r\n"),
+	T(STATUS_LINE "Content-Length: 2\r\n" CHUNKED "\r\n" LAST_CHUNK "\r\n"),
+	T(STATUS_LINE "Content-Length: 2\r\nContent-Length: 3\r\n\r\nok"),
+	T(STATUS_LINE "Content-Length: 3\r\nContent-Length: 2\r\n\r\nok"),
+	T(STATUS_LINE "Content-Length:\r\n\r\nok"),
+	T(STATUS_LINE "Content-Length: +2\r\n\r\nok"),
+	T(STATUS_LINE "Content-Length: -2\r\n\r\nok"),
+	T(STATUS_LINE "Content-Length: 2 2\r\n\r\nok"),
+	T(STATUS_LINE "Content-Length: 2, 3\r\n\r\nok"),
+	T(STATUS_LINE "Content-Length: 2a\r\n\r\nok"),
+	T(STATUS_LINE "Content-Length: 0x2\r\n\r\nok"),
+	T(STATUS_LINE "Content-Length: 2.0\r\n\r\nok"),
+	T(STATUS_LINE "Content-Length: 9223372036854775808\r\n\r\nok"),
+	T(STATUS_LINE "Content-Length: 18446744073709551615\r\n\r\nok"),
+	T(STATUS_LINE "Content-Length: 18446744073709551618\r\n\r\nok"),
+};
+
+static void a_body_of_unclear_length_is_an_error(void **state)
+{
+	size_t wrong = 0;
+
+	(void)state;
+	for (size_t i = 0;
+	     i < sizeof(unclear_bodies) / sizeof(unclear_bodies[0]); i++)
+		wrong += count_accepted(false, &unclear_bodies[i], 0);
+	assert_int_equal(wrong, 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -394,6 +440,7 @@
 		cmocka_unit_test(invalid_start_lines_are_errors),
 		cmocka_unit_test(a_head_ends_with_an_empty_line),
 		cmocka_unit_test(chunks_have_to_be_valid),
+		cmocka_unit_test(a_body_of_unclear_length_is_an_error),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/net/src/websrv_head.c
+++ b/packages/net/src/websrv_head.c
@@ -36,13 +36,8 @@
  */
 static int read_length(struct websrv_req *r, const struct httpmsg *m)
 {
-	struct span coding = httpmsg_find(m, "transfer-encoding");
-
-	r->content_length = m->length;
-	if (!coding.text)
-		return 0;
-	r->content_length = WEBSRV_LENGTH_UNKNOWN;
-	return span_is_nocase(coding, "chunked") ? 0 : 501;
+	r->content_length = m->length < 0 ? WEBSRV_LENGTH_UNKNOWN : m->length;
+	return m->other_coding ? 501 : 0;
 }
 
 /*
