httpparse: 1xx, 204 and 304 end with their head

A caller whose upstream answered 304 with the length of the whole representation, as RFC 9110 allows, waited for a body until its deadline, or the next response on the connection was taken for that body.

Cause: http_parser looks at the status only if neither a length nor chunks are given.

The callback for the head says that these have no body, as it did for HEAD.

io/test_message_lines failed before with all of its 6 such responses.

--- a/packages/io/src/httpparse.c
+++ b/packages/io/src/httpparse.c
@@ -12,6 +12,8 @@
 
 #define STATUS_INTERIM_MAX 199 /* 1xx responses precede the final one */
 #define STATUS_SWITCHING 101
+/* Result of the callback for a head: the message has no body. */
+#define SKIP_BODY 1
 /* What the parser counts beyond the text of a head: separators and the like. */
 #define HEAD_EXTRA_BYTES 16384
 /* A parser that waits for its next message keeps this much of the last one. */
@@ -135,6 +137,14 @@
 	return count > 1;
 }
 
+/* True if the response ends with its head, whatever its fields are. */
+static bool is_bodiless(const struct httpparse *p)
+{
+	return p->no_body || p->message.status <= STATUS_INTERIM_MAX ||
+	       p->message.status == HTTP_STATUS_NO_CONTENT ||
+	       p->message.status == HTTP_STATUS_NOT_MODIFIED;
+}
+
 /*
  * Reads how the body is framed. Returns false if that is not clear (RFC 9112,
  * 6.1 and 6.2); a request with an unknown coding is left to the server.
@@ -160,22 +170,25 @@
 {
 	struct httpparse *p = parser->data;
 	struct httpmsg *m = &p->message;
+	bool bodiless = false;
 
 	if (parser->type == HTTP_RESPONSE) {
 		m->status = (uint16_t)parser->status_code;
+		bodiless = is_bodiless(p);
 		if (m->status == STATUS_SWITCHING)
 			return -1;
 		if (m->status <= STATUS_INTERIM_MAX)
-			return 0;
+			return SKIP_BODY;
 	} else {
 		m->method = http_method_str(parser->method);
 	}
 	m->minor = (uint8_t)parser->http_minor;
 	m->keep_alive = http_should_keep_alive(parser) != 0;
 	httpchunks_begin(&p->chunks);
-	if (!read_framing(parser, m) || !p->ops->on_head(p->arg, m))
+	if ((!read_framing(parser, m) && !bodiless) ||
+	    !p->ops->on_head(p->arg, m))
 		return -1;
-	return p->no_body ? 1 : 0;
+	return bodiless ? SKIP_BODY : 0;
 }
 
 /* Passes body bytes to the user. */
--- a/packages/io/tests/test_message_lines.c
+++ b/packages/io/tests/test_message_lines.c
@@ -432,6 +432,28 @@
 	assert_int_equal(wrong, 0);
 }
 
+/* RFC 9112, 6.3: these end with their head, whatever it says. */
+static const struct text bodiless[] = {
+	T("HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\n"),
+	T("HTTP/1.1 204 No Content\r\n" CHUNKED "\r\n"),
+	T("HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n"),
+	T("HTTP/1.1 304 Not Modified\r\n" CHUNKED "\r\n"),
+	T("HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\n"
+	  "HTTP/1.1 204 No Content\r\n\r\n"),
+	T("HTTP/1.1 103 Early Hints\r\n" CHUNKED "\r\n"
+	  "HTTP/1.1 204 No Content\r\n\r\n"),
+};
+
+static void responses_without_a_body_end_with_their_head(void **state)
+{
+	size_t wrong = 0;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(bodiless) / sizeof(bodiless[0]); i++)
+		wrong += count_refused(false, &bodiless[i], "");
+	assert_int_equal(wrong, 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -441,6 +463,7 @@
 		cmocka_unit_test(a_head_ends_with_an_empty_line),
 		cmocka_unit_test(chunks_have_to_be_valid),
 		cmocka_unit_test(a_body_of_unclear_length_is_an_error),
+		cmocka_unit_test(responses_without_a_body_end_with_their_head),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
