peerrpc: replies in front of a reset are received

A daemon reported requests as lost whose replies it had received: the daemon that ran them had answered and then reset the connection.

Cause: a send that failed closed the connection at once, and libwebsockets closes one that has ended behind a single read event, in both cases with replies unread in the socket.

When a connection to another daemon ends, what had arrived is read before its calls fail. No part of a reply becomes a whole one by that, as its record says how long it is.

net/test_peerrpc_resets failed before in 2 of 4 cases with PEERRPC_LOST.

--- a/packages/net/src/peerrpc_conn.c
+++ b/packages/net/src/peerrpc_conn.c
@@ -379,11 +379,26 @@
 	return wanted < PEERRPC_READ_BYTES ? wanted : PEERRPC_READ_BYTES;
 }
 
+/* Decodes received data; returns false if the connection must be closed. */
+static bool feed(struct peerrpc_conn *c, size_t len)
+{
+	struct err err = { 0 };
+
+	if (rpc_stream_feed(c->stream, c->owner->in, len, &err))
+		return true;
+	if (c->broken)
+		return false;
+	c->malformed = true;
+	ctr_add(CTR_PEER_MALFORMED, 1);
+	log_emit(LOG_PEER_CONNECTION_ENDED, "peer=%s port=%u reason=\"%s\"",
+		 c->peer.ip, c->peer.port, err.text);
+	return false;
+}
+
 /* Reads available data; returns -1 if the connection must be closed. */
 static int on_readable(struct peerrpc_conn *c)
 {
 	struct peerrpc_lws *l = c->owner;
-	struct err err = { 0 };
 
 	for (int i = 0; i < READS_PER_EVENT && !c->paused; i++) {
 		size_t size = read_size(c);
@@ -394,15 +409,8 @@
 		if (n == 0)
 			return -1;
 		c->active_us = lwsloop_now_us(l->loop);
-		if (!rpc_stream_feed(c->stream, l->in, (size_t)n, &err)) {
-			if (c->broken)
-				return -1;
-			ctr_add(CTR_PEER_MALFORMED, 1);
-			log_emit(LOG_PEER_CONNECTION_ENDED,
-				 "peer=%s port=%u reason=\"%s\"", c->peer.ip,
-				 c->peer.port, err.text);
+		if (!feed(c, (size_t)n))
 			return -1;
-		}
 		if (pause_if_full(c) || (size_t)n < size)
 			return 0;
 	}
@@ -418,6 +426,27 @@
 	return 0;
 }
 
+/*
+ * Reads what had arrived before a connection ended: libwebsockets reports the
+ * end of one behind a single read event, and a send that fails closes it before
+ * any. Replies that are whole still reach their calls.
+ */
+static void read_rest(struct peerrpc_conn *c)
+{
+	struct peerrpc_lws *l = c->owner;
+	ssize_t n;
+
+	if (!c->client || c->malformed || c->connecting || l->destroying)
+		return;
+	c->broken = false;
+	while (c->calls &&
+	       (n = recv(c->fd, l->in, sizeof(l->in), MSG_DONTWAIT)) > 0) {
+		if (!feed(c, (size_t)n))
+			break;
+	}
+	c->broken = true;
+}
+
 /* Frees a closed connection and ends its calls; libwebsockets owns the fd. */
 static void on_closed(struct peerrpc_conn *c)
 {
@@ -428,6 +457,7 @@
 		getsockopt(c->fd, SOL_SOCKET, SO_ERROR, &c->error, &len);
 	c->broken = true;
 	remove_from_map(c);
+	read_rest(c);
 	DL_DELETE(l->conns, c);
 	tmr_cancel(lwsloop_timers(l->loop), c->connect_timer);
 	tmr_cancel(lwsloop_timers(l->loop), c->write_timer);
--- a/packages/net/src/peerrpc_int.h
+++ b/packages/net/src/peerrpc_int.h
@@ -137,6 +137,7 @@
 	bool client;
 	bool connecting;
 	bool broken; /* closing */
+	bool malformed; /* its input is invalid from here on */
 	bool paused;
 	struct peerrpc_address peer;
 	struct rpc_stream *stream;
