httpparse: blanks behind a value are no part of it

A response with "Transfer-Encoding: chunked " has been refused since the codings are compared, and an id with a blank behind it was taken for another one.

Cause: http_parser leaves the blanks behind a value in it, which RFC 9112, 5.1, has a parser exclude.

They are removed from each field before the head is passed on. A coding that http_parser itself does not take for chunked counts as another one.

io/test_message_lines failed before with the value "a \t " in place of "a", and refused the coding.

--- a/packages/io/src/httpparse.c
+++ b/packages/io/src/httpparse.c
@@ -122,8 +122,21 @@
 	return add_text(p, at, len);
 }
 
+/* Removes the blanks behind each value, which are no part of it. */
+static void trim_values(struct httpmsg *m)
+{
+	for (size_t i = 0; i < m->field_count; i++) {
+		struct span value = httpmsg_value(m, i);
+
+		while (value.len > 0 && (value.text[value.len - 1] == ' ' ||
+					 value.text[value.len - 1] == '\t'))
+			value.len--;
+		m->fields[i].value_len = (uint32_t)value.len;
+	}
+}
+
 /* True if the body has another transfer coding than chunked, once. */
-static bool has_other_coding(const struct httpmsg *m)
+static bool has_other_coding(const struct httpmsg *m, bool chunked)
 {
 	size_t count = 0;
 
@@ -134,7 +147,7 @@
 		if (!span_is_nocase(httpmsg_value(m, i), "chunked"))
 			return true;
 	}
-	return count > 1;
+	return count > 1 || (count == 1 && !chunked);
 }
 
 /* True if the response ends with its head, whatever its fields are. */
@@ -152,7 +165,7 @@
 static bool read_framing(const http_parser *parser, struct httpmsg *m)
 {
 	m->chunked = (parser->flags & F_CHUNKED) != 0;
-	m->other_coding = has_other_coding(m);
+	m->other_coding = has_other_coding(m, m->chunked);
 	m->length = -1;
 	if (parser->flags & F_CONTENTLENGTH)
 		m->length = (int64_t)parser->content_length;
@@ -185,6 +198,7 @@
 	m->minor = (uint8_t)parser->http_minor;
 	m->keep_alive = http_should_keep_alive(parser) != 0;
 	httpchunks_begin(&p->chunks);
+	trim_values(m);
 	if ((!read_framing(parser, m) && !bodiless) ||
 	    !p->ops->on_head(p->arg, m))
 		return -1;
--- a/packages/io/tests/test_message_lines.c
+++ b/packages/io/tests/test_message_lines.c
@@ -116,6 +116,7 @@
 struct seen {
 	uint32_t heads;
 	uint16_t status;
+	char value[32]; /* of the field X */
 	char body[TEXT_MAX];
 	size_t body_len;
 	size_t consumed;
@@ -127,6 +128,7 @@
 
 	s->heads++;
 	s->status = m->status;
+	span_copy(httpmsg_find(m, "x"), s->value, sizeof(s->value));
 	return true;
 }
 
@@ -454,6 +456,31 @@
 	assert_int_equal(wrong, 0);
 }
 
+/* RFC 9112, 5.1: nor are they passed on, or part of a coding's name. */
+static void blanks_around_a_value_are_no_part_of_it(void **state)
+{
+	static const struct text texts[] = {
+		T(STATUS_LINE "X:a\r\n" REST),
+		T(STATUS_LINE "X: \ta \t \r\n" REST),
+		T(STATUS_LINE "X: a \nContent-Length: 2 \r\n\r\nok"),
+		T(STATUS_LINE
+		  "X: a\r\nTransfer-Encoding: chunked \r\n\r\n" LAST_CHUNK
+		  "\r\n"),
+	};
+	struct seen s;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
+		assert_int_equal(count_refused(false, &texts[i], "ok"), 0);
+		for (size_t k = 0; k < sizeof(pieces) / sizeof(pieces[0]);
+		     k++) {
+			parse(false, texts[i].bytes, texts[i].len, pieces[k],
+			      &s);
+			assert_string_equal(s.value, "a");
+		}
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -464,6 +491,7 @@
 		cmocka_unit_test(chunks_have_to_be_valid),
 		cmocka_unit_test(a_body_of_unclear_length_is_an_error),
 		cmocka_unit_test(responses_without_a_body_end_with_their_head),
+		cmocka_unit_test(blanks_around_a_value_are_no_part_of_it),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
