--- a/packages/net/src/websrv.c
+++ b/packages/net/src/websrv.c
@@ -1,5 +1,7 @@
 #include "websrv_int.h"
 
+#include "netaddr.h"
+
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
@@ -19,54 +21,31 @@
 /* Time for which the rest of an answered request is discarded, in ms. */
 #define LINGER_MS 1000
 
-/* Parses an IPv4 or IPv6 address; returns false if text is neither. */
-static bool parse_address(const char *text, uint16_t port,
-			  struct sockaddr_storage *out, socklen_t *len)
-{
-	struct sockaddr_in *v4 = (struct sockaddr_in *)out;
-	struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)out;
-
-	memset(out, 0, sizeof(*out));
-	if (inet_pton(AF_INET, text, &v4->sin_addr) == 1) {
-		v4->sin_family = AF_INET;
-		v4->sin_port = htons(port);
-		*len = sizeof(*v4);
-		return true;
-	}
-	if (inet_pton(AF_INET6, text, &v6->sin6_addr) == 1) {
-		v6->sin6_family = AF_INET6;
-		v6->sin6_port = htons(port);
-		*len = sizeof(*v6);
-		return true;
-	}
-	return false;
-}
-
 /* Opens the listening socket and stores the port that it is bound to. */
 static bool open_listener(struct websrv *h, struct err *err)
 {
 	const struct websrv_params *p = &h->params;
-	struct sockaddr_storage at;
-	socklen_t len;
+	struct netaddr at;
 	int on = 1;
 
-	if (!parse_address(p->address, p->port, &at, &len))
+	if (!netaddr_parse(p->address, p->port, &at))
 		return err_set(err, ERR_HTTP, NET_BAD_ADDRESS,
 			       "%s is not an IP address", p->address);
-	h->listen_fd = socket(at.ss_family,
+	h->listen_fd = socket(at.storage.ss_family,
 			      SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (h->listen_fd < 0)
 		return err_set(err, ERR_HTTP, NET_NO_LOOP, "socket: %s",
 			       strerror(errno));
 	setsockopt(h->listen_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(h->listen_fd, (struct sockaddr *)&at, len) < 0 ||
+	if (bind(h->listen_fd, (struct sockaddr *)&at.storage, at.len) < 0 ||
 	    listen(h->listen_fd, BACKLOG) < 0)
 		return err_set(err, ERR_HTTP, NET_IN_USE, "%s port %u: %s",
 			       p->address, p->port, strerror(errno));
-	getsockname(h->listen_fd, (struct sockaddr *)&at, &len);
-	h->port = ntohs(at.ss_family == AF_INET6 ?
-				((struct sockaddr_in6 *)&at)->sin6_port :
-				((struct sockaddr_in *)&at)->sin_port);
+	getsockname(h->listen_fd, (struct sockaddr *)&at.storage, &at.len);
+	h->port =
+		ntohs(at.storage.ss_family == AF_INET6 ?
+			      ((struct sockaddr_in6 *)&at.storage)->sin6_port :
+			      ((struct sockaddr_in *)&at.storage)->sin_port);
 	return true;
 }
 
@@ -143,7 +122,6 @@
 	h->ops = ops;
 	h->arg = arg;
 	h->listen_fd = -1;
-	h->events_fd = -1;
 	if (!open_listener(h, err)) {
 		websrv_destroy(h);
 		return NULL;
--- a/packages/net/src/websrv_int.h
+++ b/packages/net/src/websrv_int.h
@@ -3,6 +3,7 @@
 
 /* Internal interface of the HTTP server's source files. */
 
+#include "fdwatch.h"
 #include "httpmsg.h"
 #include "websrv.h"
 
@@ -72,11 +73,10 @@
 
 struct websrv {
 	struct lwsloop *loop;
-	struct lws_vhost *fd_vhost; /* of listener and events */
+	struct lws_vhost *listen_vhost;
 	struct lws *listener;
-	struct lws *events;
+	struct fdwatch *watch; /* of the connections */
 	int listen_fd;
-	int events_fd; /* epoll instance of the connections */
 	uint16_t port;
 	struct websrv_params params;
 	const struct websrv_ops *ops;
@@ -111,7 +111,6 @@
 void websrv_conn_read(struct websrv_conn *c);
 
 bool websrv_watch_open(struct websrv *h);
-bool websrv_watch_add(struct websrv_conn *c);
 void websrv_watch_close(struct websrv *h);
 
 void websrv_accept(struct websrv *h);
--- a/packages/net/src/websrv_watch.c
+++ b/packages/net/src/websrv_watch.c
@@ -9,14 +9,6 @@
 
 #include "ctr.h"
 
-/*
- * The event loop polls two descriptors of the server: the listening socket, and
- * an epoll instance that reports the events of the connections.
- */
-
-/* Events per call of epoll_wait(). */
-#define EVENTS_PER_WAIT 64
-
 /* Adds an accepted socket, or closes it if there are too many connections. */
 static void add_connection(struct websrv *h, int fd, const char *peer)
 {
@@ -33,7 +25,7 @@
 	c = websrv_conn_add(h, fd, peer);
 	if (!c)
 		close(fd);
-	else if (!websrv_watch_add(c))
+	else if (!fdwatch_add(h->watch, fd, c))
 		websrv_conn_free(c);
 }
 
@@ -63,31 +55,26 @@
 }
 
 /*
- * Handles the events of the connections. A caller that has shut down its side
- * for sending is treated as disconnected, even if its request is in progress.
+ * Handles the events of a connection. A caller that has shut down its side for
+ * sending is treated as disconnected, even if its request is in progress.
  */
-static void handle_events(struct websrv *h)
+static void on_event(void *entry, uint32_t events)
 {
-	struct epoll_event events[EVENTS_PER_WAIT];
-	int n = epoll_wait(h->events_fd, events, EVENTS_PER_WAIT, 0);
-
-	for (int i = 0; i < n; i++) {
-		struct websrv_conn *c = events[i].data.ptr;
+	struct websrv_conn *c = entry;
 
-		if (events[i].events & EPOLLOUT)
-			websrv_out_writable(c);
-		if (events[i].events & EPOLLIN) {
-			c->readable = true;
-			websrv_conn_read(c);
-		}
-		if (events[i].events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))
-			websrv_conn_abort(c);
+	if (events & EPOLLOUT)
+		websrv_out_writable(c);
+	if (events & EPOLLIN) {
+		c->readable = true;
+		websrv_conn_read(c);
 	}
+	if (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))
+		websrv_conn_abort(c);
 }
 
-/* Handles a readable descriptor. */
-static int watch_callback(struct lws *wsi, enum lws_callback_reasons reason,
-			  void *user, void *in, size_t len)
+/* Handles the readable listening socket. */
+static int listen_callback(struct lws *wsi, enum lws_callback_reasons reason,
+			   void *user, void *in, size_t len)
 {
 	struct websrv *h;
 
@@ -97,67 +84,32 @@
 	if (reason != LWS_CALLBACK_RAW_RX_FILE)
 		return 0;
 	h = lws_get_opaque_user_data(wsi);
-	if (h && wsi == h->listener)
+	if (h)
 		websrv_accept(h);
-	else if (h)
-		handle_events(h);
 	return 0;
 }
 
-static const struct lws_protocols watch_protocols[] = {
-	{ "watch", watch_callback, 0, 0, 0, NULL, 0 },
+static const struct lws_protocols listen_protocols[] = {
+	{ "listen", listen_callback, 0, 0, 0, NULL, 0 },
 	{ NULL, NULL, 0, 0, 0, NULL, 0 },
 };
 
-/* Adds a descriptor to the event loop. */
-static struct lws *watch(struct websrv *h, int fd)
+/* Adds the listening socket to the event loop, and watches connections. */
+bool websrv_watch_open(struct websrv *h)
 {
 	lws_sock_file_fd_type desc;
-	struct lws *wsi;
 
-	desc.filefd = fd;
-	wsi = lws_adopt_descriptor_vhost(h->fd_vhost, LWS_ADOPT_RAW_FILE_DESC,
-					 desc, "watch", NULL);
-	if (wsi)
-		lws_set_opaque_user_data(wsi, h);
-	return wsi;
-}
-
-/* Adds the listening socket and a new epoll instance to the event loop. */
-bool websrv_watch_open(struct websrv *h)
-{
-	h->fd_vhost = lwsloop_vhost(h->loop, "watch", watch_protocols, NULL);
-	h->events_fd = epoll_create1(EPOLL_CLOEXEC);
-	if (!h->fd_vhost || h->events_fd < 0)
+	h->listen_vhost =
+		lwsloop_vhost(h->loop, "listen", listen_protocols, NULL);
+	h->watch = fdwatch_create(h->loop, on_event);
+	if (!h->listen_vhost || !h->watch)
 		return false;
-	h->listener = watch(h, h->listen_fd);
-	h->events = watch(h, h->events_fd);
-	return h->listener && h->events;
-}
-
-/* Registers a connection, edge-triggered; closing the socket removes it. */
-bool websrv_watch_add(struct websrv_conn *c)
-{
-	struct epoll_event event = { .events = EPOLLIN | EPOLLOUT | EPOLLRDHUP |
-					       EPOLLET };
-
-	event.data.ptr = c;
-	return epoll_ctl(c->server->events_fd, EPOLL_CTL_ADD, c->fd, &event) ==
-	       0;
-}
-
-/* Closes a descriptor, whether or not it was added to the event loop. */
-static void unwatch(struct lws **wsi, int *fd)
-{
-	if (*wsi) {
-		lws_set_opaque_user_data(*wsi, NULL);
-		lws_set_timeout(*wsi, PENDING_TIMEOUT_CLOSE_SEND,
-				LWS_TO_KILL_SYNC);
-	} else if (*fd >= 0) {
-		close(*fd);
-	}
-	*wsi = NULL;
-	*fd = -1;
+	desc.filefd = h->listen_fd;
+	h->listener = lws_adopt_descriptor_vhost(
+		h->listen_vhost, LWS_ADOPT_RAW_FILE_DESC, desc, "listen", NULL);
+	if (h->listener)
+		lws_set_opaque_user_data(h->listener, h);
+	return h->listener != NULL;
 }
 
 /*
@@ -166,14 +118,22 @@
  */
 void websrv_stop_listening(struct websrv *h)
 {
-	unwatch(&h->listener, &h->listen_fd);
+	if (h->listener) {
+		lws_set_opaque_user_data(h->listener, NULL);
+		lws_set_timeout(h->listener, PENDING_TIMEOUT_CLOSE_SEND,
+				LWS_TO_KILL_SYNC);
+	} else if (h->listen_fd >= 0) {
+		close(h->listen_fd);
+	}
+	h->listener = NULL;
+	h->listen_fd = -1;
 }
 
 /* Removes the server's descriptors from the event loop and closes them. */
 void websrv_watch_close(struct websrv *h)
 {
 	websrv_stop_listening(h);
-	unwatch(&h->events, &h->events_fd);
-	if (h->fd_vhost)
-		lws_vhost_destroy(h->fd_vhost);
+	fdwatch_destroy(h->watch);
+	if (h->listen_vhost)
+		lws_vhost_destroy(h->listen_vhost);
 }
