upclient: HTTP messages are read by httpparse, on sockets of its own

Callers of the partition daemon got responses whose head or body is not valid HTTP as complete ones: two spaces before the status, blanks, control bytes and marks in names, two lengths, a length beside chunks. Complete responses were lost when a reset arrived behind them during an upload. The same client calls the platform, and the operators' ports for geraniumspokectl.

Cause: the client role of libwebsockets 4.1 checks little of a message, offers no callback before it has parsed one, and tells neither a reset from a close nor the reason of a failed connect.

The client uses the parser of package io on non-blocking sockets, as the HTTP server does. A send that failed is remembered and the input is read to its end first; only a length or a last chunk completes a body, as before. Ends are counted and logged as on the range daemon. An idle connection on which anything has arrived is not used again. The second connect that asked for a reason and the vhost of each connection are gone, as are two header fields that the library added to each request (Pragma, Cache-Control).

As a request is now sent at once and not in the next round of the loop, websrv looks for the end of a connection before it reads it: daemon/test_cancel (a_request_that_arrives_with_its_close_is_not_started) had failed without that.

--- a/packages/ctl/src/ctl_http.c
+++ b/packages/ctl/src/ctl_http.c
@@ -151,7 +151,7 @@
 	exchange.body = (const char *)body + first;
 	exchange.remaining = len - first;
 	exchange.pool =
-		upclient_lws_create(loop, to->address, to->port, 1, err);
+		upclient_pool_create(loop, to->address, to->port, 1, err);
 	if (!exchange.pool)
 		return err_wrap(err, ERR_CTL, CTL_UNREACHABLE,
 				"cannot connect");
--- a/packages/daemon/src/upd.c
+++ b/packages/daemon/src/upd.c
@@ -136,8 +136,8 @@
 	uint64_t now = nod_now_us(u->n);
 
 	retire(u, u->pool, NULL);
-	u->pool = upclient_lws_create(u->n->loop, u->last.address, u->last.port,
-				      u->last.connections, NULL);
+	u->pool = upclient_pool_create(u->n->loop, u->last.address,
+				       u->last.port, u->last.connections, NULL);
 	if (!u->admitter && s)
 		u->admitter = make_admission(u, s);
 	if (u->admitter)
--- a/packages/daemon/tests/cluster.c
+++ b/packages/daemon/tests/cluster.c
@@ -187,17 +187,17 @@
 	c->loop = lwsloop_create(clk_system(), 0, &err);
 	cluster_check(c->loop != NULL, err.text);
 	c->platform_pool =
-		upclient_lws_create(c->loop, cluster_address(),
-				    c->platform_port, CONNECTIONS, &err);
+		upclient_pool_create(c->loop, cluster_address(),
+				     c->platform_port, CONNECTIONS, &err);
 	for (size_t i = 0; i < c->count; i++) {
 		struct node *n = &c->nodes[i];
 
-		n->http = upclient_lws_create(c->loop, cluster_address(),
-					      n->http_port, CONNECTIONS, &err);
+		n->http = upclient_pool_create(c->loop, cluster_address(),
+					       n->http_port, CONNECTIONS, &err);
 		n->admin =
-			upclient_lws_create(c->loop, cluster_address(),
-					    n->admin_port, CONNECTIONS, &err);
-		c->upstream_pools[i] = upclient_lws_create(
+			upclient_pool_create(c->loop, cluster_address(),
+					     n->admin_port, CONNECTIONS, &err);
+		c->upstream_pools[i] = upclient_pool_create(
 			c->loop, cluster_address(), n->upstream_port,
 			CONNECTIONS, &err);
 	}
@@ -254,8 +254,8 @@
 	write_route(c, "/bookings", true, bookings, sizeof(bookings));
 	write_route(c, "/documents", false, documents, sizeof(documents));
 	c->naive = spawn(c, "naive", args);
-	c->naive_pool = upclient_lws_create(c->loop, cluster_address(), number,
-					    CONNECTIONS, &err);
+	c->naive_pool = upclient_pool_create(c->loop, cluster_address(), number,
+					     CONNECTIONS, &err);
 	cluster_check(c->naive_pool != NULL, err.text);
 	cluster_sleep(c, 500);
 }
--- a/packages/io/src/httpend.c
+++ b/packages/io/src/httpend.c
@@ -1,6 +1,6 @@
 #include "httpend.h"
 
-#include <arpa/inet.h>
+#include <netdb.h>
 
 #include "ctr.h"
 #include "log.h"
@@ -21,17 +21,19 @@
 /* Counts an end; logs one by a close and one that is not complete. */
 void httpend_record(enum httpend how, const struct httpend_details *d)
 {
-	char ip[INET_ADDRSTRLEN] = "";
+	char ip[NI_MAXHOST] = "";
+	char port[NI_MAXSERV] = "";
 
 	ctr_add(ends[how].counter, 1);
 	if (how == HTTPEND_LENGTH || how == HTTPEND_LAST_CHUNK)
 		return;
-	inet_ntop(AF_INET, &d->server->sin_addr, ip, sizeof(ip));
+	getnameinfo(d->server, d->server_len, ip, sizeof(ip), port,
+		    sizeof(port), NI_NUMERICHOST | NI_NUMERICSERV);
 	log_emit(how == HTTPEND_CLOSE ? LOG_RESPONSE_BY_CLOSE :
 					LOG_RESPONSE_INCOMPLETE,
-		 "from=%s:%u end=\"%s\" status=%u received=%llu unsent=%llu "
+		 "from=%s:%s end=\"%s\" status=%u received=%llu unsent=%llu "
 		 "send_error=%d",
-		 ip, ntohs(d->server->sin_port), ends[how].name, d->status,
+		 ip, port, ends[how].name, d->status,
 		 (unsigned long long)d->received, (unsigned long long)d->unsent,
 		 d->send_error);
 }
--- a/packages/io/src/httpend.h
+++ b/packages/io/src/httpend.h
@@ -4,7 +4,7 @@
 /* How a response ended: counters and log lines for all HTTP clients. */
 
 #include <stdint.h>
-#include <netinet/in.h>
+#include <sys/socket.h>
 
 enum httpend {
 	HTTPEND_LENGTH, /* complete by its length, or it has no body */
@@ -17,7 +17,8 @@
 };
 
 struct httpend_details {
-	const struct sockaddr_in *server;
+	const struct sockaddr *server;
+	socklen_t server_len;
 	uint16_t status; /* 0 without a head */
 	uint64_t received; /* bytes of the body */
 	uint64_t unsent; /* bytes of the request */
--- a/packages/io/src/httppool_heads.c
+++ b/packages/io/src/httppool_heads.c
@@ -27,7 +27,8 @@
 void httpcall_record_end(const struct httpcall *x, enum httpend how)
 {
 	struct httpend_details d = {
-		.server = &x->pool->address,
+		.server = (const struct sockaddr *)&x->pool->address,
+		.server_len = sizeof(x->pool->address),
 		.status = x->reported_head ?
 				  httpparse_message(x->parser)->status :
 				  0,
--- a/packages/net/src/platapi_http.c
+++ b/packages/net/src/platapi_http.c
@@ -450,7 +450,7 @@
 	}
 	h->loop = l;
 	h->base.ops = &http_ops;
-	h->pool = upclient_lws_create(l, address, port, CONNECTIONS_MAX, err);
+	h->pool = upclient_pool_create(l, address, port, CONNECTIONS_MAX, err);
 	if (!h->pool) {
 		err_wrap(err, ERR_PLATFORM, NET_BAD_ADDRESS, "platform");
 		free(h);
--- a/packages/net/src/upclient.h
+++ b/packages/net/src/upclient.h
@@ -78,10 +78,10 @@
 	const struct upclient_ops *ops;
 };
 
-struct upclient *upclient_lws_create(struct lwsloop *l, const char *address,
-				     uint16_t port,
-				     unsigned int max_connections,
-				     struct err *err);
+struct upclient *upclient_pool_create(struct lwsloop *l, const char *address,
+				      uint16_t port,
+				      unsigned int max_connections,
+				      struct err *err);
 
 /* Wrappers of the functions in struct upclient_ops. */
 uint32_t upclient_start(struct upclient *u, const struct upclient_request *req,
--- a/packages/net/src/websrv_watch.c
+++ b/packages/net/src/websrv_watch.c
@@ -56,20 +56,23 @@
 
 /*
  * Handles the events of a connection. A caller that has shut down its side for
- * sending is treated as disconnected, even if its request is in progress.
+ * sending is treated as disconnected, even if its request is in progress; one
+ * that arrives with the close is not started.
  */
 static void on_event(void *entry, uint32_t events)
 {
 	struct websrv_conn *c = entry;
 
+	if (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) {
+		websrv_conn_abort(c);
+		return;
+	}
 	if (events & EPOLLOUT)
 		websrv_out_writable(c);
 	if (events & EPOLLIN) {
 		c->readable = true;
 		websrv_conn_read(c);
 	}
-	if (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))
-		websrv_conn_abort(c);
 }
 
 /* Handles the readable listening socket. */
--- a/packages/net/tests/raw_server.c
+++ b/packages/net/tests/raw_server.c
@@ -123,7 +123,7 @@
 
 	app_open(&a, NULL);
 	raw_server_open(&s);
-	u = upclient_lws_create(a.loop, "127.0.0.1", s.port, 4, NULL);
+	u = upclient_pool_create(a.loop, "127.0.0.1", s.port, 4, NULL);
 	snprintf(text, sizeof(text), "%s\r\n" REST "HTTP/1.1 200 OK\r\n" REST,
 		 line);
 	s.text = text;
--- a/packages/net/tests/test_upclient.c
+++ b/packages/net/tests/test_upclient.c
@@ -106,8 +106,8 @@
 
 	(void)state;
 	app_open(&a, NULL);
-	u = upclient_lws_create(a.loop, "127.0.0.1", websrv_port(a.server), 4,
-				NULL);
+	u = upclient_pool_create(a.loop, "127.0.0.1", websrv_port(a.server), 4,
+				 NULL);
 	for (int i = 0; i < 50; i++) {
 		start_call(&r, u, "GET", "/hello", NULL);
 		app_run(&a, has_ended, &r);
@@ -146,8 +146,8 @@
 
 	(void)state;
 	app_open(&a, NULL);
-	u = upclient_lws_create(a.loop, "127.0.0.1", websrv_port(a.server), 4,
-				NULL);
+	u = upclient_pool_create(a.loop, "127.0.0.1", websrv_port(a.server), 4,
+				 NULL);
 	start_call(&r, u, "GET", "/cut?100", NULL);
 	app_run(&a, has_ended, &r);
 	assert_true(r.failed);
@@ -171,8 +171,8 @@
 
 	(void)state;
 	app_open(&a, NULL);
-	u = upclient_lws_create(a.loop, "127.0.0.1", websrv_port(a.server), 4,
-				NULL);
+	u = upclient_pool_create(a.loop, "127.0.0.1", websrv_port(a.server), 4,
+				 NULL);
 	start_call(&r, u, "GET", "/hold", NULL);
 	while (!a.held)
 		lwsloop_run_once(a.loop);
@@ -204,8 +204,8 @@
 
 	(void)state;
 	app_open(&a, NULL);
-	u = upclient_lws_create(a.loop, "127.0.0.1", websrv_port(a.server), 4,
-				NULL);
+	u = upclient_pool_create(a.loop, "127.0.0.1", websrv_port(a.server), 4,
+				 NULL);
 	start_us = lwsloop_now_us(a.loop);
 	for (int i = 0; i < QUICK_CALLS; i++) {
 		start_call(&r, u, "POST", "/echo", "some text");
@@ -229,8 +229,8 @@
 
 	(void)state;
 	app_open(&a, NULL);
-	u = upclient_lws_create(a.loop, "127.0.0.1", websrv_port(a.server),
-				CALLS, NULL);
+	u = upclient_pool_create(a.loop, "127.0.0.1", websrv_port(a.server),
+				 CALLS, NULL);
 	for (int i = 0; i < CALLS; i++) {
 		start_call(&r[i], u, "GET", i % 2 ? "/hello" : "/hold", NULL);
 		r[i].order = &order;
--- a/packages/net/tests/test_upclient_status.c
+++ b/packages/net/tests/test_upclient_status.c
@@ -46,7 +46,7 @@
 	     i++) {
 		int status = statuses[i / 2];
 
-		u = upclient_lws_create(a.loop, "127.0.0.1", s.port, 4, NULL);
+		u = upclient_pool_create(a.loop, "127.0.0.1", s.port, 4, NULL);
 		snprintf(text, sizeof(text), "HTTP/1.1 %d%s\r\n" REST, status,
 			 i % 2 ? "" : " Some Words");
 		s.text = text;
--- a/packages/standins/src/main_load.c
+++ b/packages/standins/src/main_load.c
@@ -315,8 +315,8 @@
 		uint16_t port;
 
 		if (com_split_address(l->addresses[i], address, &port))
-			l->daemons[i] = upclient_lws_create(l->loop, address,
-							    port, each, &err);
+			l->daemons[i] = upclient_pool_create(l->loop, address,
+							     port, each, &err);
 		if (!l->daemons[i]) {
 			fprintf(stderr, "%s: %s\n", l->addresses[i],
 				err.text[0] ? err.text : "not IP:PORT");
--- a/packages/standins/src/main_naive_router.c
+++ b/packages/standins/src/main_naive_router.c
@@ -241,8 +241,8 @@
 
 		if (route->count < UPSTREAMS_MAX &&
 		    com_split_address(item, address, &port))
-			u = upclient_lws_create(n->loop, address, port,
-						CONNECTIONS, &err);
+			u = upclient_pool_create(n->loop, address, port,
+						 CONNECTIONS, &err);
 		if (!u) {
 			fprintf(stderr, "%s: cannot be used\n", item);
 			exit(COM_EXIT_START);
--- a/packages/standins/src/main_standin_upstream.c
+++ b/packages/standins/src/main_standin_upstream.c
@@ -368,9 +368,9 @@
 {
 	struct err err = { 0 };
 
-	u->daemon =
-		upclient_lws_create(u->work.loop, u->daemon_address,
-				    u->daemon_port, ANNOUNCE_CONNECTIONS, &err);
+	u->daemon = upclient_pool_create(u->work.loop, u->daemon_address,
+					 u->daemon_port, ANNOUNCE_CONNECTIONS,
+					 &err);
 	if (!u->daemon) {
 		fprintf(stderr, "%s\n", err.text);
 		exit(COM_EXIT_START);
