platapi, ctl: the start of a long response is not the whole one

An object of over 16 MiB from the platform, or a response of over 64 MiB to geraniumspokectl, was reported as complete with its first part.

Cause: on_body() dropped what was over the limit, or what there was no memory for, and on_end() did not know of it.

Such a response now counts as unavailable, that to a write as unknown, and geraniumspokectl says that the response was lost.

net/test_platapi failed before with PLATAPI_OK for an object of 17 MiB. The case of geraniumspokectl has no test.

--- a/packages/ctl/src/ctl_http.c
+++ b/packages/ctl/src/ctl_http.c
@@ -18,6 +18,7 @@
 	struct ctl_response *response;
 	size_t capacity;
 	bool done;
+	bool cut; /* a part of the response was not kept */
 	bool failed;
 	enum upclient_failure failure;
 };
@@ -59,14 +60,18 @@
 	size_t capacity = exchange->capacity ? exchange->capacity : CHUNK_BYTES;
 	char *body;
 
-	if (response->len + len > CTL_RESPONSE_MAX_BYTES)
+	exchange->cut =
+		exchange->cut || response->len + len > CTL_RESPONSE_MAX_BYTES;
+	if (exchange->cut)
 		return;
 	while (capacity < response->len + len + 1)
 		capacity *= 2;
 	if (capacity != exchange->capacity) {
 		body = realloc(response->body, capacity);
-		if (!body)
+		if (!body) {
+			exchange->cut = true;
 			return;
+		}
 		response->body = body;
 		exchange->capacity = capacity;
 	}
@@ -80,6 +85,8 @@
 	struct exchange *exchange = arg;
 
 	exchange->done = true;
+	exchange->failed = exchange->cut;
+	exchange->failure = UPCLIENT_BROKEN;
 }
 
 static void on_failed(void *arg, enum upclient_failure failure)
--- a/packages/net/src/platapi_http.c
+++ b/packages/net/src/platapi_http.c
@@ -39,6 +39,7 @@
 	enum response_kind response_kind;
 	bool is_write;
 	bool retried;
+	bool cut; /* a part of the response was not kept */
 	char method[4];
 	char target[TARGET_MAX];
 	void *request; /* request body */
@@ -191,6 +192,11 @@
 {
 	struct platform_call *a = arg;
 
+	if (a->cut) {
+		report_result(a, a->is_write ? PLATAPI_UNKNOWN :
+					       PLATAPI_UNAVAILABLE);
+		return;
+	}
 	switch (a->status) {
 	case HTTP_OK:
 		if (a->response_kind == KIND_ROW)
@@ -225,14 +231,17 @@
 	size_t capacity = a->capacity ? a->capacity : 4096;
 	char *body;
 
-	if (a->len + len > RESPONSE_MAX)
+	a->cut = a->cut || a->len + len > RESPONSE_MAX;
+	if (a->cut)
 		return;
 	while (capacity < a->len + len)
 		capacity *= 2;
 	if (capacity != a->capacity) {
 		body = realloc(a->body, capacity);
-		if (!body)
+		if (!body) {
+			a->cut = true;
 			return;
+		}
 		a->body = body;
 		a->capacity = capacity;
 	}
@@ -302,6 +311,7 @@
 	};
 
 	a->len = 0;
+	a->cut = false;
 	if (upclient_start(a->http_client->pool, &req, &events, a))
 		return;
 	defer_failure(a);
--- a/packages/net/tests/test_platapi.c
+++ b/packages/net/tests/test_platapi.c
@@ -223,9 +223,36 @@
 	close_all(&s, p);
 }
 
+#define OVER_LIMIT_BYTES (17 << 20)
+
+/* Guards against the start of an object that is taken for the whole one. */
+static void an_object_over_the_limit_is_unavailable(void **state)
+{
+	char *body = malloc(OVER_LIMIT_BYTES + 1);
+	struct call_result call_result;
+	struct stub_server s;
+	struct platapi *p;
+
+	(void)state;
+	memset(body, 'x', OVER_LIMIT_BYTES);
+	body[OVER_LIMIT_BYTES] = '\0';
+	p = open_all(&s);
+	s.response = body;
+	memset(&call_result, 0, sizeof(call_result));
+	platapi_get_object(p, "long", on_object, &call_result);
+	wait_for_result(&s, &call_result);
+	assert_int_equal(call_result.result, PLATAPI_UNAVAILABLE);
+	assert_int_equal(call_result.len, 0);
+	platapi_destroy(p);
+	websrv_destroy(s.server);
+	lwsloop_destroy(s.loop);
+	free(body);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(an_object_over_the_limit_is_unavailable),
 		cmocka_unit_test(rows_and_objects),
 		cmocka_unit_test(lost_responses),
 	};
