--- a/packages/io/src/httpsrv_int.h
+++ b/packages/io/src/httpsrv_int.h
@@ -7,6 +7,7 @@
 #include "httpguard.h"
 #include "httpsrv.h"
 #include "pipeline.h"
+#include "tcplisten.h"
 #include "tcpsock.h"
 
 enum httpconn_phase {
--- a/packages/io/src/tcpsock.h
+++ b/packages/io/src/tcpsock.h
@@ -105,12 +105,4 @@
 /* Errno of the first send that failed, or 0. */
 int tcpsock_send_error(const struct tcpsock *s);
 
-/* Listening socket; passes each accepted fd to fn, which then owns it. */
-struct tcplisten;
-typedef void (*tcplisten_accept_fn)(void *arg, int fd);
-struct tcplisten *tcplisten_create(struct evloop *l, const char *address,
-				   tcplisten_accept_fn fn, void *arg,
-				   struct err *err);
-void tcplisten_destroy(struct tcplisten *s);
-
 #endif
--- a/packages/io/tests/peer_fixture.h
+++ b/packages/io/tests/peer_fixture.h
@@ -19,6 +19,7 @@
 #include "headcodec.h"
 #include "httppool.h"
 #include "httpsrv.h"
+#include "tcplisten.h"
 #include "tcpsock.h"
 
 #define SERVER_ADDRESS "127.0.0.1:20141"
--- a/packages/io/tests/test_http.c
+++ b/packages/io/tests/test_http.c
@@ -13,6 +13,7 @@
 
 #include "httppool.h"
 #include "httpsrv.h"
+#include "tcplisten.h"
 #include "tcpsock.h"
 
 #define SERVER_ADDRESS "127.0.0.1:20111"
