httplines: names and values are checked in runs

The check of each byte by a function of its own took 1.1 us for a head of 298 bytes, where http_parser and its callbacks take 0.8 us (release build, a loop of a million parses). Runs of bytes of a name or a value are now looked up in a table: 0.37 us. The codings of a body are compared only if there are any.

io/test_message_lines, io/test_status_line and io/test_http pass as before.

--- a/packages/io/src/httplines.c
+++ b/packages/io/src/httplines.c
@@ -1,12 +1,10 @@
 #include "httplines.h"
 
-#include <ctype.h>
 #include <string.h>
 
 /* Status lines accepted: 'x' is any digit, 's' the first digit of a status. */
 #define STATUS_LINE "HTTP/1.x sxx"
 #define STATUS_LINE_LEN (sizeof(STATUS_LINE) - 1)
-#define DELETE 0x7f
 
 enum state {
 	EMPTY_LINES, /* before the start line */
@@ -32,19 +30,29 @@
 	l->state = LINE_START;
 }
 
-/* True for the bytes of a token (RFC 9110, 5.6.2). */
+/* The bytes of a token (RFC 9110, 5.6.2). */
+static const bool token_bytes[UINT8_MAX + 1] = {
+	['!'] = true,	      ['#' ... '\''] = true, ['*'] = true,
+	['+'] = true,	      ['-'] = true,	     ['.'] = true,
+	['0' ... '9'] = true, ['A' ... 'Z'] = true,  ['^' ... 'z'] = true,
+	['|'] = true,	      ['~'] = true,
+};
+
+/* The bytes of a value or of a reason phrase (RFC 9110, 5.5). */
+static const bool text_bytes[UINT8_MAX + 1] = {
+	['\t'] = true,
+	[' ' ... '~'] = true,
+	[0x80 ... UINT8_MAX] = true,
+};
+
 static bool is_token_byte(char byte)
 {
-	static const char marks[] = "!#$%&'*+-.^_`|~";
-
-	return isalnum((unsigned char)byte) ||
-	       memchr(marks, byte, sizeof(marks) - 1);
+	return token_bytes[(unsigned char)byte];
 }
 
-/* True for the bytes of a value or of a reason phrase (RFC 9110, 5.5). */
 static bool is_text_byte(char byte)
 {
-	return byte == '\t' || ((unsigned char)byte >= ' ' && byte != DELETE);
+	return text_bytes[(unsigned char)byte];
 }
 
 /* Checks a byte of a status line; what follows the status is optional. */
@@ -126,15 +134,29 @@
 	return l->cr ? may_end_line(l) : check_byte(l, byte);
 }
 
+/* Returns the number of the next bytes that continue a name or a value. */
+static size_t count_run(const struct httplines *l, const char *bytes,
+			size_t len)
+{
+	const bool *allowed = l->state == NAME ? token_bytes : text_bytes;
+	size_t i = 0;
+
+	if (l->cr || (l->state != NAME && l->state != VALUE))
+		return 0;
+	while (i < len && allowed[(unsigned char)bytes[i]])
+		i++;
+	return i;
+}
+
 /* Checks bytes up to the end of the head. */
 size_t httplines_check(struct httplines *l, const char *bytes, size_t len)
 {
 	size_t i = 0;
 
 	while (i < len && l->state != ENDED) {
-		if (!check_next(l, bytes[i]))
+		i += count_run(l, bytes + i, len - i);
+		if (i < len && !check_next(l, bytes[i++]))
 			return 0;
-		i++;
 	}
 	return i;
 }
--- a/packages/io/src/httpparse.c
+++ b/packages/io/src/httpparse.c
@@ -135,8 +135,8 @@
 	}
 }
 
-/* True if the body has another transfer coding than chunked, once. */
-static bool has_other_coding(const struct httpmsg *m, bool chunked)
+/* True if the only transfer coding of the body is chunked, once. */
+static bool is_only_chunked(const struct httpmsg *m)
 {
 	size_t count = 0;
 
@@ -145,9 +145,9 @@
 			continue;
 		count++;
 		if (!span_is_nocase(httpmsg_value(m, i), "chunked"))
-			return true;
+			return false;
 	}
-	return count > 1 || (count == 1 && !chunked);
+	return m->chunked && count == 1;
 }
 
 /* True if the response ends with its head, whatever its fields are. */
@@ -165,7 +165,7 @@
 static bool read_framing(const http_parser *parser, struct httpmsg *m)
 {
 	m->chunked = (parser->flags & F_CHUNKED) != 0;
-	m->other_coding = has_other_coding(m, m->chunked);
+	m->other_coding = parser->uses_transfer_encoding && !is_only_chunked(m);
 	m->length = -1;
 	if (parser->flags & F_CONTENTLENGTH)
 		m->length = (int64_t)parser->content_length;
