--- a/packages/io/src/httpchunks.c
+++ b/packages/io/src/httpchunks.c
@@ -43,8 +43,7 @@
 static bool check_size_line(struct httpchunks *c, char byte)
 {
 	if (c->state == EXTENSION)
-		return byte == '\t' ||
-		       (isascii(byte) ? isprint(byte) != 0 : true);
+		return byte == '\t' || !isascii(byte) || isprint(byte);
 	if (c->state != PADDING && isxdigit((unsigned char)byte))
 		return add_digit(c, byte);
 	if (c->state == SIZE_START)
--- a/packages/net/src/lwsloop.c
+++ b/packages/net/src/lwsloop.c
@@ -18,9 +18,6 @@
 #define POLL_RESOLUTION_US (1 * US_PER_MS)
 #define POLL_MARGIN_US 300
 
-/* Limit on the headers of a request or a response, in bytes. */
-#define HEADER_BYTES_MAX 8192
-
 struct lwsloop {
 	const struct clk *clk;
 	struct tmr *timers;
@@ -96,7 +93,6 @@
 	memset(&info, 0, sizeof(info));
 	info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
 	info.fd_limit_per_thread = max_fds;
-	info.max_http_header_data = HEADER_BYTES_MAX;
 	info.user = l;
 	info.gid = (gid_t)-1;
 	info.uid = (uid_t)-1;
