test_ctr: the text of all counters has to fit where it is served

counters_are_written_with_help_and_type failed since the counters of ends of responses were added: the whole text has over 16,384 bytes, the size of the test's own buffer, which is no limit of the product. Both servers of metrics have 32,768 bytes for it. The test now checks that limit, and that the length returned is that of the text.

--- a/packages/base/tests/test_ctr.c
+++ b/packages/base/tests/test_ctr.c
@@ -28,15 +28,21 @@
 	return (uint32_t)(*s >> 33);
 }
 
+/* Buffers of the servers of metrics, in packages daemon and router. */
+#define SERVED_BYTES 32768
+
 TEST_CASE(counters_are_written_with_help_and_type)
 {
-	char text[16384];
+	char text[SERVED_BYTES];
+	size_t len;
 
 	ctr_reset();
 	ctr_add(CTR_REQUESTS, 2);
 	ctr_add(CTR_REQUESTS, 3);
 	assert_int_equal(ctr_get(CTR_REQUESTS), 5);
-	assert_true(ctr_write(text, sizeof(text)) < sizeof(text));
+	len = ctr_write(text, sizeof(text));
+	assert_true(len < sizeof(text));
+	assert_int_equal(strlen(text), len);
 	assert_non_null(strstr(text, "# TYPE geraniumspoke_requests_total "
 				     "counter\ngeraniumspoke_requests_total "
 				     "5\n"));
