--- a/packages/io/src/httplines.h
+++ b/packages/io/src/httplines.h
@@ -2,9 +2,9 @@
 #define HTTPLINES_H
 
 /*
- * Checks each line of the head or the trailer section of a message by RFC 9110 and RFC 9112, as
- * http_parser lets some through that are none. docs/platform.md lists the
- * deviations that are accepted.
+ * Checks each line of the head or the trailer section of a message by RFC 9110
+ * and RFC 9112, as http_parser lets some through that are none.
+ * docs/platform.md lists the deviations that are accepted.
  */
 
 #include <stdbool.h>
