--- a/packages/router/src/planview.c
+++ b/packages/router/src/planview.c
@@ -116,6 +116,9 @@
 	}
 	m->unconfirmed = tbl_era(written) < tbl_era(m->row_version) &&
 			 (!m->map || m->unconfirmed);
+	if (tbl_era(version) < tbl_era(m->row_version))
+		log_emit(LOG_EARLIER_MAP_TAKEN, "service=%s version=%llu",
+			 m->service, (unsigned long long)written);
 	keymap_destroy(m->map);
 	m->map = map;
 	m->version = written;
--- a/packages/router/src/routerd_push.c
+++ b/packages/router/src/routerd_push.c
@@ -90,11 +90,19 @@
 	if (!rows)
 		return;
 	list = json_array();
-	for (size_t i = 0; i < count; i++)
+	for (size_t i = 0; i < count; i++) {
+		log_emit(LOG_EARLIER_MAP_SENT,
+			 "key=%s version=%llu era=%llu leader=%s "
+			 "leader_version=%llu",
+			 rows[i].key, (unsigned long long)rows[i].version,
+			 (unsigned long long)era,
+			 planview_leader(r->view)->node,
+			 (unsigned long long)leader);
 		json_array_append_new(list,
 				      json_pack("[s,I,s]", rows[i].key,
 						(json_int_t)rows[i].version,
 						rows[i].value));
+	}
 	add_packed(list, &text);
 	routerd_send_to_leader(r, TRAFFIC_PLAN, ROUTERD_PLAN_TARGET,
 			       buf_data(&text), buf_len(&text),
