A restarted leader claims the lead anew

Cause: the leader's row named only the instance. The new process led on under the row of the earlier one, and with its version; daemons send their maps of an earlier era once for each such version, so the new process knew only the map of the copy and wrote that one.

Now the row names the process. Only the named process leads; a daemon that is named with an earlier process claims the lead at once.

--- a/packages/router/src/planner.c
+++ b/packages/router/src/planner.c
@@ -82,12 +82,25 @@
 }
 
 /* True if the leader's row names this instance. */
-bool planner_is_leader(const struct planner *l)
+static bool is_named(const struct planner *l)
 {
 	return strcmp(planview_leader(l->parts.view)->node,
 		      l->parts.settings->instance) == 0;
 }
 
+/* True if the leader's row names this process. */
+bool planner_is_leader(const struct planner *l)
+{
+	return is_named(l) &&
+	       planview_leader(l->parts.view)->process == l->parts.process;
+}
+
+/* True if the leader's row names this instance with another process. */
+bool planner_was_leader(const struct planner *l)
+{
+	return is_named(l) && !planner_is_leader(l);
+}
+
 /*
  * Adds a change to the write and takes ownership of the text. A change beyond
  * CHANGES_MAX is discarded; the next plan contains it again.
@@ -425,8 +438,9 @@
 		return;
 	log_emit(LOG_LEAD_CLAIMED, "reason=\"%s\" before=%s", reason,
 		 planview_leader(l->parts.view)->node);
-	row = json_pack("{s:s,s:s}", "node", s->instance, "peer",
-			s->peer_address);
+	row = json_pack("{s:s,s:s,s:I}", "node", s->instance, "peer",
+			s->peer_address, "process",
+			(json_int_t)l->parts.process);
 	add_change(l, PLANVIEW_TABLE, PLANVIEW_LEADER,
 		   planview_leader(l->parts.view)->version,
 		   json_dumps(row, JSON_COMPACT));
--- a/packages/router/src/planner.h
+++ b/packages/router/src/planner.h
@@ -22,6 +22,7 @@
 	struct tbl tbl;
 	struct planview *view;
 	const struct rsettings *settings;
+	uint64_t process; /* random number of this process */
 	/* In effect; the owner updates it in place. */
 	const struct rconfig *config;
 	planview_rows_fn on_rows; /* called with the rows that were written */
@@ -34,9 +35,15 @@
 /* Tries to replace the known leader by this daemon. */
 void planner_claim_leadership(struct planner *l, const char *reason);
 
-/* True while this daemon is the leader, by the plan that it knows. */
+/* True while this process is the leader, by the plan that it knows. */
 bool planner_is_leader(const struct planner *l);
 
+/*
+ * True if the plan names an earlier process of this daemon as the leader. This
+ * process knows nothing of what has been sent to that one.
+ */
+bool planner_was_leader(const struct planner *l);
+
 /*
  * True if this daemon is the leader, but has lost contact to the table service
  * for too long: a daemon that reaches the service should replace it.
--- a/packages/router/src/planview.c
+++ b/packages/router/src/planview.c
@@ -131,9 +131,11 @@
 {
 	json_t *root = json_loadb(value, len, 0, NULL);
 	const char *node, *peer;
+	json_int_t process = 0; /* missing in rows of earlier versions */
 
 	if (version > v->leader.version &&
-	    json_unpack(root, "{s:s,s:s}", "node", &node, "peer", &peer) == 0 &&
+	    json_unpack(root, "{s:s,s:s,s?I}", "node", &node, "peer", &peer,
+			"process", &process) == 0 &&
 	    strlen(node) < NAME_SIZE && strlen(peer) < RSETTINGS_ADDRESS_MAX) {
 		log_emit(LOG_LEADER_CHANGED, "from=%s to=%s version=%llu",
 			 v->leader.node[0] ? v->leader.node : "-", node,
@@ -141,6 +143,7 @@
 		txt_copy(v->leader.node, sizeof(v->leader.node), node);
 		txt_copy(v->leader.peer_address, sizeof(v->leader.peer_address),
 			 peer);
+		v->leader.process = (uint64_t)process;
 		v->leader.version = version;
 		v->changed = true;
 	}
--- a/packages/router/src/planview.h
+++ b/packages/router/src/planview.h
@@ -28,6 +28,7 @@
 struct planview_leader {
 	char node[NAME_SIZE];
 	char peer_address[RSETTINGS_ADDRESS_MAX];
+	uint64_t process; /* number of its process, 0 if its row names none */
 	uint64_t version; /* of its row; 0 if there was no leader yet */
 };
 
--- a/packages/router/src/routerd.c
+++ b/packages/router/src/routerd.c
@@ -286,9 +286,13 @@
 	r->forwards = fwd_create(&fwd);
 	r->forwarded = peersrv_create(r->loop, &r->platform, r->runner,
 				      nodelease_clock(r->lease));
-	struct planner_parts planner = { r->loop,    tbl,
-					 r->view,    &r->settings,
-					 &r->config, routerd_publish_rows,
+	struct planner_parts planner = { r->loop,
+					 tbl,
+					 r->view,
+					 &r->settings,
+					 row.process,
+					 &r->config,
+					 routerd_publish_rows,
 					 r };
 	r->leader = planner_create(&planner);
 	r->renewals = leasecoll_create(r->loop, tbl);
--- a/packages/router/src/routerd_leader.c
+++ b/packages/router/src/routerd_leader.c
@@ -209,22 +209,32 @@
 		peerhdr_write_lease(fields, &renewal);
 }
 
+/* Returns why there is no active leader, NULL if there is one. */
+static const char *find_vacancy(const struct routerd *r, uint64_t now_us)
+{
+	if (planner_is_leader(r->leader))
+		return NULL;
+	if (planner_was_leader(r->leader))
+		return "the leader was an earlier process of this daemon";
+	if (!elect_is_vacant(&r->election, now_us))
+		return NULL;
+	return r->election.version ? "leader timed out" : "no leader known";
+}
+
 /* Claims leadership if the conditions still hold after the delay. */
 static void claim(void *arg, uint64_t now_us)
 {
 	struct routerd *r = arg;
+	const char *reason;
 
 	r->claim_timer = 0;
 	/* Updates the known leader, whose timeout begins when it is new. */
 	get_leader_pool(r);
+	reason = find_vacancy(r, now_us);
 	if (r->stop_began_us || !nodelease_end_us(r->lease) ||
-	    !nodelease_table_reachable(r->lease) ||
-	    planner_is_leader(r->leader) ||
-	    !elect_is_vacant(&r->election, now_us))
+	    !nodelease_table_reachable(r->lease) || !reason)
 		return;
-	planner_claim_leadership(r->leader, r->election.version ?
-						    "leader timed out" :
-						    "no leader known");
+	planner_claim_leadership(r->leader, reason);
 }
 
 /* Sends a report, and schedules a claim if there is no active leader. */
@@ -233,6 +243,7 @@
 	struct routerd *r = arg;
 	struct noderpt report;
 	uint64_t wait;
+	bool own;
 
 	if (!planview_is_ready(r->view))
 		return;
@@ -243,15 +254,17 @@
 		planner_add_report(r->leader, &report);
 		return;
 	}
-	if (planview_leader(r->view)->version > 0) {
+	own = planner_was_leader(r->leader);
+	if (planview_leader(r->view)->version > 0 && !own) {
 		send_report(r, &report);
 		routerd_send_earlier_maps(r, nodelease_era(r->lease));
 	}
-	if (r->claim_timer || !elect_is_vacant(&r->election, now_us))
+	if (r->claim_timer || !find_vacancy(r, now_us))
 		return;
-	wait = elect_claim_delay_us(evloop_clock(r->loop),
-				    membs_count(planview_members(r->view)),
-				    REPORT_US);
+	wait = own ? 0 :
+		     elect_claim_delay_us(
+			     evloop_clock(r->loop),
+			     membs_count(planview_members(r->view)), REPORT_US);
 	if (wait != UINT64_MAX)
 		r->claim_timer =
 			tmr_at(evloop_timers(r->loop), now_us + wait, claim, r);
--- a/packages/router/tests/test_planner.c
+++ b/packages/router/tests/test_planner.c
@@ -18,6 +18,8 @@
 #include "planner_int.h"
 #include "noderow.h"
 
+#define PROCESS 1
+
 struct fixture {
 	struct evloop *loop;
 	struct fake db;
@@ -83,6 +85,17 @@
 		evloop_run_once(f->loop, 10 * US_PER_MS);
 }
 
+/* Creates the planner of a process of node a. */
+static struct planner *create_planner(struct fixture *f, struct planview *view,
+				      uint64_t process)
+{
+	struct planner_parts parts = { f->loop,	     f->db.tbl, view,
+				       &f->settings, process,	&f->config,
+				       on_rows,	     f };
+
+	return planner_create(&parts);
+}
+
 /* Starts a leader for a service with two upstreams. */
 static int setup(void **state)
 {
@@ -100,11 +113,7 @@
 				      .services = &f->service,
 				      .service_count = 1 };
 	f->view = planview_create(f->loop, f->db.tbl, on_plan, f);
-	struct planner_parts parts = { f->loop,	   f->db.tbl,
-				       f->view,	   &f->settings,
-				       &f->config, on_rows,
-				       f };
-	f->leader = planner_create(&parts);
+	f->leader = create_planner(f, f->view, PROCESS);
 	put_node(f, "a", 60000);
 	put_node(f, "b", 60000);
 	run(f, 50);
@@ -358,6 +367,34 @@
 	free(copy);
 }
 
+/*
+ * Guards against a restarted leader that leads on under the row of its earlier
+ * process: the other daemons send their maps of an earlier era only once for
+ * each version of that row, so that keys were planned without them.
+ */
+static void restarted_leader_writes_its_row_again(void **state)
+{
+	struct fixture *f = *state;
+	struct planview *view = planview_create(f->loop, f->db.tbl, on_plan, f);
+	struct planner *next = create_planner(f, view, PROCESS + 1);
+	uint64_t before = planview_leader(f->view)->version;
+
+	planner_destroy(f->leader);
+	run(f, 1000);
+	assert_false(planner_is_leader(next));
+	assert_true(planner_was_leader(next));
+	planner_claim_leadership(next, "test");
+	run(f, 1500);
+	planview_request_read(view);
+	run(f, 100);
+	assert_true(planner_is_leader(next));
+	assert_false(planner_was_leader(next));
+	assert_true(planview_leader(view)->version > before);
+	planview_destroy(f->view);
+	f->leader = next;
+	f->view = view;
+}
+
 #define SERVICES 150
 
 /*
@@ -453,6 +490,7 @@
 		CASE(test_leases_in_an_older_copy_do_not_end),
 		CASE(test_lost_map_is_written_again),
 		CASE(test_map_of_an_older_copy_is_unconfirmed),
+		CASE(restarted_leader_writes_its_row_again),
 		CASE(service_after_many_others_is_planned),
 		CASE(maps_of_many_services_are_kept),
 		cmocka_unit_test(rows_of_many_daemons_are_read),
