Log what is known of an upstream after a restart

The log did not show whether the old row or a late announcement had reopened it.

2112 UPSTREAM_FOUND now says what the row held, and the new event 2166 that the upstream has announced itself to the new process.

--- a/packages/router/src/upstr.c
+++ b/packages/router/src/upstr.c
@@ -259,9 +259,10 @@
 	a->overdue_since_us = 0;
 	if (row->left)
 		restore_leave(a);
-	log_emit(LOG_UPSTREAM_FOUND, "id=%s born=%lld service=%s",
+	log_emit(LOG_UPSTREAM_FOUND,
+		 "id=%s born=%lld service=%s takes_work=%d left=%d",
 		 a->incarnation.id, (long long)a->incarnation.start_unix_ms,
-		 a->service);
+		 a->service, row->takes_work, row->left);
 	apply_remembered_leave(a, a->last_announce_us);
 	a->ops->on_upstream(a->arg);
 }
@@ -342,6 +343,10 @@
 			apply_remembered_leave(a, now_us);
 			draining = a->left || n->state == PLAT_DRAINING;
 			changed = true;
+		} else if (!a->announced) {
+			log_emit(LOG_UPSTREAM_CONFIRMED, "id=%s born=%lld",
+				 a->incarnation.id,
+				 (long long)a->incarnation.start_unix_ms);
 		}
 		if (!a->id)
 			set_id(a, n->id_text.text, n->id_text.len);
