An upstream known from the row has to announce itself

Cause: the new process took the row of the one before for the present state and opened the upstream in it. The row is older than the acknowledgement if the store is down, if the process is killed between both, or after a loss of writes.

Now requests without a key are refused, as not run, until the upstream has announced itself to this process. An upstream that has left does not. For requests with a key nothing changes: they need a grant, which is the answer to an announcement.

--- a/packages/router/src/request_runner.c
+++ b/packages/router/src/request_runner.c
@@ -114,11 +114,11 @@
  */
 static void recheck_queue(struct reqrun *x, uint64_t now_us)
 {
-	bool open = reqrun_is_open(x, now_us);
 	const struct rqueue_item *i = rqueue_first(x->queue);
 
 	while (i) {
 		struct reqrun_job *j = (struct reqrun_job *)i;
+		bool open = reqrun_may_send(j, now_us);
 
 		i = i->next;
 		if (open && reqrun_key_state(j, now_us) == UPSTR_KEY_GRANTED)
--- a/packages/router/src/request_runner.h
+++ b/packages/router/src/request_runner.h
@@ -22,7 +22,8 @@
 /* Why a request was rejected; it has not run and will not run. */
 enum reqrun_rejection {
 	REQRUN_BUSY, /* it would not finish in time */
-	REQRUN_NO_UPSTREAM, /* the upstream is absent, draining or another one */
+	/* the upstream is absent, draining, another one or not announced */
+	REQRUN_NO_UPSTREAM,
 	REQRUN_NOT_OWNER, /* the upstream does not hold the key */
 	REQRUN_SHED, /* the upstream rejected it */
 	REQRUN_ABANDONED /* its caller has left; not sent to other daemons */
--- a/packages/router/src/request_runner_admit.c
+++ b/packages/router/src/request_runner_admit.c
@@ -101,7 +101,7 @@
 	const struct reqrun *x = j->owner;
 	enum upstr_key_state key = reqrun_key_state(j, j->arrival_us);
 
-	if (!reqrun_is_open(x, j->arrival_us) ||
+	if (!reqrun_may_send(j, j->arrival_us) ||
 	    strcmp(j->request.upstream_id,
 		   upstr_incarnation(x->upstream)->id) != 0)
 		return (struct decision){ .why = REQRUN_NO_UPSTREAM,
--- a/packages/router/src/request_runner_bar.c
+++ b/packages/router/src/request_runner_bar.c
@@ -11,6 +11,17 @@
 	return !x->barred && upstr_is_open(x->upstream, now_us);
 }
 
+/*
+ * True while the request of a job may be sent, as far as it depends on the
+ * upstream. A key is granted only to an upstream that has announced itself.
+ */
+bool reqrun_may_send(const struct reqrun_job *j, uint64_t now_us)
+{
+	return reqrun_is_open(j->owner, now_us) &&
+	       (j->request.request.key != PLAT_NO_KEY ||
+		upstr_has_announced(j->owner->upstream));
+}
+
 /* Returns a job in flight of which no byte has been sent, or NULL. */
 static struct reqrun_job *find_unsent(const struct reqrun *x)
 {
--- a/packages/router/src/request_runner_int.h
+++ b/packages/router/src/request_runner_int.h
@@ -194,6 +194,7 @@
 
 void reqrun_dispatch(struct reqrun *x);
 bool reqrun_is_open(const struct reqrun *x, uint64_t now_us);
+bool reqrun_may_send(const struct reqrun_job *j, uint64_t now_us);
 void reqrun_reject(struct reqrun_job *j, enum reqrun_rejection why,
 		   uint64_t wait_us);
 void reqrun_clear_expected(struct reqrun_job *j);
--- a/packages/router/src/upstr.c
+++ b/packages/router/src/upstr.c
@@ -495,6 +495,12 @@
 	return a->left;
 }
 
+/* True once the upstream has announced itself to this process. */
+bool upstr_has_announced(const struct upstr *a)
+{
+	return a->announced;
+}
+
 /* True while requests may be sent to the upstream. */
 bool upstr_is_open(const struct upstr *a, uint64_t now_us)
 {
--- a/packages/router/src/upstr.h
+++ b/packages/router/src/upstr.h
@@ -85,9 +85,19 @@
 /* True if it has said that it is going to end, in any way. */
 bool upstr_has_left(const struct upstr *a);
 
-/* True while requests may be sent to it, which includes its drain time. */
+/*
+ * True while requests may be sent to it, which includes its drain time. Those
+ * without a key may be sent only if upstr_has_announced(), too; those with one
+ * need a grant of this process.
+ */
 bool upstr_is_open(const struct upstr *a, uint64_t now_us);
 
+/*
+ * True once the upstream has announced itself to this process. One restored
+ * from the row of an earlier process may have left since that was written.
+ */
+bool upstr_has_announced(const struct upstr *a);
+
 /* Rest of its slow start in milliseconds, as it announced. */
 uint32_t upstr_slow_left_ms(const struct upstr *a, uint64_t now_us);
 
--- a/packages/router/tests/test_upstr.c
+++ b/packages/router/tests/test_upstr.c
@@ -465,6 +465,27 @@
 	assert_false(is_open());
 }
 
+/*
+ * Guards against requests to an upstream whose shutdown an earlier process has
+ * acknowledged, but could not write to the row.
+ */
+static void upstream_of_an_earlier_process_has_to_announce_itself(void **state)
+{
+	(void)state;
+	put_row("u-1", 1000, true);
+	start_parts(fx);
+	run(50);
+	assert_string_equal(upstr_incarnation(fx->upstream)->id, "u-1");
+	start_request();
+	run(30);
+	assert_int_equal(fx->arrived, 0);
+	assert_int_equal(fx->refused, 1);
+	announce("u-1", PLAT_READY, false, 1000);
+	start_request();
+	run(30);
+	assert_int_equal(fx->arrived, 1);
+}
+
 /*
  * Guards against a shutdown that is ignored as stale: it has no start time, and
  * was taken for that of an earlier incarnation.
@@ -770,6 +791,7 @@
 	const struct CMUnitTest tests[] = {
 		TEST(leave_before_the_row_is_read_counts),
 		TEST(drain_of_an_earlier_process_is_over),
+		TEST(upstream_of_an_earlier_process_has_to_announce_itself),
 		TEST(leave_without_a_start_time_counts),
 		TEST(upstream_with_a_long_id_gets_requests_that_name_it),
 		TEST(queue_ends_with_the_drain),
