--- a/packages/router/src/routerd_leader.c
+++ b/packages/router/src/routerd_leader.c
@@ -243,7 +243,7 @@
 	struct routerd *r = arg;
 	struct noderpt report;
 	uint64_t wait;
-	bool own;
+	bool was_leader;
 
 	if (!planview_is_ready(r->view))
 		return;
@@ -254,17 +254,18 @@
 		planner_add_report(r->leader, &report);
 		return;
 	}
-	own = planner_was_leader(r->leader);
-	if (planview_leader(r->view)->version > 0 && !own) {
+	was_leader = planner_was_leader(r->leader);
+	if (planview_leader(r->view)->version > 0 && !was_leader) {
 		send_report(r, &report);
 		routerd_send_earlier_maps(r, nodelease_era(r->lease));
 	}
 	if (r->claim_timer || !find_vacancy(r, now_us))
 		return;
-	wait = own ? 0 :
-		     elect_claim_delay_us(
-			     evloop_clock(r->loop),
-			     membs_count(planview_members(r->view)), REPORT_US);
+	wait = 0;
+	if (!was_leader)
+		wait = elect_claim_delay_us(
+			evloop_clock(r->loop),
+			membs_count(planview_members(r->view)), REPORT_US);
 	if (wait != UINT64_MAX)
 		r->claim_timer =
 			tmr_at(evloop_timers(r->loop), now_us + wait, claim, r);
