--- a/packages/router/src/routerd.c
+++ b/packages/router/src/routerd.c
@@ -242,6 +242,24 @@
 		routerd_begin_stop(arg);
 }
 
+/* Creates the planner of this process; NULL if out of memory. */
+static struct planner *create_planner(struct routerd *r, struct tbl tbl,
+				      uint64_t process)
+{
+	struct planner_parts parts = {
+		.loop = r->loop,
+		.tbl = tbl,
+		.view = r->view,
+		.settings = &r->settings,
+		.process = process,
+		.config = &r->config,
+		.on_rows = routerd_publish_rows,
+		.arg = r,
+	};
+
+	return planner_create(&parts);
+}
+
 /* Creates the modules; each one uses only those created before it. */
 static bool create_modules(struct routerd *r, struct err *err)
 {
@@ -286,15 +304,7 @@
 	r->forwards = fwd_create(&fwd);
 	r->forwarded = peersrv_create(r->loop, &r->platform, r->runner,
 				      nodelease_clock(r->lease));
-	struct planner_parts planner = { r->loop,
-					 tbl,
-					 r->view,
-					 &r->settings,
-					 row.process,
-					 &r->config,
-					 routerd_publish_rows,
-					 r };
-	r->leader = planner_create(&planner);
+	r->leader = create_planner(r, tbl, row.process);
 	r->renewals = leasecoll_create(r->loop, tbl);
 	r->config_watch =
 		tblwatch_create(r->loop, tbl, r->platform.ops->config_table,
