--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -8,7 +8,7 @@
 	[ -d "$d" ] && printf ' -I%s' "$d"; done)
 libs=$(for l in platform router flow keys net io config wire base; do
 	printf ' target/lib%s.a' "$l"; done)
-for case in review/1[1-5]/case.c; do
+for case in review/1[1-5]/scene.c; do
 	[ -f "$case" ] || continue
 	number=$(basename "$(dirname "$case")")
 	# shellcheck disable=SC2086
