planner: keys of a lost map stay with the upstreams that hold them

Cause: a service without a known map was taken for a new one, 1.2 s after its last upstream had joined. The absence of a map shows that nobody holds a key only in a table that has never lost a row.

Change: daemons that know no map with all keys of their service report what their upstream holds. The leader makes the holder the owner at once; other keys wait for the end of all leases of earlier eras, unless all known upstreams have said that they hold nothing. A real first start is planned as before. While an upstream holds keys that nobody owns, its grants are not renewed, as an answer without them would make it release them.

Excluded: a map of a living daemon that comes too late (no 2159 or 2165 in the log), holds that outlast their grants (they ended 3.5 s after the kill).

Tests: platform/test_lost_plan (real daemons), two of four cases of which failed on ("u2-1 and u1-0 both hold keys 21844 to 43687"); router/test_planner_holds without a network, router/test_upstr.

keys/test_keymap, test_later_era_raises_fences: expected a fence for a range that never had an owner. Such a range now stays without one, which marks it as unassigned; the test assigns the range first and checks the same fences.

--- a/packages/keys/src/keymap.c
+++ b/packages/keys/src/keymap.c
@@ -83,6 +83,30 @@
 	return &map->ranges[find_index(map, key)];
 }
 
+/* The first owner gives a range its first fence, which it never loses. */
+bool keymap_is_unassigned(const struct keymap_range *range)
+{
+	return range->fence == 0;
+}
+
+bool keymap_has_unassigned(const struct keymap *map)
+{
+	for (size_t i = 0; i < map->count; i++) {
+		if (keymap_is_unassigned(&map->ranges[i]))
+			return true;
+	}
+	return false;
+}
+
+bool keymap_has_owner(const struct keymap *map)
+{
+	for (size_t i = 0; i < map->count; i++) {
+		if (map->ranges[i].owner != KEYMAP_NO_INCARNATION)
+			return true;
+	}
+	return false;
+}
+
 /* Returns the incarnation at an index, NULL if there is none. */
 const struct incarnation *keymap_incarnation(const struct keymap *map,
 					     uint16_t index)
@@ -268,6 +292,7 @@
 		      const struct keymap_range *right, bool ignore_fence)
 {
 	return left->owner == right->owner &&
+	       keymap_is_unassigned(left) == keymap_is_unassigned(right) &&
 	       left->former == KEYMAP_NO_INCARNATION &&
 	       right->former == KEYMAP_NO_INCARNATION &&
 	       strcmp(left->handover, right->handover) == 0 &&
@@ -319,8 +344,10 @@
 		return;
 	if (map->next_fence < era << ERA_FENCES_BITS)
 		map->next_fence = era << ERA_FENCES_BITS;
-	for (size_t i = 0; renew && i < map->count; i++)
-		map->ranges[i].fence = map->next_fence++;
+	for (size_t i = 0; renew && i < map->count; i++) {
+		if (!keymap_is_unassigned(&map->ranges[i]))
+			map->ranges[i].fence = map->next_fence++;
+	}
 }
 
 /* Returns the fence of the next move; all fences in use are lower. */
--- a/packages/keys/src/keymap.h
+++ b/packages/keys/src/keymap.h
@@ -69,6 +69,15 @@
 /* Returns the range that contains a key from 0 to KEYMAP_KEYS-1. */
 const struct keymap_range *keymap_find(const struct keymap *map, uint32_t key);
 
+/* True if the range has never had an owner in this map or an earlier one. */
+bool keymap_is_unassigned(const struct keymap_range *range);
+
+/* True if the map has such a range. */
+bool keymap_has_unassigned(const struct keymap *map);
+
+/* True if any range has an owner. */
+bool keymap_has_owner(const struct keymap *map);
+
 /* Returns the incarnation at an index, NULL for KEYMAP_NO_INCARNATION. */
 const struct incarnation *keymap_incarnation(const struct keymap *map,
 					     uint16_t index);
@@ -106,7 +115,7 @@
 /*
  * Sets the era. If the map is of an earlier one, this raises the next fence
  * above all that can have been given out in earlier eras, as the table may have
- * lost some; renew gives all ranges such a fence.
+ * lost some; renew gives all assigned ranges such a fence.
  */
 void keymap_set_era(struct keymap *map, uint64_t era, bool renew);
 
--- a/packages/keys/src/keyplan.c
+++ b/packages/keys/src/keyplan.c
@@ -46,6 +46,7 @@
 	struct keyplan_target *targets;
 	size_t target_count;
 	const struct keywork *work;
+	bool incomplete; /* unassigned ranges may be held */
 	/* Targets by the index of their incarnation in the map, or NULL. */
 	struct keyplan_target *owners[KEYMAP_INCARNATIONS_MAX];
 };
@@ -199,6 +200,14 @@
 	return assigned;
 }
 
+/* True if a range needs an owner and may get one. */
+static bool is_available(const struct plan *plan,
+			 const struct keymap_range *range)
+{
+	return !owner_of(plan, range) &&
+	       !(plan->incomplete && keymap_is_unassigned(range));
+}
+
 /* Assigns all ranges whose owner is not a target; returns their keys. */
 static uint32_t assign_unowned(struct plan *plan, double mean_use)
 {
@@ -208,7 +217,7 @@
 	while (key < KEYMAP_KEYS) {
 		struct keymap_range range = *keymap_find(plan->map, key);
 
-		if (!owner_of(plan, &range))
+		if (is_available(plan, &range))
 			assigned += distribute_keys(plan, range.first,
 						    range.last, mean_use);
 		key = range.last + 1;
@@ -326,33 +335,56 @@
 }
 
 /* Assigns unowned ranges first, so that rebalancing sees the final loads. */
-struct keyplan_result keyplan_run(struct keymap *map,
-				  struct keyplan_target *targets,
-				  size_t target_count,
-				  const struct keyplan_load *loads,
-				  size_t load_count, uint64_t settled_fence)
+static struct keyplan_result run(struct plan *plan,
+				 const struct keyplan_load *loads,
+				 size_t load_count, uint64_t settled_fence)
 {
-	struct plan plan = { .map = map,
-			     .targets = targets,
-			     .target_count = target_count };
 	struct keyplan_result result = { 0, 0 };
 	struct keywork *work;
 	double capacity = 0;
 	double total;
 
-	if (target_count == 0)
+	if (plan->target_count == 0)
 		return result;
-	for (size_t i = 0; i < target_count; i++)
-		capacity += targets[i].capacity;
+	for (size_t i = 0; i < plan->target_count; i++)
+		capacity += plan->targets[i].capacity;
 	work = keywork_create(loads, load_count, COLD_LOAD_FRACTION * capacity);
 	if (!work)
 		return result;
-	plan.work = work;
-	find_owners(&plan);
-	total = sum_loads(&plan);
-	result.keys_assigned = assign_unowned(&plan, total / capacity);
-	result.keys_moved = rebalance(&plan, total / capacity);
-	keymap_merge(map, RANGES_PER_TARGET * target_count, settled_fence);
+	plan->work = work;
+	find_owners(plan);
+	total = sum_loads(plan);
+	result.keys_assigned = assign_unowned(plan, total / capacity);
+	if (!plan->incomplete)
+		result.keys_moved = rebalance(plan, total / capacity);
+	keymap_merge(plan->map, RANGES_PER_TARGET * plan->target_count,
+		     settled_fence);
 	keywork_destroy(work);
 	return result;
 }
+
+struct keyplan_result keyplan_run(struct keymap *map,
+				  struct keyplan_target *targets,
+				  size_t target_count,
+				  const struct keyplan_load *loads,
+				  size_t load_count, uint64_t settled_fence)
+{
+	struct plan plan = { .map = map,
+			     .targets = targets,
+			     .target_count = target_count };
+
+	return run(&plan, loads, load_count, settled_fence);
+}
+
+struct keyplan_result
+keyplan_run_incomplete(struct keymap *map, struct keyplan_target *targets,
+		       size_t target_count, const struct keyplan_load *loads,
+		       size_t load_count, uint64_t settled_fence)
+{
+	struct plan plan = { .map = map,
+			     .targets = targets,
+			     .target_count = target_count,
+			     .incomplete = true };
+
+	return run(&plan, loads, load_count, settled_fence);
+}
--- a/packages/keys/src/keyplan.h
+++ b/packages/keys/src/keyplan.h
@@ -53,4 +53,13 @@
 				  const struct keyplan_load *loads,
 				  size_t load_count, uint64_t settled_fence);
 
+/*
+ * Same for a map with unassigned ranges that upstreams may hold by a map that
+ * is not known any more: these stay unassigned, and nothing moves for balance.
+ */
+struct keyplan_result
+keyplan_run_incomplete(struct keymap *map, struct keyplan_target *targets,
+		       size_t target_count, const struct keyplan_load *loads,
+		       size_t load_count, uint64_t settled_fence);
+
 #endif
--- a/packages/router/src/noderpt.c
+++ b/packages/router/src/noderpt.c
@@ -7,6 +7,22 @@
 
 /* Work is sent as an integer, in microseconds per second. */
 #define WORK_UNITS_PER_S 1000000.0
+/* Position of the held keys, which most reports lack. */
+#define HOLDS_INDEX 12
+
+/* Returns the held keys as JSON. */
+static json_t *format_holds(const struct noderpt *r)
+{
+	json_t *list = json_array();
+
+	for (size_t i = 0; i < r->hold_count; i++)
+		json_array_append_new(list,
+				      json_pack("[I,I,I]",
+						(json_int_t)r->holds[i].first,
+						(json_int_t)r->holds[i].last,
+						(json_int_t)r->holds[i].fence));
+	return list;
+}
 
 /* Returns the report as JSON, which the caller frees. */
 char *noderpt_format(const struct noderpt *r)
@@ -30,6 +46,9 @@
 		(json_int_t)r->incarnation.attached, r->service, (int)r->slots,
 		(int)r->running, (int)r->waiting, (json_int_t)r->mean_us,
 		(int)r->slow_left_ms, pieces, (json_int_t)r->config_version);
+	/* Daemons without this list know only reports that lack it. */
+	if (r->states_holds)
+		json_array_append_new(root, format_holds(r));
 	text = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 	return text;
@@ -58,6 +77,42 @@
 	return true;
 }
 
+/* Parses the held keys; false if an entry is invalid or there are too many. */
+static bool parse_holds(const json_t *list, struct noderpt *r)
+{
+	json_t *item;
+	size_t i;
+
+	r->states_holds = true;
+	json_array_foreach(list, i, item) {
+		struct noderpt_hold *h = &r->holds[r->hold_count];
+		json_int_t first, last, fence;
+
+		if (r->hold_count == NODERPT_HOLDS_MAX ||
+		    json_unpack(item, "[I,I,I!]", &first, &last, &fence) < 0 ||
+		    first < 0 || last < first || last >= KEYMAP_KEYS ||
+		    fence < 0)
+			return false;
+		h->first = (uint32_t)first;
+		h->last = (uint32_t)last;
+		h->fence = (uint64_t)fence;
+		r->hold_count++;
+	}
+	return json_is_array(list);
+}
+
+/* Parses the optional last element of a report and removes it. */
+static bool take_holds(json_t *root, struct noderpt *r)
+{
+	bool ok;
+
+	if (json_array_size(root) <= HOLDS_INDEX)
+		return true;
+	ok = parse_holds(json_array_get(root, HOLDS_INDEX), r);
+	json_array_remove(root, HOLDS_INDEX);
+	return ok;
+}
+
 /* Parses a report; r is cleared first. */
 bool noderpt_parse(const char *json, size_t len, struct noderpt *r)
 {
@@ -69,7 +124,7 @@
 	bool ok;
 
 	memset(r, 0, sizeof(*r));
-	ok = root &&
+	ok = root && take_holds(root, r) &&
 	     json_unpack(root, "[s,s,I,I,s,i,i,i,I,i,o,I!]", &node, &id, &born,
 			 &attached, &service, &slots, &running, &waiting, &mean,
 			 &slow_left_ms, &pieces, &config) == 0 &&
--- a/packages/router/src/noderpt.h
+++ b/packages/router/src/noderpt.h
@@ -11,6 +11,13 @@
 #include "routing_config.h"
 
 #define NODERPT_PIECES_MAX 16
+#define NODERPT_HOLDS_MAX 32
+
+/* Keys that an upstream holds, by a map that is not known any more. */
+struct noderpt_hold {
+	uint32_t first, last; /* inclusive */
+	uint64_t fence;
+};
 
 struct noderpt {
 	struct incarnation incarnation; /* id "" if there is none */
@@ -23,6 +30,14 @@
 	/* Not scaled by its speed. */
 	struct keyplan_load pieces[NODERPT_PIECES_MAX];
 	size_t piece_count;
+	/*
+	 * True if the daemon knows no map that assigns all keys of the service,
+	 * and its upstream has announced what it holds. More holds than fit
+	 * follow once these are assigned.
+	 */
+	bool states_holds;
+	struct noderpt_hold holds[NODERPT_HOLDS_MAX];
+	size_t hold_count;
 };
 
 /* Returns the report as JSON, which the caller frees. */
--- a/packages/router/src/planner.c
+++ b/packages/router/src/planner.c
@@ -192,49 +192,87 @@
 	return s;
 }
 
-/* Adds the map of a service to the write if it has changed. */
-static void plan_service(struct planner *l, const struct planner_input *in,
-			 const char *service)
+/*
+ * True if the map of a service may be planned now. A service without a known
+ * one waits until its upstreams have announced themselves, but not once one of
+ * them has reported keys that it holds.
+ */
+static bool is_map_due(struct planner *l, const struct planner_input *in,
+		       struct planner_service *s, const struct keymap *map,
+		       uint64_t version)
+{
+	size_t targets;
+
+	if (version > 0)
+		return !planner_era_must_wait(&l->era, s->name, version,
+					      in->now_us);
+	targets = planner_count_targets(in, s->name);
+	return planner_is_first_plan_due(s, targets, in->now_us) ||
+	       planner_has_reported_holds(in, map, s->name);
+}
+
+/* Adds a map to the write, and log lines. Takes ownership of its text. */
+static void add_map(struct planner *l, struct planner_service *s,
+		    const struct keymap *map, uint64_t version,
+		    const struct planner_result *result, char *text)
 {
-	uint64_t version;
-	const struct keymap *known =
-		planview_map(l->parts.view, service, &version);
-	struct planner_service *s = find_service(l, service);
-	struct keyplan_result result;
 	char key[PLANVIEW_KEY_MAX];
-	char *text, *before;
-	struct keymap *map;
-
-	if (!s ||
-	    (!known &&
-	     !planner_is_first_plan_due(s, planner_count_targets(in, service),
-					in->now_us)) ||
-	    planner_era_must_wait(&l->era, service, version, in->now_us))
-		return;
-	map = known ? keymap_copy(known) : keymap_create();
-	if (!map)
-		return;
-	before = known ? keymap_encode(known) : NULL;
+
+	log_emit(LOG_KEYS_PLANNED,
+		 "service=%s based_on=%llu assigned=%u moved=%u adopted=%u "
+		 "ranges=%zu reports=%zu",
+		 s->name, (unsigned long long)version,
+		 result->keys.keys_assigned, result->keys.keys_moved,
+		 result->adopted, keymap_range_count(map), l->report_count);
+	planview_map_key(s->name, key);
+	add_change(l, PLANVIEW_TABLE, key,
+		   planview_map_row_version(l->parts.view, s->name), text);
+}
+
+/* Logs when unassigned keys begin to wait, and when they no longer do. */
+static void set_incomplete(struct planner_service *s, bool incomplete)
+{
+	if (incomplete != s->incomplete)
+		log_emit(LOG_UNASSIGNED_KEYS_WAIT, "service=%s waits=%d",
+			 s->name, incomplete);
+	s->incomplete = incomplete;
+}
+
+/* Updates a map and adds it to the write if it has changed. */
+static void update_map(struct planner *l, const struct planner_input *in,
+		       struct planner_service *s, struct keymap *map,
+		       uint64_t version)
+{
+	char *before = version > 0 ? keymap_encode(map) : NULL;
+	struct planner_result result;
+	char *text;
+
 	keymap_set_era(map, l->era.number,
-		       planview_map_is_unconfirmed(l->parts.view, service));
-	result = planner_plan_keys(in, service, map,
+		       planview_map_is_unconfirmed(l->parts.view, s->name));
+	result = planner_plan_keys(in, s->name, map, version > 0,
 				   planner_update_settled(s, map, in->now_us));
+	set_incomplete(s, result.incomplete);
 	text = keymap_encode(map);
-	if (!before || strcmp(before, text) != 0) {
-		log_emit(LOG_KEYS_PLANNED,
-			 "service=%s based_on=%llu assigned=%u moved=%u "
-			 "ranges=%zu reports=%zu",
-			 service, (unsigned long long)version,
-			 result.keys_assigned, result.keys_moved,
-			 keymap_range_count(map), in->report_count);
-		planview_map_key(service, key);
-		add_change(l, PLANVIEW_TABLE, key,
-			   planview_map_row_version(l->parts.view, service),
-			   text);
+	if (before ? strcmp(before, text) != 0 : keymap_has_owner(map)) {
+		add_map(l, s, map, version, &result, text);
 		text = NULL;
 	}
 	free(text);
 	free(before);
+}
+
+/* Plans the map of a service, if it is due. */
+static void plan_service(struct planner *l, const struct planner_input *in,
+			 const char *service)
+{
+	uint64_t version;
+	const struct keymap *known =
+		planview_map(l->parts.view, service, &version);
+	struct planner_service *s = find_service(l, service);
+	struct keymap *map = known ? keymap_copy(known) : keymap_create();
+
+	if (s && map && is_map_due(l, in, s, map, version))
+		update_map(l, in, s, map, version);
 	keymap_destroy(map);
 }
 
@@ -297,6 +335,7 @@
 				    l->report_count,
 				    evloop_now_us(l->parts.loop),
 				    l->table_now_ms,
+				    l->era.number,
 				    l->era.first_ms,
 				    membs_evac(
 					    planview_members(l->parts.view)) };
--- a/packages/router/src/planner_compute.c
+++ b/packages/router/src/planner_compute.c
@@ -43,8 +43,8 @@
 }
 
 /* Returns the node of an incarnation that may still hold keys, else NULL. */
-static const struct planner_node *find_alive(const struct planner_input *in,
-					     const struct incarnation *l)
+const struct planner_node *planner_find_alive(const struct planner_input *in,
+					      const struct incarnation *l)
 {
 	for (size_t i = 0; i < in->node_count; i++) {
 		const struct planner_node *n = &in->nodes[i];
@@ -56,8 +56,8 @@
 }
 
 /* Returns the recent report of an incarnation, NULL if there is none. */
-static const struct noderpt *find_report(const struct planner_input *in,
-					 const struct incarnation *l)
+const struct noderpt *planner_find_report(const struct planner_input *in,
+					  const struct incarnation *l)
 {
 	for (size_t i = 0; i < in->report_count; i++) {
 		const struct planner_report *k = &in->reports[i];
@@ -96,7 +96,7 @@
 	for (uint16_t i = 0; i < keymap_incarnation_count(map); i++) {
 		const struct incarnation *l = keymap_incarnation(map, i);
 
-		if (find_alive(in, l) || may_be_lost(in, l))
+		if (planner_find_alive(in, l) || may_be_lost(in, l))
 			continue;
 		if (keymap_end_incarnation(map, l))
 			log_emit(LOG_LIFE_TAKEN_OUT, "id=%s node=%s", l->id,
@@ -171,7 +171,8 @@
 
 	for (size_t i = 0; i < in->node_count; i++) {
 		const struct planner_node *x = &in->nodes[i];
-		const struct noderpt *r = find_report(in, &x->row.incarnation);
+		const struct noderpt *r =
+			planner_find_report(in, &x->row.incarnation);
 
 		if (!is_target(in, x, service))
 			continue;
@@ -220,21 +221,27 @@
 	return n;
 }
 
-/* Updates the map; leaves it as it is if out of memory. */
-struct keyplan_result planner_plan_keys(const struct planner_input *in,
+/* Adopts keys first, as their owners need not be targets. */
+struct planner_result planner_plan_keys(const struct planner_input *in,
 					const char *service, struct keymap *map,
-					uint64_t settled)
+					bool known, uint64_t settled)
 {
 	struct keyplan_target *targets =
 		calloc(in->node_count + 1, sizeof(*targets));
 	struct keyplan_load *loads = calloc(LOADS_MAX, sizeof(*loads));
-	struct keyplan_result result = { 0, 0 };
+	struct planner_result result = { 0 };
 
+	result.incomplete = planner_may_be_held(in, map, service, known);
+	if (result.incomplete)
+		result.adopted = planner_adopt_holds(in, map, service);
 	if (targets && loads) {
+		size_t target_count = list_targets(in, service, targets);
+		size_t load_count = list_loads(in, service, loads);
+
 		remove_ended(in, map);
-		result = keyplan_run(map, targets,
-				     list_targets(in, service, targets), loads,
-				     list_loads(in, service, loads), settled);
+		result.keys = (result.incomplete ? keyplan_run_incomplete :
+						   keyplan_run)(
+			map, targets, target_count, loads, load_count, settled);
 	}
 	free(targets);
 	free(loads);
--- a/packages/router/src/planner_era.c
+++ b/packages/router/src/planner_era.c
@@ -26,8 +26,7 @@
 bool planner_era_must_wait(struct planner_era *e, const char *service,
 			   uint64_t version, uint64_t now_us)
 {
-	if (version == 0 || tbl_era(version) >= e->number ||
-	    e->restored >= e->number)
+	if (tbl_era(version) >= e->number || e->restored >= e->number)
 		return false;
 	if (clk_elapsed(now_us, e->first_us) < RESTORE_US)
 		return true;
--- a/packages/router/src/planner_int.h
+++ b/packages/router/src/planner_int.h
@@ -48,7 +48,8 @@
 	size_t report_count;
 	uint64_t now_us;
 	uint64_t table_now_ms; /* clock of the table service */
-	uint64_t era_ms; /* the same when its era was first seen */
+	uint64_t era; /* of the table service */
+	uint64_t era_ms; /* clock of the table service when it was first seen */
 	const struct evac *evac; /* no keys for these data centres; or NULL */
 };
 
@@ -60,6 +61,7 @@
 	uint64_t fence; /* next fence of the map at marked_us */
 	uint64_t marked_us;
 	uint64_t settled; /* next fence at least SETTLE_US ago */
+	bool incomplete; /* unassigned keys wait */
 };
 
 bool planner_is_first_plan_due(struct planner_service *s, size_t targets,
@@ -107,14 +109,53 @@
 /* Returns the members in the JSON form of the plan; the caller frees it. */
 char *planner_format_members(const struct planner_input *in);
 
+/* Returns the node of an incarnation that may still hold keys, else NULL. */
+const struct planner_node *
+planner_find_alive(const struct planner_input *in,
+		   const struct incarnation *incarnation);
+
+/* Returns the recent report of an incarnation, NULL if there is none. */
+const struct noderpt *
+planner_find_report(const struct planner_input *in,
+		    const struct incarnation *incarnation);
+
+/*
+ * True if upstreams of the service have reported that they hold unassigned keys
+ * of the map.
+ */
+bool planner_has_reported_holds(const struct planner_input *in,
+				const struct keymap *map, const char *service);
+
+/*
+ * True if upstreams may hold unassigned keys of the map, by grants of a map that
+ * the table service has lost. known: the map has been read from the table.
+ */
+bool planner_may_be_held(const struct planner_input *in,
+			 const struct keymap *map, const char *service,
+			 bool known);
+
+/*
+ * Assigns the unassigned keys that upstreams have reported as held to these.
+ * Returns their number.
+ */
+uint32_t planner_adopt_holds(const struct planner_input *in, struct keymap *map,
+			     const char *service);
+
+struct planner_result {
+	struct keyplan_result keys;
+	uint32_t adopted; /* unassigned keys that their holders own now */
+	bool incomplete; /* the other unassigned keys stay so for now */
+};
+
 /*
  * Updates the map of a service from the rows and reports of the nodes: removes
  * ended incarnations, assigns keys that have no usable owner and balances load.
+ * known: the map has been read from the table.
  * settled: ranges with a lower fence have been taken over by their owners.
  */
-struct keyplan_result planner_plan_keys(const struct planner_input *in,
+struct planner_result planner_plan_keys(const struct planner_input *in,
 					const char *service, struct keymap *map,
-					uint64_t settled);
+					bool known, uint64_t settled);
 
 /* Counts the upstreams that may own keys of the service. */
 size_t planner_count_targets(const struct planner_input *in,
--- a/packages/router/src/routerd_leader.c
+++ b/packages/router/src/routerd_leader.c
@@ -43,6 +43,7 @@
 	report->config_version = r->config.version;
 	report->piece_count =
 		reqrun_key_loads(r->runner, report->pieces, NODERPT_PIECES_MAX);
+	upstr_state_holds(r->upstream, report);
 }
 
 /* Returns the connections to the leader, NULL if its address is invalid. */
--- a/packages/router/src/tbl.h
+++ b/packages/router/src/tbl.h
@@ -46,6 +46,9 @@
 #define TBL_ERA_SHIFT 40
 #define TBL_ERA_MAX ((1U << 23) - 1)
 
+/* A table service of this era, or a lower one, has never lost a row. */
+#define TBL_FIRST_ERA 1
+
 static inline uint64_t tbl_version(uint64_t era, uint64_t number)
 {
 	return era << TBL_ERA_SHIFT | number;
--- a/packages/router/src/upstr.h
+++ b/packages/router/src/upstr.h
@@ -17,6 +17,7 @@
 #include "plat.h"
 #include "relqueue.h"
 #include "nodelease.h"
+#include "noderpt.h"
 #include "planview.h"
 
 struct upstr;
@@ -77,6 +78,12 @@
 /* Returns its id, of any length; NULL while only its identifier is known. */
 const char *upstr_id(const struct upstr *a);
 uint32_t upstr_slots(const struct upstr *a);
+
+/*
+ * Adds to a report which keys the upstream holds that no map assigns, unless it
+ * has not announced itself to this process or all keys are assigned.
+ */
+void upstr_state_holds(const struct upstr *a, struct noderpt *report);
 bool upstr_accepts_work(const struct upstr *a);
 
 /* Handles an answer of this upstream which says that it is going to end. */
--- a/packages/router/src/upstr_grants.c
+++ b/packages/router/src/upstr_grants.c
@@ -29,6 +29,60 @@
 	       nodelease_end_us(a->parts.lease) > 0;
 }
 
+/* True if the map, which may be NULL, assigns some of the keys to nobody. */
+static bool has_unassigned(const struct keymap *map, uint32_t first,
+			   uint32_t last)
+{
+	uint32_t key = first;
+
+	while (map && key <= last) {
+		const struct keymap_range *r = keymap_find(map, key);
+
+		if (keymap_is_unassigned(r))
+			return true;
+		key = r->last + 1;
+	}
+	return !map;
+}
+
+/* Adds the holds of the last announcement that no map knows. */
+void upstr_state_holds(const struct upstr *a, struct noderpt *report)
+{
+	const struct keymap *map = service_map(a);
+
+	if (!a->announced || (map && !keymap_has_unassigned(map)))
+		return;
+	report->states_holds = true;
+	for (size_t i = 0; i < a->last.hold_count; i++) {
+		const struct plat_hold *h = &a->last.holds[i];
+
+		if (report->hold_count == NODERPT_HOLDS_MAX ||
+		    !has_unassigned(map, h->first, h->last))
+			continue;
+		report->holds[report->hold_count++] =
+			(struct noderpt_hold){ h->first, h->last, h->fence };
+	}
+}
+
+/*
+ * True if the upstream holds keys that the map assigns to nobody. An answer
+ * without them would make it release them before the leader has assigned them
+ * to it, so its grants are not renewed until then.
+ */
+static bool holds_unassigned(const struct upstr *a)
+{
+	const struct keymap *map = service_map(a);
+
+	if (!map || !keymap_has_unassigned(map))
+		return false;
+	for (size_t i = 0; i < a->last.hold_count; i++) {
+		if (has_unassigned(map, a->last.holds[i].first,
+				   a->last.holds[i].last))
+			return true;
+	}
+	return false;
+}
+
 /* True if the upstream reported that it holds the range, with this fence. */
 static bool is_reported(const struct upstr *a, const struct keymap_range *r)
 {
@@ -66,6 +120,12 @@
 	}
 }
 
+/* True if the next answer renews the grants. */
+static bool may_renew(const struct upstr *a)
+{
+	return may_grant(a) && service_map(a) && !holds_unassigned(a);
+}
+
 /* Fills the answer to the current announcement. */
 static void fill_grant(const struct upstr *a, struct plat_grant *g)
 {
@@ -75,7 +135,7 @@
 		hold_max = UPSTR_GRANT_MAX_MS;
 	g->renews = false;
 	g->count = 0;
-	if (!may_grant(a) || !service_map(a))
+	if (!may_renew(a))
 		return;
 	g->hold_ms = keylease_hold_ms(nodelease_end_us(a->parts.lease),
 				      a->pending_since_us, hold_max);
@@ -91,7 +151,7 @@
 	struct plat_grant *g;
 	bool differs = false;
 
-	if (!may_grant(a) || !service_map(a))
+	if (!may_renew(a))
 		return false;
 	g = malloc(sizeof(*g));
 	if (!g)
