Connections close in stages, so that no sent response is lost

Cause: a socket was closed as soon as the kernel had taken all output. Input for a closed socket makes the kernel send a reset and drop its queue. The same holds for each close behind output, and for the end of the process.

Evidence, of a trial that printed what the kernel holds: 86,005 bytes without an acknowledgement and no unread input at each close; the reset 100 ms later, with the further request; the end of the process 2 s after it. This excludes a reset by unread input at the close, and an exit that is too early.

Change: output, a shutdown for writing, and the close once the peer has acknowledged everything (SIOCOUTQ) or has closed its side; input is discarded meanwhile (tcplinger, for both kinds of daemon). The wait has time limits, is counted as open sockets and memory, and gives way first when descriptors are short. A stop waits for acknowledgements on connections that are kept, too, but not for those of messages that other daemons repeat. A client that shuts down its side still gets output that the daemon holds. The new counter closes_unacknowledged tells when a response may have been lost.

--- a/packages/daemon/src/adn.c
+++ b/packages/daemon/src/adn.c
@@ -144,3 +144,9 @@
 		websrv_destroy(a->server);
 	free(a);
 }
+
+/* Counts the connections with output that was not acknowledged. */
+size_t adn_unacked(const struct adn *a)
+{
+	return websrv_unacked(a->server);
+}
--- a/packages/daemon/src/ing.c
+++ b/packages/daemon/src/ing.c
@@ -260,6 +260,12 @@
 	return websrv_connections(i->server);
 }
 
+/* Counts the connections with output that was not acknowledged. */
+size_t ing_unacked(const struct ing *i)
+{
+	return websrv_unacked(i->server);
+}
+
 /* Counts the requests in progress. */
 size_t ing_count(const struct ing *i)
 {
--- a/packages/daemon/src/ing.h
+++ b/packages/daemon/src/ing.h
@@ -20,4 +20,7 @@
 /* Number of requests in progress. */
 size_t ing_count(const struct ing *i);
 
+/* Number of connections with output that was not acknowledged. */
+size_t ing_unacked(const struct ing *i);
+
 #endif
--- a/packages/daemon/src/nod.c
+++ b/packages/daemon/src/nod.c
@@ -33,6 +33,8 @@
 #define LINGER_US (2 * US_PER_S)
 /* Answers that are queued leave in this time after the last request. */
 #define FLUSH_US (200 * US_PER_MS)
+/* Longest time for peers to acknowledge the last replies. */
+#define PEER_FLUSH_US (1 * US_PER_S)
 
 static void on_lease(void *arg, const struct peer_lease *m)
 {
@@ -120,6 +122,16 @@
 	       ing_count(n->ingress) == 0 && pin_count(n->peer_in) == 0;
 }
 
+/*
+ * True when callers, operators and peers have acknowledged what was sent to
+ * them. Peers go on calling, so that those are waited for only for a short time.
+ */
+static bool is_flushed(const struct nod *n, uint64_t idle_us)
+{
+	return ing_unacked(n->ingress) == 0 && adn_unacked(n->admin) == 0 &&
+	       (peerrpc_unacked(n->peers) == 0 || idle_us > PEER_FLUSH_US);
+}
+
 /*
  * The upstream leaves while no row can be written: its partitions pass to
  * their successors by release. With the platform up, rows move them.
@@ -165,6 +177,7 @@
 	if (!s->idle_since_us)
 		s->idle_since_us = now_us;
 	if (now_us - s->idle_since_us > FLUSH_US &&
+	    is_flushed(n, now_us - s->idle_since_us) &&
 	    (now_us - s->empty_since_us > LINGER_US ||
 	     ing_connections(n->ingress) == 0))
 		lwsloop_stop(n->loop);
--- a/packages/io/src/httpguard.c
+++ b/packages/io/src/httpguard.c
@@ -172,6 +172,16 @@
 		 (unsigned long long)b.limit);
 }
 
+/* Closes sockets that only wait for acknowledgements, before others. */
+static void drop_lingering(const struct clilimit_budget *sockets)
+{
+	size_t open = tcpsock_open_count();
+	uint64_t target = clilimit_target(sockets);
+
+	if (clilimit_is_short(sockets) && open > target)
+		tcpsock_drop_lingering(open - target);
+}
+
 /* Closes connections; runs from a timer, so that none is in use. */
 static void run_round(void *arg, uint64_t now_us)
 {
@@ -187,6 +197,8 @@
 	if (clilimit_is_short(&memory))
 		close_some(g, memory, false);
 	sockets = socket_budget(g);
+	drop_lingering(&sockets);
+	sockets = socket_budget(g);
 	if (clilimit_is_short(&sockets))
 		close_some(g, sockets, true);
 }
--- a/packages/io/src/httpsrv.c
+++ b/packages/io/src/httpsrv.c
@@ -147,7 +147,16 @@
 	}
 }
 
-/* Counts the connections that an exit of the process would cut off. */
+/* True if an exit would cut off a response that has been sent. */
+static bool is_sending(const struct httpclient *k)
+{
+	if (k->closed)
+		return false;
+	return k->expendable ? buf_len(tcpsock_output(k->socket)) > 0 :
+			       tcpsock_has_unacked(k->socket);
+}
+
+/* Counts the connections whose requests or responses an exit would cut off. */
 uint32_t httpsrv_busy_count(const struct httpsrv *s)
 {
 	const struct httpclient *k;
@@ -155,9 +164,20 @@
 
 	DL_FOREACH(s->clients, k)
 	{
-		if (!k->closed &&
-		    (k->requests || buf_len(tcpsock_output(k->socket)) > 0))
-			busy++;
+		busy += !k->closed && (k->requests || is_sending(k));
 	}
 	return busy;
 }
+
+/* Counts the connections whose responses an exit would cut off. */
+uint32_t httpsrv_sending_count(const struct httpsrv *s)
+{
+	const struct httpclient *k;
+	uint32_t sending = 0;
+
+	DL_FOREACH(s->clients, k)
+	{
+		sending += is_sending(k);
+	}
+	return sending;
+}
--- a/packages/io/src/httpsrv.h
+++ b/packages/io/src/httpsrv.h
@@ -104,14 +104,23 @@
 
 /*
  * Number of connections that are receiving or answering a request, or have
- * output not yet passed to the kernel. Connections that are closing after their
- * output are counted by tcpsock_closing_count().
+ * output that the client has not acknowledged. Connections that are closing
+ * after their output are counted by tcpsock_closing_count().
  */
 uint32_t httpsrv_busy_count(const struct httpsrv *s);
 
+/* Number of connections with output that the client has not acknowledged. */
+uint32_t httpsrv_sending_count(const struct httpsrv *s);
+
 /* Names the request in log lines of the server. */
 void httpconn_set_id(struct httpconn *c, const char *id);
 
+/*
+ * The loss of the response does no harm: once it has been passed to the kernel,
+ * the connection is not busy.
+ */
+void httpconn_set_expendable(struct httpconn *c);
+
 /* Sends a long response to this request before other long ones. */
 void httpconn_set_urgent(struct httpconn *c);
 
--- a/packages/io/src/httpsrv_client.c
+++ b/packages/io/src/httpsrv_client.c
@@ -293,6 +293,7 @@
 	DL_DELETE(k->requests, c);
 	pipeline_remove_first(k->order);
 	k->idle_since_us = evloop_now_us(k->server->loop);
+	k->expendable = c->expendable;
 	recycle_request(c);
 }
 
@@ -397,7 +398,8 @@
 	k->closed = true;
 	pacer_cancel(&k->paced);
 	if (after_output)
-		tcpsock_close_after_output(k->socket);
+		tcpsock_close_after_output(k->socket,
+					   k->requests && k->requests->error);
 	else
 		tcpsock_close(k->socket);
 	k->socket = NULL;
--- a/packages/io/src/httpsrv_int.h
+++ b/packages/io/src/httpsrv_int.h
@@ -41,6 +41,7 @@
 	bool head_only; /* the request was HEAD */
 	bool no_body; /* its status allows no body */
 	bool urgent; /* priority among long responses */
+	bool expendable; /* its response may be lost */
 	int64_t length; /* of the body in bytes, -1 if unknown */
 	int64_t sent; /* body bytes written so far */
 	struct buf head; /* of a response that waits for its turn */
@@ -75,6 +76,7 @@
 	bool run_again; /* something changed meanwhile */
 	bool drained; /* the user of the first request is to be told */
 	bool input_paused;
+	bool expendable; /* its last response may be lost */
 	bool closed; /* the user may still reference its requests */
 };
 
--- a/packages/io/src/httpsrv_response.c
+++ b/packages/io/src/httpsrv_response.c
@@ -23,6 +23,11 @@
 	c->urgent = true;
 }
 
+void httpconn_set_expendable(struct httpconn *c)
+{
+	c->expendable = true;
+}
+
 /* Names the request in log lines. */
 void httpconn_set_id(struct httpconn *c, const char *id)
 {
--- a/packages/io/src/tcpsock.c
+++ b/packages/io/src/tcpsock.c
@@ -10,7 +10,9 @@
 #include <unistd.h>
 #include <utlist.h>
 
+#include "ctr.h"
 #include "membud.h"
+#include "tcplinger.h"
 
 #define READ_BYTES 16384
 /*
@@ -47,6 +49,11 @@
 	uint64_t moved; /* bytes received and sent */
 	uint64_t sent_us; /* time of the last output, while closing */
 	bool closing; /* closes after its output; makes no callbacks */
+	bool more_input; /* while closing, the peer may be sending */
+	bool peer_closed; /* while closing, there is no more input */
+	bool lingering; /* closing, and shut down for writing */
+	struct tcplinger linger;
+	uint32_t linger_timer;
 	bool closed;
 };
 
@@ -100,11 +107,14 @@
 {
 	if (s->closed)
 		return;
+	if (s->closing && !s->peer_closed && tcpsock_has_unacked(s))
+		ctr_add(CTR_CLOSES_UNACKNOWLEDGED, 1);
 	s->closed = true;
 	open_count--;
 	closing_count -= s->closing;
 	if (s->closing)
 		DL_DELETE(closing_list, s);
+	tmr_cancel(evloop_timers(s->loop), s->linger_timer);
 	ev_io_stop(evloop_libev(s->loop), &s->read_watcher);
 	ev_io_stop(evloop_libev(s->loop), &s->write_watcher);
 	close(s->fd);
@@ -128,12 +138,36 @@
 	set_resets(s, true);
 }
 
-/* Closes in order, as all output has been passed to the kernel. */
-static void close_in_order(struct tcpsock *s)
+/* Closes the socket if it need not linger any more; else checks again later. */
+static void check_linger(void *arg, uint64_t now_us)
 {
+	struct tcpsock *s = arg;
+
+	s->linger_timer = 0;
+	if (s->peer_closed ||
+	    tcplinger_is_over(&s->linger, tcplinger_unacked(s->fd), now_us)) {
+		tcpsock_close(s);
+		return;
+	}
+	s->linger_timer = tmr_at(evloop_timers(s->loop),
+				 now_us + TCPLINGER_CHECK_US, check_linger, s);
+	if (!s->linger_timer)
+		tcpsock_close(s);
+}
+
+/* All output has been passed to the kernel: begins the second stage. */
+static void begin_linger(struct tcpsock *s)
+{
+	uint64_t now = evloop_now_us(s->loop);
+
 	set_resets(s, false);
 	shutdown(s->fd, SHUT_WR);
-	tcpsock_close(s);
+	ev_io_stop(evloop_libev(s->loop), &s->write_watcher);
+	buf_free(&s->in);
+	buf_free(&s->out);
+	s->lingering = true;
+	tcplinger_begin(&s->linger, s->more_input, now);
+	check_linger(s, now);
 }
 
 /* Reports the end once, or closes a socket that has no user any more. */
@@ -213,7 +247,7 @@
 	} else if (buf_len(&s->out) == 0) {
 		ev_io_stop(ev, &s->write_watcher);
 		if (s->closing)
-			close_in_order(s);
+			begin_linger(s);
 		else if (s->ops->on_drained)
 			s->ops->on_drained(s->arg);
 	}
@@ -234,6 +268,27 @@
 	return TCPSOCK_RESET;
 }
 
+/* Discards input of a socket that is closing. */
+static void discard_input(struct tcpsock *s)
+{
+	buf_consume(&s->in, buf_len(&s->in));
+	s->more_input = true;
+	if (s->lingering)
+		tcplinger_record_input(&s->linger, evloop_now_us(s->loop));
+}
+
+/*
+ * The peer of a socket that is closing has closed its side, and may still read.
+ * If it does not, sending fails.
+ */
+static void end_discarding(struct tcpsock *s)
+{
+	s->peer_closed = true;
+	ev_io_stop(evloop_libev(s->loop), &s->read_watcher);
+	if (s->lingering)
+		tcpsock_close(s);
+}
+
 /* Reads once and reports the data or the end of the connection. */
 static void on_readable(struct ev_loop *ev, ev_io *w, int events)
 {
@@ -256,9 +311,11 @@
 		buf_commit(&s->in, (size_t)n);
 		s->moved += (uint64_t)n;
 		if (s->closing)
-			buf_consume(&s->in, buf_len(&s->in));
+			discard_input(s);
 		else
 			s->ops->on_input(s->arg);
+	} else if (n == 0 && s->closing && s->send_error == 0) {
+		end_discarding(s);
 	} else {
 		report_end(s, end_of_input(s, n));
 	}
@@ -349,22 +406,21 @@
 	return s;
 }
 
-/* Releases the socket, which closes once its output has been sent. */
-void tcpsock_close_after_output(struct tcpsock *s)
+/* Releases the socket, which closes in stages. */
+void tcpsock_close_after_output(struct tcpsock *s, bool more_input)
 {
 	if (s->send_error != 0) {
 		tcpsock_close(s);
 		return;
 	}
-	if (buf_len(&s->out) == 0) {
-		close_in_order(s);
-		return;
-	}
 	s->closing = true;
+	s->more_input = more_input;
 	s->sent_us = evloop_now_us(s->loop);
 	closing_count++;
 	DL_APPEND(closing_list, s);
 	tcpsock_pause_input(s, false);
+	if (buf_len(&s->out) == 0)
+		begin_linger(s);
 }
 
 /* Returns the number of sockets that are closing after their output. */
@@ -373,9 +429,16 @@
 	return closing_count;
 }
 
+/* Returns when the peer of a closing socket last took some of its output. */
+static uint64_t last_progress_us(const struct tcpsock *s)
+{
+	return s->lingering ? s->linger.progress_us : s->sent_us;
+}
+
 /*
  * Closes those sockets whose peers have taken none of their output for this
- * time. Returns their number.
+ * time. Returns their number. The kernel goes on with what it has taken from a
+ * socket that lingers.
  */
 size_t tcpsock_drop_stalled(uint64_t stalled_us)
 {
@@ -384,16 +447,51 @@
 
 	DL_FOREACH_SAFE(closing_list, s, next)
 	{
-		if (s->in_callback || clk_elapsed(evloop_now_us(s->loop),
-						  s->sent_us) < stalled_us)
+		if (s->in_callback ||
+		    clk_elapsed(evloop_now_us(s->loop), last_progress_us(s)) <
+			    stalled_us)
 			continue;
-		tcpsock_reset_on_close(s);
+		if (!s->lingering)
+			tcpsock_reset_on_close(s);
 		tcpsock_close(s);
 		count++;
 	}
 	return count;
 }
 
+/* The list is in the order of the calls of tcpsock_close_after_output(). */
+void tcpsock_drop_lingering(size_t most)
+{
+	struct tcpsock *s, *next;
+
+	DL_FOREACH_SAFE(closing_list, s, next)
+	{
+		if (most == 0)
+			return;
+		if (s->in_callback || !s->lingering)
+			continue;
+		tcpsock_close(s);
+		most--;
+	}
+}
+
+/* Their timers and watchers are of the event loop. */
+void tcpsock_close_all_closing(const struct evloop *l)
+{
+	struct tcpsock *s, *next;
+
+	DL_FOREACH_SAFE(closing_list, s, next)
+	{
+		if (s->loop == l)
+			tcpsock_close(s);
+	}
+}
+
+bool tcpsock_has_unacked(const struct tcpsock *s)
+{
+	return buf_len(&s->out) > 0 || tcplinger_unacked(s->fd) > 0;
+}
+
 size_t tcpsock_open_count(void)
 {
 	return open_count;
--- a/packages/io/src/tcpsock.h
+++ b/packages/io/src/tcpsock.h
@@ -58,10 +58,12 @@
 void tcpsock_reset_on_close(struct tcpsock *s);
 
 /*
- * Closes in order once the output has been passed to the kernel. No more
- * callbacks are made.
+ * Closes in order: sends the output, shuts the socket down for writing, and
+ * closes it once the peer has acknowledged all or has closed its side. Input is
+ * discarded meanwhile, and no more callbacks are made. more_input: the peer may
+ * still be sending a request that the output answers.
  */
-void tcpsock_close_after_output(struct tcpsock *s);
+void tcpsock_close_after_output(struct tcpsock *s, bool more_input);
 
 /* Number of sockets in this process that are closing after their output. */
 size_t tcpsock_closing_count(void);
@@ -72,9 +74,24 @@
  */
 size_t tcpsock_drop_stalled(uint64_t stalled_us);
 
+/*
+ * Closes up to this many of those whose output the kernel has taken, the oldest
+ * first; the kernel goes on sending it.
+ */
+void tcpsock_drop_lingering(size_t most);
+
+/* Closes those of an event loop that is about to be destroyed. */
+void tcpsock_close_all_closing(const struct evloop *l);
+
 /* Number of open sockets in this process, without those that listen. */
 size_t tcpsock_open_count(void);
 
+/*
+ * True if the peer has not acknowledged all output, including what the kernel
+ * has taken. A close could lose it.
+ */
+bool tcpsock_has_unacked(const struct tcpsock *s);
+
 /* Bytes received and sent so far. */
 uint64_t tcpsock_moved_bytes(const struct tcpsock *s);
 
--- a/packages/io/tests/test_http.c
+++ b/packages/io/tests/test_http.c
@@ -81,7 +81,7 @@
 	buf_consume(in, buf_len(in));
 	tcpsock_send(f->raw, f->raw_response, strlen(f->raw_response));
 	if (f->raw_closes) {
-		tcpsock_close_after_output(f->raw);
+		tcpsock_close_after_output(f->raw, false);
 		f->raw = NULL;
 	}
 }
--- a/packages/net/src/peerrpc.c
+++ b/packages/net/src/peerrpc.c
@@ -161,6 +161,12 @@
 	p->ops->reply(p, q, result);
 }
 
+/* Counts the connections whose peers have not acknowledged all replies. */
+size_t peerrpc_unacked(const struct peerrpc *p)
+{
+	return p->ops->unacked(p);
+}
+
 /* Frees a transport without further callbacks; NULL is ignored. */
 void peerrpc_destroy(struct peerrpc *p)
 {
--- a/packages/net/src/peerrpc.h
+++ b/packages/net/src/peerrpc.h
@@ -70,6 +70,11 @@
 	/* Answers a call; result is of the result type of its procedure. */
 	void (*reply)(struct peerrpc *p, struct peerrpc_question *q,
 		      const void *result);
+	/*
+	 * Counts the connections whose peers have not acknowledged all replies;
+	 * the end of the process could lose these.
+	 */
+	size_t (*unacked)(const struct peerrpc *p);
 	void (*destroy)(struct peerrpc *p);
 };
 
@@ -98,6 +103,7 @@
 void peerrpc_drop(struct peerrpc *p, uint32_t call);
 void peerrpc_reply(struct peerrpc *p, struct peerrpc_question *q,
 		   const void *result);
+size_t peerrpc_unacked(const struct peerrpc *p);
 void peerrpc_destroy(struct peerrpc *p);
 
 #endif
--- a/packages/net/src/peerrpc_lws.c
+++ b/packages/net/src/peerrpc_lws.c
@@ -7,6 +7,7 @@
 
 #include "ctr.h"
 #include "log.h"
+#include "tcplinger.h"
 
 #define SWEEP_US (1 * US_PER_S)
 #define LISTEN_BACKLOG 1024
@@ -185,6 +186,21 @@
 		ctr_add(CTR_PEER_NOTICES_UNSENT, 1);
 }
 
+/* Counts accepted connections with replies that were not acknowledged. */
+static size_t lws_unacked(const struct peerrpc *p)
+{
+	const struct peerrpc_lws *l = (const struct peerrpc_lws *)p;
+	const struct peerrpc_conn *c;
+	size_t count = 0;
+
+	DL_FOREACH(l->conns, c)
+	{
+		count += !c->client && !c->broken &&
+			 (c->out || tcplinger_unacked(c->fd) > 0);
+	}
+	return count;
+}
+
 /* Closes a descriptor, whether or not it was added to the event loop. */
 static void close_descriptor(struct lws *wsi, int fd)
 {
@@ -217,6 +233,7 @@
 	.call = peerrpc_lws_call,
 	.drop = peerrpc_lws_drop,
 	.reply = peerrpc_lws_reply,
+	.unacked = lws_unacked,
 	.destroy = lws_destroy,
 };
 
--- a/packages/net/src/websrv.c
+++ b/packages/net/src/websrv.c
@@ -18,9 +18,6 @@
 #define CHECK_MIN_MS 10
 #define CHECK_MAX_MS 1000
 
-/* Time for which the rest of an answered request is discarded, in ms. */
-#define LINGER_MS 1000
-
 /* Opens the listening socket and stores the port that it is bound to. */
 static bool open_listener(struct websrv *h, struct err *err)
 {
@@ -58,9 +55,9 @@
 	const struct websrv_params *p = &c->server->params;
 	uint64_t limit_ms = p->idle_timeout_ms;
 
-	if (c->lingering) {
-		limit_ms = LINGER_MS;
-	} else if (!c->req) {
+	if (c->lingering)
+		return false; /* has a timer of its own */
+	if (!c->req) {
 		if (!c->used)
 			limit_ms = p->header_timeout_ms;
 	} else if (!c->req->first && (c->req->body_done || c->req->paused)) {
@@ -160,6 +157,16 @@
 	return h->conn_count;
 }
 
+/* Returns the number of connections with output that was not acknowledged. */
+size_t websrv_unacked(const struct websrv *h)
+{
+	size_t count = 0;
+
+	for (const struct websrv_conn *c = h->conns; c; c = c->next)
+		count += tcplinger_unacked(c->fd) > 0;
+	return count;
+}
+
 /* Returns the number of requests between head() and closed(). */
 size_t websrv_in_progress(const struct websrv *h)
 {
--- a/packages/net/src/websrv.h
+++ b/packages/net/src/websrv.h
@@ -60,6 +60,9 @@
 
 size_t websrv_connections(const struct websrv *h);
 
+/* The end of the process could lose the responses of these connections. */
+size_t websrv_unacked(const struct websrv *h);
+
 size_t websrv_in_progress(const struct websrv *h);
 
 const char *websrv_method(const struct websrv_req *r);
--- a/packages/net/src/websrv_conn.c
+++ b/packages/net/src/websrv_conn.c
@@ -7,6 +7,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "ctr.h"
+
 /* Bytes per read; also the most body data that is kept while paused. */
 #define READ_BYTES 16384
 
@@ -50,8 +52,11 @@
 {
 	struct websrv *h = c->server;
 
+	if (c->lingering && tcplinger_unacked(c->fd) > 0)
+		ctr_add(CTR_CLOSES_UNACKNOWLEDGED, 1);
 	websrv_req_close(c, false);
 	tmr_cancel(lwsloop_timers(h->loop), c->schedule_timer);
+	tmr_cancel(lwsloop_timers(h->loop), c->linger_timer);
 	if (c->next)
 		c->next->prev = c->prev;
 	if (c->prev)
@@ -250,7 +255,10 @@
 			websrv_conn_abort(c);
 			return;
 		}
-		if (!c->lingering)
+		if (c->lingering)
+			tcplinger_record_input(&c->linger,
+					       lwsloop_now_us(c->server->loop));
+		else
 			parse_input(c, bytes, (size_t)n);
 	}
 	websrv_conn_schedule(c);
@@ -308,6 +316,36 @@
 	websrv_conn_schedule(c);
 }
 
+/* Frees a connection that need not linger any more; else checks again later. */
+static void check_linger(void *arg, uint64_t now_us)
+{
+	struct websrv_conn *c = arg;
+
+	c->linger_timer = 0;
+	if (!tcplinger_is_over(&c->linger, tcplinger_unacked(c->fd), now_us))
+		c->linger_timer =
+			tmr_at(lwsloop_timers(c->server->loop),
+			       now_us + TCPLINGER_CHECK_US, check_linger, c);
+	if (!c->linger_timer)
+		websrv_conn_abort(c);
+}
+
+/*
+ * Closes in stages, behind the last response. more_input: the caller may still
+ * be sending the request.
+ */
+void websrv_conn_linger(struct websrv_conn *c, bool more_input)
+{
+	uint64_t now_us = lwsloop_now_us(c->server->loop);
+
+	c->lingering = true;
+	c->readable = true;
+	buf_free(&c->in);
+	shutdown(c->fd, SHUT_WR);
+	tcplinger_begin(&c->linger, more_input, now_us);
+	check_linger(c, now_us);
+}
+
 /* Sets the opaque pointer of the request handler. */
 void websrv_set_user(struct websrv_req *r, void *user)
 {
--- a/packages/net/src/websrv_int.h
+++ b/packages/net/src/websrv_int.h
@@ -5,6 +5,7 @@
 
 #include "fdwatch.h"
 #include "httpmsg.h"
+#include "tcplinger.h"
 #include "websrv.h"
 
 /* Largest buffer of the output queue, in bytes. */
@@ -40,7 +41,9 @@
 	bool used; /* a request has been received on it */
 	bool close_after; /* close after the current response */
 	bool broken; /* input is malformed or belongs to a refused request */
-	bool lingering; /* answered; the rest of the request is discarded */
+	bool lingering; /* answered and shut down; input is discarded */
+	struct tcplinger linger;
+	uint32_t linger_timer;
 	bool finishing; /* the response is queued; the request ends next */
 	bool aborted;
 	char peer[46];
@@ -106,6 +109,8 @@
 
 void websrv_conn_abort(struct websrv_conn *c);
 
+void websrv_conn_linger(struct websrv_conn *c, bool more_input);
+
 void websrv_conn_schedule(struct websrv_conn *c);
 
 void websrv_conn_read(struct websrv_conn *c);
--- a/packages/net/src/websrv_out.c
+++ b/packages/net/src/websrv_out.c
@@ -345,10 +345,9 @@
 }
 
 /*
- * Sends the last bytes and prepares the connection for the next request. If the
- * request was answered before its whole body was received, the rest is read and
- * discarded for a limited time: closing a socket with unread data resets the
- * connection, and the caller could lose the response.
+ * Sends the last bytes and prepares the connection for the next request, or
+ * closes it. If the request was answered before its whole body was received,
+ * the rest is not read as a request.
  */
 void websrv_out_finish(struct websrv_conn *c)
 {
@@ -359,12 +358,8 @@
 	if (c->aborted || c->req->first)
 		return;
 	websrv_req_close(c, true);
-	if (!body_done) {
-		c->lingering = true;
-		shutdown(c->fd, SHUT_WR);
-	} else if (c->close_after) {
-		websrv_conn_abort(c);
-	} else {
+	if (!body_done || c->close_after)
+		websrv_conn_linger(c, !body_done);
+	else
 		httpparse_reset(c->parser);
-	}
 }
--- a/packages/net/src/websrv_watch.c
+++ b/packages/net/src/websrv_watch.c
@@ -9,12 +9,31 @@
 
 #include "ctr.h"
 
+/*
+ * Closes the oldest connection that lingers; the kernel goes on sending what it
+ * has taken. False if there is none.
+ */
+static bool drop_lingering(struct websrv *h)
+{
+	struct websrv_conn *oldest = NULL;
+
+	for (struct websrv_conn *c = h->conns; c; c = c->next) {
+		if (c->lingering)
+			oldest = c;
+	}
+	if (oldest)
+		websrv_conn_free(oldest);
+	return oldest != NULL;
+}
+
 /* Adds an accepted socket, or closes it if there are too many connections. */
 static void add_connection(struct websrv *h, int fd, const char *peer)
 {
 	struct websrv_conn *c;
 	int on = 1;
 
+	if (h->conn_count >= h->params.max_connections)
+		drop_lingering(h);
 	if (h->conn_count >= h->params.max_connections) {
 		ctr_add(CTR_HTTP_CONNECTIONS_REFUSED, 1);
 		close(fd);
@@ -57,19 +76,21 @@
 /*
  * Handles the events of a connection. A caller that has shut down its side for
  * sending is treated as disconnected, even if its request is in progress; one
- * that arrives with the close is not started.
+ * that arrives with the close is not started. A connection that lingers is read
+ * to its end, as a close with unread input is a reset.
  */
 static void on_event(void *entry, uint32_t events)
 {
 	struct websrv_conn *c = entry;
+	uint32_t ends = EPOLLRDHUP | EPOLLHUP | EPOLLERR;
 
-	if (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) {
+	if (!c->lingering && (events & ends)) {
 		websrv_conn_abort(c);
 		return;
 	}
 	if (events & EPOLLOUT)
 		websrv_out_writable(c);
-	if (events & EPOLLIN) {
+	if (events & (EPOLLIN | ends)) {
 		c->readable = true;
 		websrv_conn_read(c);
 	}
--- a/packages/net/tests/net_test.c
+++ b/packages/net/tests/net_test.c
@@ -215,6 +215,12 @@
 
 /* Connects; the server accepts the connection once the event loop runs. */
 void raw_open(struct raw_conn *r, struct app *a)
+{
+	raw_open_window(r, a, 0);
+}
+
+/* Same with a receive buffer of this size, unless it is 0. */
+void raw_open_window(struct raw_conn *r, struct app *a, int window)
 {
 	struct sockaddr_in at = { .sin_family = AF_INET };
 
@@ -226,6 +232,9 @@
 	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	r->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	assert_true(r->fd >= 0);
+	if (window > 0)
+		setsockopt(r->fd, SOL_SOCKET, SO_RCVBUF, &window,
+			   sizeof(window));
 	assert_int_equal(connect(r->fd, (struct sockaddr *)&at, sizeof(at)), 0);
 	fcntl(r->fd, F_SETFL, O_NONBLOCK);
 }
--- a/packages/net/tests/net_test.h
+++ b/packages/net/tests/net_test.h
@@ -51,6 +51,7 @@
 };
 
 void raw_open(struct raw_conn *r, struct app *a);
+void raw_open_window(struct raw_conn *r, struct app *a, int window);
 void raw_close(struct raw_conn *r);
 void raw_send(struct raw_conn *r, const char *text);
 void raw_send_bytes(struct raw_conn *r, const void *data, size_t len);
--- a/packages/router/src/routerd.c
+++ b/packages/router/src/routerd.c
@@ -185,10 +185,16 @@
 		       grace * STOP_REFUSE_PCT / PERCENT;
 }
 
-/* Returns the number of open requests and unsent responses. */
+/*
+ * Returns the number of open requests and unsent responses. Announcements are
+ * sent without an end: only responses to them count.
+ */
 static uint32_t count_busy(const struct routerd *r)
 {
 	return httpsrv_busy_count(r->callers) + httpsrv_busy_count(r->peers) +
+	       httpsrv_sending_count(r->announcements) +
+	       httpsrv_sending_count(r->ready) +
+	       (r->metrics ? httpsrv_sending_count(r->metrics) : 0) +
 	       (uint32_t)tcpsock_closing_count();
 }
 
@@ -373,6 +379,8 @@
 	if (r->runner)
 		reqrun_close(r->runner);
 	routerd_close_servers(r);
+	if (r->loop)
+		tcpsock_close_all_closing(r->loop);
 	httpguard_destroy(r->guard);
 	tblwatch_destroy(r->config_watch);
 	planner_destroy(r->leader);
--- a/packages/router/src/routerd_leader.c
+++ b/packages/router/src/routerd_leader.c
@@ -374,6 +374,8 @@
 			status = STATUS_OK;
 	}
 	buf_add(&fields, "", 1);
+	/* Other daemons repeat their messages, also to the end of a stop. */
+	httpconn_set_expendable(c);
 	httpconn_reply(c, status, buf_data(&fields), "", 0);
 	buf_free(&fields);
 }
