--- a/packages/io/src/tcpsock.c
+++ b/packages/io/src/tcpsock.c
@@ -1,4 +1,4 @@
-#include "tcpsock.h"
+#include "tcpsock_int.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -8,11 +8,8 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
-#include <utlist.h>
 
-#include "ctr.h"
 #include "membud.h"
-#include "tcplinger.h"
 
 #define READ_BYTES 16384
 /*
@@ -30,37 +27,6 @@
 /* An idle socket keeps output buffers up to this size. */
 #define KEPT_OUTPUT_BYTES 2048
 
-struct tcpsock {
-	struct tcpsock *prev, *next; /* in the list of closing sockets */
-	struct evloop *loop;
-	const struct tcpsock_ops *ops;
-	void *arg;
-	ev_io read_watcher;
-	ev_io write_watcher;
-	struct buf in;
-	struct buf out;
-	int fd;
-	bool in_callback; /* inside a callback; must not be freed yet */
-	int connect_error; /* errno of a connect() that failed immediately */
-	int send_error; /* errno of a send that failed, or 0 */
-	bool connected;
-	bool sent;
-	bool resets; /* its close is a reset */
-	uint64_t moved; /* bytes received and sent */
-	uint64_t sent_us; /* time of the last output, while closing */
-	bool closing; /* closes after its output; makes no callbacks */
-	bool more_input; /* while closing, the peer may be sending */
-	bool peer_closed; /* while closing, there is no more input */
-	bool lingering; /* closing, and shut down for writing */
-	struct tcplinger linger;
-	uint32_t linger_timer;
-	bool closed;
-};
-
-/* Sockets released by their users that still have output to send. */
-static size_t closing_count;
-static struct tcpsock *closing_list;
-
 /* Open sockets of the process, without those that listen. */
 static size_t open_count;
 
@@ -107,14 +73,10 @@
 {
 	if (s->closed)
 		return;
-	if (s->closing && !s->peer_closed && tcpsock_has_unacked(s))
-		ctr_add(CTR_CLOSES_UNACKNOWLEDGED, 1);
+	if (s->closing)
+		tcpsock_end_closing(s);
 	s->closed = true;
 	open_count--;
-	closing_count -= s->closing;
-	if (s->closing)
-		DL_DELETE(closing_list, s);
-	tmr_cancel(evloop_timers(s->loop), s->linger_timer);
 	ev_io_stop(evloop_libev(s->loop), &s->read_watcher);
 	ev_io_stop(evloop_libev(s->loop), &s->write_watcher);
 	close(s->fd);
@@ -122,7 +84,7 @@
 }
 
 /* With a linger time of 0, close() and the end of the process reset. */
-static void set_resets(struct tcpsock *s, bool resets)
+void tcpsock_set_resets(struct tcpsock *s, bool resets)
 {
 	const struct linger linger = { .l_onoff = resets, .l_linger = 0 };
 
@@ -135,39 +97,7 @@
 /* Makes the close a reset. */
 void tcpsock_reset_on_close(struct tcpsock *s)
 {
-	set_resets(s, true);
-}
-
-/* Closes the socket if it need not linger any more; else checks again later. */
-static void check_linger(void *arg, uint64_t now_us)
-{
-	struct tcpsock *s = arg;
-
-	s->linger_timer = 0;
-	if (s->peer_closed ||
-	    tcplinger_is_over(&s->linger, tcplinger_unacked(s->fd), now_us)) {
-		tcpsock_close(s);
-		return;
-	}
-	s->linger_timer = tmr_at(evloop_timers(s->loop),
-				 now_us + TCPLINGER_CHECK_US, check_linger, s);
-	if (!s->linger_timer)
-		tcpsock_close(s);
-}
-
-/* All output has been passed to the kernel: begins the second stage. */
-static void begin_linger(struct tcpsock *s)
-{
-	uint64_t now = evloop_now_us(s->loop);
-
-	set_resets(s, false);
-	shutdown(s->fd, SHUT_WR);
-	ev_io_stop(evloop_libev(s->loop), &s->write_watcher);
-	buf_free(&s->in);
-	buf_free(&s->out);
-	s->lingering = true;
-	tcplinger_begin(&s->linger, s->more_input, now);
-	check_linger(s, now);
+	tcpsock_set_resets(s, true);
 }
 
 /* Reports the end once, or closes a socket that has no user any more. */
@@ -247,7 +177,7 @@
 	} else if (buf_len(&s->out) == 0) {
 		ev_io_stop(ev, &s->write_watcher);
 		if (s->closing)
-			begin_linger(s);
+			tcpsock_begin_linger(s);
 		else if (s->ops->on_drained)
 			s->ops->on_drained(s->arg);
 	}
@@ -268,27 +198,6 @@
 	return TCPSOCK_RESET;
 }
 
-/* Discards input of a socket that is closing. */
-static void discard_input(struct tcpsock *s)
-{
-	buf_consume(&s->in, buf_len(&s->in));
-	s->more_input = true;
-	if (s->lingering)
-		tcplinger_record_input(&s->linger, evloop_now_us(s->loop));
-}
-
-/*
- * The peer of a socket that is closing has closed its side, and may still read.
- * If it does not, sending fails.
- */
-static void end_discarding(struct tcpsock *s)
-{
-	s->peer_closed = true;
-	ev_io_stop(evloop_libev(s->loop), &s->read_watcher);
-	if (s->lingering)
-		tcpsock_close(s);
-}
-
 /* Reads once and reports the data or the end of the connection. */
 static void on_readable(struct ev_loop *ev, ev_io *w, int events)
 {
@@ -311,11 +220,11 @@
 		buf_commit(&s->in, (size_t)n);
 		s->moved += (uint64_t)n;
 		if (s->closing)
-			discard_input(s);
+			tcpsock_discard_input(s);
 		else
 			s->ops->on_input(s->arg);
 	} else if (n == 0 && s->closing && s->send_error == 0) {
-		end_discarding(s);
+		tcpsock_end_input(s);
 	} else {
 		report_end(s, end_of_input(s, n));
 	}
@@ -406,92 +315,6 @@
 	return s;
 }
 
-/* Releases the socket, which closes in stages. */
-void tcpsock_close_after_output(struct tcpsock *s, bool more_input)
-{
-	if (s->send_error != 0) {
-		tcpsock_close(s);
-		return;
-	}
-	s->closing = true;
-	s->more_input = more_input;
-	s->sent_us = evloop_now_us(s->loop);
-	closing_count++;
-	DL_APPEND(closing_list, s);
-	tcpsock_pause_input(s, false);
-	if (buf_len(&s->out) == 0)
-		begin_linger(s);
-}
-
-/* Returns the number of sockets that are closing after their output. */
-size_t tcpsock_closing_count(void)
-{
-	return closing_count;
-}
-
-/* Returns when the peer of a closing socket last took some of its output. */
-static uint64_t last_progress_us(const struct tcpsock *s)
-{
-	return s->lingering ? s->linger.progress_us : s->sent_us;
-}
-
-/*
- * Closes those sockets whose peers have taken none of their output for this
- * time. Returns their number. The kernel goes on with what it has taken from a
- * socket that lingers.
- */
-size_t tcpsock_drop_stalled(uint64_t stalled_us)
-{
-	struct tcpsock *s, *next;
-	size_t count = 0;
-
-	DL_FOREACH_SAFE(closing_list, s, next)
-	{
-		if (s->in_callback ||
-		    clk_elapsed(evloop_now_us(s->loop), last_progress_us(s)) <
-			    stalled_us)
-			continue;
-		if (!s->lingering)
-			tcpsock_reset_on_close(s);
-		tcpsock_close(s);
-		count++;
-	}
-	return count;
-}
-
-/* The list is in the order of the calls of tcpsock_close_after_output(). */
-void tcpsock_drop_lingering(size_t most)
-{
-	struct tcpsock *s, *next;
-
-	DL_FOREACH_SAFE(closing_list, s, next)
-	{
-		if (most == 0)
-			return;
-		if (s->in_callback || !s->lingering)
-			continue;
-		tcpsock_close(s);
-		most--;
-	}
-}
-
-/* Their timers and watchers are of the event loop. */
-void tcpsock_close_all_closing(const struct evloop *l)
-{
-	struct tcpsock *s, *next;
-
-	DL_FOREACH_SAFE(closing_list, s, next)
-	{
-		if (s->loop == l)
-			tcpsock_close(s);
-	}
-}
-
-bool tcpsock_has_unacked(const struct tcpsock *s)
-{
-	return buf_len(&s->out) > 0 || tcplinger_unacked(s->fd) > 0;
-}
-
 size_t tcpsock_open_count(void)
 {
 	return open_count;
--- a/packages/router/src/planner.c
+++ b/packages/router/src/planner.c
@@ -211,69 +211,28 @@
 	       planner_has_reported_holds(in, map, s->name);
 }
 
-/* Adds a map to the write, and log lines. Takes ownership of its text. */
-static void add_map(struct planner *l, struct planner_service *s,
-		    const struct keymap *map, uint64_t version,
-		    const struct planner_result *result, char *text)
-{
-	char key[PLANVIEW_KEY_MAX];
-
-	log_emit(LOG_KEYS_PLANNED,
-		 "service=%s based_on=%llu assigned=%u moved=%u adopted=%u "
-		 "ranges=%zu reports=%zu",
-		 s->name, (unsigned long long)version,
-		 result->keys.keys_assigned, result->keys.keys_moved,
-		 result->adopted, keymap_range_count(map), l->report_count);
-	planview_map_key(s->name, key);
-	add_change(l, PLANVIEW_TABLE, key,
-		   planview_map_row_version(l->parts.view, s->name), text);
-}
-
-/* Logs when unassigned keys begin to wait, and when they no longer do. */
-static void set_incomplete(struct planner_service *s, bool incomplete)
-{
-	if (incomplete != s->incomplete)
-		log_emit(LOG_UNASSIGNED_KEYS_WAIT, "service=%s waits=%d",
-			 s->name, incomplete);
-	s->incomplete = incomplete;
-}
-
-/* Updates a map and adds it to the write if it has changed. */
-static void update_map(struct planner *l, const struct planner_input *in,
-		       struct planner_service *s, struct keymap *map,
-		       uint64_t version)
-{
-	char *before = version > 0 ? keymap_encode(map) : NULL;
-	struct planner_result result;
-	char *text;
-
-	keymap_set_era(map, l->era.number,
-		       planview_map_is_unconfirmed(l->parts.view, s->name));
-	result = planner_plan_keys(in, s->name, map, version > 0,
-				   planner_update_settled(s, map, in->now_us));
-	set_incomplete(s, result.incomplete);
-	text = keymap_encode(map);
-	if (before ? strcmp(before, text) != 0 : keymap_has_owner(map)) {
-		add_map(l, s, map, version, &result, text);
-		text = NULL;
-	}
-	free(text);
-	free(before);
-}
-
-/* Plans the map of a service, if it is due. */
+/* Plans the map of a service, if it is due, and adds it to the write. */
 static void plan_service(struct planner *l, const struct planner_input *in,
 			 const char *service)
 {
+	struct planview *view = l->parts.view;
 	uint64_t version;
-	const struct keymap *known =
-		planview_map(l->parts.view, service, &version);
+	const struct keymap *known = planview_map(view, service, &version);
 	struct planner_service *s = find_service(l, service);
 	struct keymap *map = known ? keymap_copy(known) : keymap_create();
+	char key[PLANVIEW_KEY_MAX];
+	char *text = NULL;
 
 	if (s && map && is_map_due(l, in, s, map, version))
-		update_map(l, in, s, map, version);
+		text = planner_update_map(
+			s, in, map, version,
+			planview_map_is_unconfirmed(view, service));
 	keymap_destroy(map);
+	if (!text)
+		return;
+	planview_map_key(service, key);
+	add_change(l, PLANVIEW_TABLE, key,
+		   planview_map_row_version(view, service), text);
 }
 
 /*
--- a/packages/router/src/planner_int.h
+++ b/packages/router/src/planner_int.h
@@ -157,6 +157,15 @@
 					const char *service, struct keymap *map,
 					bool known, uint64_t settled);
 
+/*
+ * Updates the map of a service, which has this version in the table, 0 if it is
+ * a new one. renew: all ranges get new fences. Returns the JSON form, which the
+ * caller frees; NULL if the table need not be written.
+ */
+char *planner_update_map(struct planner_service *s,
+			 const struct planner_input *in, struct keymap *map,
+			 uint64_t version, bool renew);
+
 /* Counts the upstreams that may own keys of the service. */
 size_t planner_count_targets(const struct planner_input *in,
 			     const char *service);
--- a/packages/router/src/planner_service.c
+++ b/packages/router/src/planner_service.c
@@ -1,3 +1,7 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
 #include "planner_int.h"
 
 /*
@@ -37,3 +41,48 @@
 	}
 	return s->settled;
 }
+
+/* Logs when unassigned keys begin to wait, and when they no longer do. */
+static void set_incomplete(struct planner_service *s, bool incomplete)
+{
+	if (incomplete != s->incomplete)
+		log_emit(LOG_UNASSIGNED_KEYS_WAIT, "service=%s waits=%d",
+			 s->name, incomplete);
+	s->incomplete = incomplete;
+}
+
+static void log_map(const struct planner_service *s,
+		    const struct planner_input *in, const struct keymap *map,
+		    uint64_t version, const struct planner_result *result)
+{
+	log_emit(LOG_KEYS_PLANNED,
+		 "service=%s based_on=%llu assigned=%u moved=%u adopted=%u "
+		 "ranges=%zu reports=%zu",
+		 s->name, (unsigned long long)version,
+		 result->keys.keys_assigned, result->keys.keys_moved,
+		 result->adopted, keymap_range_count(map), in->report_count);
+}
+
+/* A map that is not known yet is written once it has an owner. */
+char *planner_update_map(struct planner_service *s,
+			 const struct planner_input *in, struct keymap *map,
+			 uint64_t version, bool renew)
+{
+	char *before = version > 0 ? keymap_encode(map) : NULL;
+	struct planner_result result;
+	char *text;
+
+	keymap_set_era(map, in->era, renew);
+	result = planner_plan_keys(in, s->name, map, version > 0,
+				   planner_update_settled(s, map, in->now_us));
+	set_incomplete(s, result.incomplete);
+	text = keymap_encode(map);
+	if (before ? strcmp(before, text) != 0 : keymap_has_owner(map)) {
+		log_map(s, in, map, version, &result);
+	} else {
+		free(text);
+		text = NULL;
+	}
+	free(before);
+	return text;
+}
