planner: a map of an older copy yields to daemons that are not heard

Cause: as for a lost first plan, planning without evidence that no grant is alive. A daemon without the store may grant by a later map until its lease ends, up to 10 s after the loss; the leader waited for 4.5 s.

Change: while a daemon has not written its row in the present era, and no daemon has sent a map that it has granted by, the leader goes on with the keys that upstreams have reported since the loss. Keys that were reported once cannot have been granted to others since. The rest waits for the end of the leases, as with a lost map.

Tests: router/test_planner_holds (map_of_a_copy_yields_to_silent_daemons), router/test_planner, platform/test_lost_plan.

--- a/packages/router/src/planner.c
+++ b/packages/router/src/planner.c
@@ -76,6 +76,8 @@
 	clear_changes(l);
 	planner_nodes_free(&l->nodes);
 	free(l->reports);
+	for (size_t i = 0; i < l->service_count; i++)
+		keymap_destroy(l->services[i].reported);
 	free(l->services);
 	free(l);
 	return true;
@@ -192,47 +194,24 @@
 	return s;
 }
 
-/*
- * True if the map of a service may be planned now. A service without a known
- * one waits until its upstreams have announced themselves, but not once one of
- * them has reported keys that it holds.
- */
-static bool is_map_due(struct planner *l, const struct planner_input *in,
-		       struct planner_service *s, const struct keymap *map,
-		       uint64_t version)
-{
-	size_t targets;
-
-	if (version > 0)
-		return !planner_era_must_wait(&l->era, s->name, version,
-					      in->now_us);
-	targets = planner_count_targets(in, s->name);
-	return planner_is_first_plan_due(s, targets, in->now_us) ||
-	       planner_has_reported_holds(in, map, s->name);
-}
-
 /* Plans the map of a service, if it is due, and adds it to the write. */
 static void plan_service(struct planner *l, const struct planner_input *in,
 			 const char *service)
 {
-	struct planview *view = l->parts.view;
-	uint64_t version;
-	const struct keymap *known = planview_map(view, service, &version);
+	struct planner_map known = { 0 };
 	struct planner_service *s = find_service(l, service);
-	struct keymap *map = known ? keymap_copy(known) : keymap_create();
 	char key[PLANVIEW_KEY_MAX];
-	char *text = NULL;
+	char *text;
 
-	if (s && map && is_map_due(l, in, s, map, version))
-		text = planner_update_map(
-			s, in, map, version,
-			planview_map_is_unconfirmed(view, service));
-	keymap_destroy(map);
+	known.map = planview_map(l->parts.view, service, &known.version);
+	known.unconfirmed = planview_map_is_unconfirmed(l->parts.view, service);
+	known.copied = planview_map_is_copied(l->parts.view, service);
+	text = s ? planner_plan_service(s, &l->era, in, &known) : NULL;
 	if (!text)
 		return;
 	planview_map_key(service, key);
 	add_change(l, PLANVIEW_TABLE, key,
-		   planview_map_row_version(view, service), text);
+		   planview_map_row_version(l->parts.view, service), text);
 }
 
 /*
--- a/packages/router/src/planner_holds.c
+++ b/packages/router/src/planner_holds.c
@@ -61,20 +61,34 @@
 	return false;
 }
 
+/* True if this is said of the daemon of a node. */
+static bool is_silent(const struct planner_node *n, const char *service)
+{
+	return n->alive && n->earlier &&
+	       (n->row.service[0] == '\0' ||
+		strcmp(n->row.service, service) == 0);
+}
+
+bool planner_has_silent_daemon(const struct planner_input *in,
+			       const char *service)
+{
+	for (size_t i = 0; i < in->node_count; i++) {
+		if (is_silent(&in->nodes[i], service))
+			return true;
+	}
+	return false;
+}
+
 /*
- * True if it is not known what the upstream of a node holds: its daemon has not
- * written its row in this era, or the upstream has not announced itself to it.
+ * True if a daemon has written its row in the present era, but its upstream may
+ * not have announced itself to it, or it has not reported so.
  */
 static bool is_unheard(const struct planner_input *in,
 		       const struct planner_node *n, const char *service)
 {
 	const struct noderpt *r;
 
-	if (!n->alive)
-		return false;
-	if (n->earlier)
-		return true;
-	if (n->row.incarnation.id[0] == '\0' ||
+	if (!n->alive || n->earlier || n->row.incarnation.id[0] == '\0' ||
 	    strcmp(n->row.service, service) != 0)
 		return false;
 	r = planner_find_report(in, &n->row.incarnation);
@@ -104,7 +118,9 @@
 		    in->era_ms + KEYLEASE_TERM_MS + PLANNER_EXPIRY_MARGIN_MS)
 		return false;
 	return known || planner_has_reported_holds(in, map, service) ||
-	       (in->era > TBL_FIRST_ERA && has_unheard(in, service));
+	       (in->era > TBL_FIRST_ERA &&
+		(planner_has_silent_daemon(in, service) ||
+		 has_unheard(in, service)));
 }
 
 /* Highest fence first, for qsort(). */
--- a/packages/router/src/planner_int.h
+++ b/packages/router/src/planner_int.h
@@ -62,6 +62,8 @@
 	uint64_t marked_us;
 	uint64_t settled; /* next fence at least SETTLE_US ago */
 	bool incomplete; /* unassigned keys wait */
+	/* Keys reported as held while the map was that of a copy, or NULL. */
+	struct keymap *reported;
 };
 
 bool planner_is_first_plan_due(struct planner_service *s, size_t targets,
@@ -126,6 +128,13 @@
 bool planner_has_reported_holds(const struct planner_input *in,
 				const struct keymap *map, const char *service);
 
+/*
+ * True if a daemon whose upstream may hold keys of the service has not written
+ * its row in the present era, and may still have a lease of an earlier one.
+ */
+bool planner_has_silent_daemon(const struct planner_input *in,
+			       const char *service);
+
 /*
  * True if upstreams may hold unassigned keys of the map, by grants of a map that
  * the table service has lost. known: the map has been read from the table.
@@ -157,14 +166,37 @@
 					const char *service, struct keymap *map,
 					bool known, uint64_t settled);
 
+/* A map as the plan has it. */
+struct planner_map {
+	const struct keymap *map; /* NULL if there is none */
+	uint64_t version; /* 0 if there is none */
+	bool unconfirmed; /* no keys are granted by it; gets new fences */
+	bool copied; /* only read from an older copy of the table */
+};
+
+/*
+ * Collects the keys that upstreams report as held, while the map of the service
+ * is that of an older copy.
+ */
+void planner_collect_holds(struct planner_service *s,
+			   const struct planner_input *in);
+
+/*
+ * Returns the map to go on with, which the caller destroys: a copy of that of
+ * the older copy, or one of the reported keys alone, if a silent daemon may
+ * grant keys by a later one. NULL if it is too early, or out of memory.
+ */
+struct keymap *planner_confirm_map(struct planner_service *s,
+				   const struct planner_input *in,
+				   const struct keymap *map);
+
 /*
- * Updates the map of a service, which has this version in the table, 0 if it is
- * a new one. renew: all ranges get new fences. Returns the JSON form, which the
+ * Plans the map of a service, if it is due. Returns the JSON form, which the
  * caller frees; NULL if the table need not be written.
  */
-char *planner_update_map(struct planner_service *s,
-			 const struct planner_input *in, struct keymap *map,
-			 uint64_t version, bool renew);
+char *planner_plan_service(struct planner_service *s, struct planner_era *e,
+			   const struct planner_input *in,
+			   const struct planner_map *known);
 
 /* Counts the upstreams that may own keys of the service. */
 size_t planner_count_targets(const struct planner_input *in,
--- a/packages/router/src/planner_service.c
+++ b/packages/router/src/planner_service.c
@@ -63,22 +63,22 @@
 		 result->adopted, keymap_range_count(map), in->report_count);
 }
 
-/* A map that is not known yet is written once it has an owner. */
-char *planner_update_map(struct planner_service *s,
-			 const struct planner_input *in, struct keymap *map,
-			 uint64_t version, bool renew)
+/* Updates the map. Returns its JSON form if it differs from the known one. */
+static char *update_map(struct planner_service *s,
+			const struct planner_input *in,
+			const struct planner_map *known, struct keymap *map)
 {
-	char *before = version > 0 ? keymap_encode(map) : NULL;
+	char *before = known->map ? keymap_encode(known->map) : NULL;
 	struct planner_result result;
 	char *text;
 
-	keymap_set_era(map, in->era, renew);
-	result = planner_plan_keys(in, s->name, map, version > 0,
+	keymap_set_era(map, in->era, known->unconfirmed);
+	result = planner_plan_keys(in, s->name, map, known->map != NULL,
 				   planner_update_settled(s, map, in->now_us));
 	set_incomplete(s, result.incomplete);
 	text = keymap_encode(map);
 	if (before ? strcmp(before, text) != 0 : keymap_has_owner(map)) {
-		log_map(s, in, map, version, &result);
+		log_map(s, in, map, known->version, &result);
 	} else {
 		free(text);
 		text = NULL;
@@ -86,3 +86,80 @@
 	free(before);
 	return text;
 }
+
+void planner_collect_holds(struct planner_service *s,
+			   const struct planner_input *in)
+{
+	if (s->reported && keymap_era(s->reported) != in->era) {
+		keymap_destroy(s->reported);
+		s->reported = NULL;
+	}
+	if (!s->reported) {
+		s->reported = keymap_create();
+		if (!s->reported)
+			return;
+		keymap_set_era(s->reported, in->era, false);
+	}
+	planner_adopt_holds(in, s->reported, s->name);
+}
+
+/*
+ * Keys that were reported once in this era cannot have been granted to others
+ * since, even if they are not held any more.
+ */
+struct keymap *planner_confirm_map(struct planner_service *s,
+				   const struct planner_input *in,
+				   const struct keymap *map)
+{
+	if (!planner_has_silent_daemon(in, s->name))
+		return keymap_copy(map);
+	if (!s->reported || !keymap_has_owner(s->reported))
+		return NULL;
+	return keymap_copy(s->reported);
+}
+
+/* Returns the map to update, which the caller destroys; NULL to wait. */
+static struct keymap *begin_map(struct planner_service *s,
+				struct planner_era *e,
+				const struct planner_input *in,
+				const struct planner_map *known)
+{
+	struct keymap *map;
+	size_t targets;
+
+	if (known->map) {
+		if (planner_era_must_wait(e, s->name, known->version,
+					  in->now_us))
+			return NULL;
+		return known->copied ? planner_confirm_map(s, in, known->map) :
+				       keymap_copy(known->map);
+	}
+	map = keymap_create();
+	targets = planner_count_targets(in, s->name);
+	if (!map || planner_is_first_plan_due(s, targets, in->now_us) ||
+	    planner_has_reported_holds(in, map, s->name))
+		return map;
+	keymap_destroy(map);
+	return NULL;
+}
+
+/*
+ * A service without a known map waits until its upstreams have announced
+ * themselves, but not once one of them has reported keys that it holds.
+ */
+char *planner_plan_service(struct planner_service *s, struct planner_era *e,
+			   const struct planner_input *in,
+			   const struct planner_map *known)
+{
+	struct keymap *map;
+	char *text;
+
+	if (known->copied)
+		planner_collect_holds(s, in);
+	map = begin_map(s, e, in, known);
+	if (!map)
+		return NULL;
+	text = update_map(s, in, known, map);
+	keymap_destroy(map);
+	return text;
+}
--- a/packages/router/src/planview.c
+++ b/packages/router/src/planview.c
@@ -25,6 +25,7 @@
 	uint64_t version; /* era and number of the write of the map */
 	uint64_t row_version; /* of the row in the table */
 	bool unconfirmed; /* only known from an older copy */
+	bool copied; /* the same, and no daemon has sent it */
 };
 
 struct planview {
@@ -91,6 +92,8 @@
 	struct keymap *map;
 	uint64_t written = version;
 
+	if (m && version == m->version)
+		m->copied = false;
 	if (!m || (version <= m->version && version <= m->row_version))
 		return;
 	map = keymap_parse(value, len, &err);
@@ -116,6 +119,7 @@
 	}
 	m->unconfirmed = tbl_era(written) < tbl_era(m->row_version) &&
 			 (!m->map || m->unconfirmed);
+	m->copied = tbl_era(written) < tbl_era(version);
 	if (tbl_era(version) < tbl_era(m->row_version))
 		log_emit(LOG_EARLIER_MAP_TAKEN, "service=%s version=%llu",
 			 m->service, (unsigned long long)written);
@@ -435,6 +439,14 @@
 	return m && m->unconfirmed;
 }
 
+/* A row of a map that a daemon sends has the version that it was written with. */
+bool planview_map_is_copied(const struct planview *v, const char *service)
+{
+	const struct service_map *m = get_map(v, service);
+
+	return m && m->copied;
+}
+
 /* Lists the maps of an earlier era that this daemon has granted keys by. */
 struct planview_row *planview_list_earlier(const struct planview *v,
 					   uint64_t era, size_t *count)
--- a/packages/router/src/planview.h
+++ b/packages/router/src/planview.h
@@ -91,6 +91,12 @@
  */
 bool planview_map_is_unconfirmed(const struct planview *v, const char *service);
 
+/*
+ * True if the map has only been read from an older copy of the table, so that
+ * daemons which have not been heard may grant keys by a later one.
+ */
+bool planview_map_is_copied(const struct planview *v, const char *service);
+
 /*
  * Returns the maps of an earlier era than the given one as rows, for a leader
  * that may not know them as they were; NULL if there is none. The caller frees
--- a/packages/router/src/upstr_grants.c
+++ b/packages/router/src/upstr_grants.c
@@ -45,11 +45,13 @@
 	return !map;
 }
 
-/* Adds the holds of the last announcement that no map knows. */
+/* A map that is not confirmed assigns nothing, as no keys are granted by it. */
 void upstr_state_holds(const struct upstr *a, struct noderpt *report)
 {
 	const struct keymap *map = service_map(a);
 
+	if (planview_map_is_unconfirmed(a->parts.view, a->service))
+		map = NULL;
 	if (!a->announced || (map && !keymap_has_unassigned(map)))
 		return;
 	report->states_holds = true;
--- a/packages/router/tests/test_planner.c
+++ b/packages/router/tests/test_planner.c
@@ -348,15 +348,23 @@
 {
 	struct fixture *f = *state;
 	struct fake *copy = malloc(sizeof(*copy));
+	const struct faketbl_row *row;
 	struct planview *fresh;
 
 	*copy = f->db;
+	row = faketbl_find(copy, PLANVIEW_TABLE, "keys/s");
 	assert_false(planview_map_is_unconfirmed(f->view, "s"));
 	restore(f, copy);
 	fresh = planview_create(f->loop, f->db.tbl, on_plan, f);
 	run(f, 1500);
 	assert_true(planview_map_is_unconfirmed(fresh, "s"));
+	assert_true(planview_map_is_copied(fresh, "s"));
 	assert_false(planview_map_is_unconfirmed(f->view, "s"));
+	/* A daemon that has granted keys by it sends it. */
+	planview_apply_row(fresh, "keys/s", row->value, strlen(row->value),
+			   row->version);
+	assert_false(planview_map_is_copied(fresh, "s"));
+	assert_true(planview_map_is_unconfirmed(fresh, "s"));
 	put_node(f, "a", 60000);
 	put_node(f, "b", 60000);
 	run(f, 5000);
--- a/packages/router/tests/test_planner_holds.c
+++ b/packages/router/tests/test_planner_holds.c
@@ -210,6 +210,38 @@
 	assert_string_equal(owner_of(f, HALF), "");
 }
 
+/*
+ * Guards against a map of an older copy that is written again while the upstream
+ * of a daemon that cannot be reached holds keys by a later one. What others have
+ * reported once is theirs, also when their holds have ended.
+ */
+static void map_of_a_copy_yields_to_silent_daemons(void **state)
+{
+	struct fixture *f = *state;
+	struct planner_service s = { .name = SERVICE };
+	struct keymap *copy = keymap_create();
+
+	keymap_assign(copy, 0, KEYMAP_KEYS - 1, &f->nodes[1].row.incarnation);
+	keymap_destroy(f->map);
+	f->map = planner_confirm_map(&s, &f->in, copy);
+	assert_string_equal(owner_of(f, HALF), "u1");
+	f->nodes[0].earlier = true;
+	planner_collect_holds(&s, &f->in);
+	assert_null(planner_confirm_map(&s, &f->in, copy));
+	report_hold(f, 1, 0, HALF - 1, 7);
+	planner_collect_holds(&s, &f->in);
+	f->reports[1].report.hold_count = 0;
+	planner_collect_holds(&s, &f->in);
+	keymap_destroy(f->map);
+	f->map = planner_confirm_map(&s, &f->in, copy);
+	assert_non_null(f->map);
+	assert_true(plan(f, true).incomplete);
+	assert_string_equal(owner_of(f, 0), "u1");
+	assert_string_equal(owner_of(f, HALF), "");
+	keymap_destroy(s.reported);
+	keymap_destroy(copy);
+}
+
 static void report_with_holds_is_read_as_written(void **state)
 {
 	struct fixture *f = *state;
@@ -250,6 +282,7 @@
 		CASE(upstream_that_has_not_reported_delays_the_plan),
 		CASE(row_of_an_earlier_era_delays_the_plan),
 		CASE(keys_of_an_ended_owner_do_not_wait),
+		CASE(map_of_a_copy_yields_to_silent_daemons),
 		CASE(report_with_holds_is_read_as_written),
 	};
 
