keys: one search for unassigned ranges

The daemon and the planner had one each. planner_choose_map() has a name that says what it does. No change of behaviour; router/test_planner_holds, router/test_upstr and keys/test_keymap passed.

--- a/packages/keys/src/keymap.c
+++ b/packages/keys/src/keymap.c
@@ -83,21 +83,28 @@
 	return &map->ranges[find_index(map, key)];
 }
 
-/* The first owner gives a range its first fence, which it never loses. */
-bool keymap_is_unassigned(const struct keymap_range *range)
+bool keymap_has_unassigned_in(const struct keymap *map, uint32_t first,
+			      uint32_t last)
 {
-	return range->fence == 0;
-}
-
-bool keymap_has_unassigned(const struct keymap *map)
-{
-	for (size_t i = 0; i < map->count; i++) {
+	for (size_t i = find_index(map, first);
+	     i < map->count && map->ranges[i].first <= last; i++) {
 		if (keymap_is_unassigned(&map->ranges[i]))
 			return true;
 	}
 	return false;
 }
 
+bool keymap_has_unassigned(const struct keymap *map)
+{
+	return keymap_has_unassigned_in(map, 0, KEYMAP_KEYS - 1);
+}
+
+/* The first owner gives a range its first fence, which it never loses. */
+bool keymap_is_unassigned(const struct keymap_range *range)
+{
+	return range->fence == 0;
+}
+
 bool keymap_has_owner(const struct keymap *map)
 {
 	for (size_t i = 0; i < map->count; i++) {
--- a/packages/keys/src/keymap.h
+++ b/packages/keys/src/keymap.h
@@ -72,8 +72,10 @@
 /* True if the range has never had an owner in this map or an earlier one. */
 bool keymap_is_unassigned(const struct keymap_range *range);
 
-/* True if the map has such a range. */
+/* True if the map has such a range, or one that contains keys of first to last. */
 bool keymap_has_unassigned(const struct keymap *map);
+bool keymap_has_unassigned_in(const struct keymap *map, uint32_t first,
+			      uint32_t last);
 
 /* True if any range has an owner. */
 bool keymap_has_owner(const struct keymap *map);
--- a/packages/router/src/planner_holds.c
+++ b/packages/router/src/planner_holds.c
@@ -17,22 +17,6 @@
 	const struct incarnation *holder;
 };
 
-/* True if the map leaves some of the keys unassigned. */
-static bool has_unassigned(const struct keymap *map,
-			   const struct noderpt_hold *h)
-{
-	uint32_t key = h->first;
-
-	while (key <= h->last) {
-		const struct keymap_range *range = keymap_find(map, key);
-
-		if (keymap_is_unassigned(range))
-			return true;
-		key = range->last + 1;
-	}
-	return false;
-}
-
 /* Returns the recent report of a node about an upstream of the service. */
 static const struct noderpt *find_statement(const struct planner_input *in,
 					    const struct planner_report *k,
@@ -54,14 +38,15 @@
 			find_statement(in, &in->reports[i], service);
 
 		for (size_t h = 0; r && h < r->hold_count; h++) {
-			if (has_unassigned(map, &r->holds[h]))
+			if (keymap_has_unassigned_in(map, r->holds[h].first,
+						     r->holds[h].last))
 				return true;
 		}
 	}
 	return false;
 }
 
-/* True if this is said of the daemon of a node. */
+/* True if planner_has_silent_daemon() means the daemon of this node. */
 static bool is_silent(const struct planner_node *n, const char *service)
 {
 	return n->alive && n->earlier &&
--- a/packages/router/src/planner_int.h
+++ b/packages/router/src/planner_int.h
@@ -186,9 +186,9 @@
  * the older copy, or one of the reported keys alone, if a silent daemon may
  * grant keys by a later one. NULL if it is too early, or out of memory.
  */
-struct keymap *planner_confirm_map(struct planner_service *s,
-				   const struct planner_input *in,
-				   const struct keymap *map);
+struct keymap *planner_choose_map(struct planner_service *s,
+				  const struct planner_input *in,
+				  const struct keymap *map);
 
 /*
  * Plans the map of a service, if it is due. Returns the JSON form, which the
--- a/packages/router/src/planner_service.c
+++ b/packages/router/src/planner_service.c
@@ -107,9 +107,9 @@
  * Keys that were reported once in this era cannot have been granted to others
  * since, even if they are not held any more.
  */
-struct keymap *planner_confirm_map(struct planner_service *s,
-				   const struct planner_input *in,
-				   const struct keymap *map)
+struct keymap *planner_choose_map(struct planner_service *s,
+				  const struct planner_input *in,
+				  const struct keymap *map)
 {
 	if (!planner_has_silent_daemon(in, s->name))
 		return keymap_copy(map);
@@ -131,7 +131,7 @@
 		if (planner_era_must_wait(e, s->name, known->version,
 					  in->now_us))
 			return NULL;
-		return known->copied ? planner_confirm_map(s, in, known->map) :
+		return known->copied ? planner_choose_map(s, in, known->map) :
 				       keymap_copy(known->map);
 	}
 	map = keymap_create();
--- a/packages/router/src/upstr_grants.c
+++ b/packages/router/src/upstr_grants.c
@@ -29,22 +29,6 @@
 	       nodelease_end_us(a->parts.lease) > 0;
 }
 
-/* True if the map, which may be NULL, assigns some of the keys to nobody. */
-static bool has_unassigned(const struct keymap *map, uint32_t first,
-			   uint32_t last)
-{
-	uint32_t key = first;
-
-	while (map && key <= last) {
-		const struct keymap_range *r = keymap_find(map, key);
-
-		if (keymap_is_unassigned(r))
-			return true;
-		key = r->last + 1;
-	}
-	return !map;
-}
-
 /* A map that is not confirmed assigns nothing, as no keys are granted by it. */
 void upstr_state_holds(const struct upstr *a, struct noderpt *report)
 {
@@ -59,7 +43,7 @@
 		const struct plat_hold *h = &a->last.holds[i];
 
 		if (report->hold_count == NODERPT_HOLDS_MAX ||
-		    !has_unassigned(map, h->first, h->last))
+		    (map && !keymap_has_unassigned_in(map, h->first, h->last)))
 			continue;
 		report->holds[report->hold_count++] =
 			(struct noderpt_hold){ h->first, h->last, h->fence };
@@ -78,8 +62,8 @@
 	if (!map || !keymap_has_unassigned(map))
 		return false;
 	for (size_t i = 0; i < a->last.hold_count; i++) {
-		if (has_unassigned(map, a->last.holds[i].first,
-				   a->last.holds[i].last))
+		if (keymap_has_unassigned_in(map, a->last.holds[i].first,
+					     a->last.holds[i].last))
 			return true;
 	}
 	return false;
--- a/packages/router/tests/test_planner_holds.c
+++ b/packages/router/tests/test_planner_holds.c
@@ -223,17 +223,17 @@
 
 	keymap_assign(copy, 0, KEYMAP_KEYS - 1, &f->nodes[1].row.incarnation);
 	keymap_destroy(f->map);
-	f->map = planner_confirm_map(&s, &f->in, copy);
+	f->map = planner_choose_map(&s, &f->in, copy);
 	assert_string_equal(owner_of(f, HALF), "u1");
 	f->nodes[0].earlier = true;
 	planner_collect_holds(&s, &f->in);
-	assert_null(planner_confirm_map(&s, &f->in, copy));
+	assert_null(planner_choose_map(&s, &f->in, copy));
 	report_hold(f, 1, 0, HALF - 1, 7);
 	planner_collect_holds(&s, &f->in);
 	f->reports[1].report.hold_count = 0;
 	planner_collect_holds(&s, &f->in);
 	keymap_destroy(f->map);
-	f->map = planner_confirm_map(&s, &f->in, copy);
+	f->map = planner_choose_map(&s, &f->in, copy);
 	assert_non_null(f->map);
 	assert_true(plan(f, true).incomplete);
 	assert_string_equal(owner_of(f, 0), "u1");
