nod: a stop waits 15 s at most for callers that do not read

What operators would see: one caller that has not read its last response keeps a partition daemon that got SIGTERM until drain_timeout_ms, 60 s by default.

Cause: is_flushed() had an end in time for peers, but none for callers and operators. The range daemon is not affected: it stops waiting before SIGKILL.

Change: callers and operators get 15 s after the last request to acknowledge responses, peers 1 s as before. What the kernel has taken is still sent after the end of the process, unless further input resets the connection.

--- a/packages/daemon/src/nod.c
+++ b/packages/daemon/src/nod.c
@@ -33,7 +33,8 @@
 #define LINGER_US (2 * US_PER_S)
 /* Answers that are queued leave in this time after the last request. */
 #define FLUSH_US (200 * US_PER_MS)
-/* Longest time for peers to acknowledge the last replies. */
+/* Longest times for callers and for peers to acknowledge the last responses. */
+#define CALLER_FLUSH_US (15 * US_PER_S)
 #define PEER_FLUSH_US (1 * US_PER_S)
 
 static void on_lease(void *arg, const struct peer_lease *m)
@@ -124,11 +125,13 @@
 
 /*
  * True when callers, operators and peers have acknowledged what was sent to
- * them. Peers go on calling, so that those are waited for only for a short time.
+ * them, or had the time to. Peers go on calling, so that they have less of it.
  */
 static bool is_flushed(const struct nod *n, uint64_t idle_us)
 {
-	return ing_unacked(n->ingress) == 0 && adn_unacked(n->admin) == 0 &&
+	size_t callers = ing_unacked(n->ingress) + adn_unacked(n->admin);
+
+	return (callers == 0 || idle_us > CALLER_FLUSH_US) &&
 	       (peerrpc_unacked(n->peers) == 0 || idle_us > PEER_FLUSH_US);
 }
 
--- a/packages/daemon/tests/test_stop_unread.c
+++ b/packages/daemon/tests/test_stop_unread.c
@@ -28,6 +28,8 @@
 #define READ_EVERY_MS 20
 #define READ_MS 3000
 #define END_LIMIT_MS 15000
+/* Of a stop beside callers that never read; far below drain_timeout_ms. */
+#define UNREAD_END_LIMIT_MS 25000
 #define LARGE "/bookings/clients/anna/history?bytes=90000"
 #define SMALL "/bookings/clients/anna/history"
 
@@ -55,6 +57,7 @@
 	(void)state;
 	for (size_t i = 0; i < CALLERS; i++)
 		close(callers[i].fd);
+	memset(callers, 0, sizeof(callers));
 	cluster_stop(cluster);
 	return 0;
 }
@@ -108,18 +111,24 @@
 	       c->len - (size_t)(end + 4 - c->bytes) >= BODY_BYTES;
 }
 
-static void unread_responses_are_whole(void **state)
+/* Stops the daemon while callers have not read their responses. */
+static void begin_stop(size_t node)
 {
-	const size_t node = 0;
-	size_t whole = 0;
-
-	(void)state;
 	for (size_t i = 0; i < CALLERS; i++)
 		connect_caller(&callers[i], node);
 	send_requests(LARGE);
 	cluster_sleep(cluster, 600);
 	cluster_signal_daemon(cluster, node, SIGTERM);
 	cluster_sleep(cluster, 100);
+}
+
+static void unread_responses_are_whole(void **state)
+{
+	const size_t node = 0;
+	size_t whole = 0;
+
+	(void)state;
+	begin_stop(node);
 	/* Answered, and followed by the close of the connection. */
 	send_requests(SMALL);
 	cluster_sleep(cluster, 400);
@@ -136,11 +145,24 @@
 	assert_int_equal(cluster_wait_daemon(cluster, node, END_LIMIT_MS), 0);
 }
 
+/* Guards against a stop that lasts to drain_timeout_ms, as nobody reads. */
+static void callers_that_never_read_do_not_hold_up_a_stop(void **state)
+{
+	const size_t node = 0;
+
+	(void)state;
+	begin_stop(node);
+	assert_int_equal(
+		cluster_wait_daemon(cluster, node, UNREAD_END_LIMIT_MS), 0);
+}
+
+#define CASE(fn) cmocka_unit_test_setup_teardown(fn, start, stop)
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test_setup_teardown(unread_responses_are_whole,
-						start, stop),
+		CASE(unread_responses_are_whole),
+		CASE(callers_that_never_read_do_not_hold_up_a_stop),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
