tcplinger: check peers without progress less often

The kernel reports no acknowledgement, so sockets that linger are checked by a timer. At one check every 20 ms, a crowd that does not read its last responses costs processor time for as long as it is waited for.

The time between checks is now a quarter of the time without progress, from 20 ms to 500 ms; a peer that reads is seen as early as before.

Test: io/test_close, peers_without_progress_are_checked_less_often, without a network (750 checks to the end of a stall before, 60 allowed).

--- a/packages/io/src/tcplinger.c
+++ b/packages/io/src/tcplinger.c
@@ -7,6 +7,10 @@
 #define QUIET_US (300 * US_PER_MS)
 /* A peer that has acknowledged all output may go on sending for this long. */
 #define INPUT_US (2 * US_PER_S)
+/* Time between checks: a part of the time without progress, within limits. */
+#define CHECK_MIN_US (20 * US_PER_MS)
+#define CHECK_MAX_US (500 * US_PER_MS)
+#define CHECK_STALL_PART 4
 
 void tcplinger_begin(struct tcplinger *l, bool more_input, uint64_t now_us)
 {
@@ -36,6 +40,17 @@
 	       clk_elapsed(now_us, l->progress_us) >= INPUT_US;
 }
 
+uint64_t tcplinger_next_check_us(const struct tcplinger *l, uint64_t now_us)
+{
+	uint64_t wait = clk_elapsed(now_us, l->progress_us) / CHECK_STALL_PART;
+
+	if (l->unacked == 0 || wait < CHECK_MIN_US)
+		wait = CHECK_MIN_US;
+	if (wait > CHECK_MAX_US)
+		wait = CHECK_MAX_US;
+	return now_us + wait;
+}
+
 uint64_t tcplinger_unacked(int fd)
 {
 	int bytes = 0;
--- a/packages/io/src/tcplinger.h
+++ b/packages/io/src/tcplinger.h
@@ -14,8 +14,6 @@
 
 #include "clk.h"
 
-/* Interval of tcplinger_is_over(), as the kernel reports no acknowledgement. */
-#define TCPLINGER_CHECK_US (20 * US_PER_MS)
 /* The peer may acknowledge nothing for this long. */
 #define TCPLINGER_STALLED_US (15 * US_PER_S)
 
@@ -38,6 +36,12 @@
 /* True if the socket can be closed, or the peer makes no progress. */
 bool tcplinger_is_over(struct tcplinger *l, uint64_t unacked, uint64_t now_us);
 
+/*
+ * Returns when to call tcplinger_is_over() again, as the kernel reports no
+ * acknowledgement. Peers without progress are checked less often.
+ */
+uint64_t tcplinger_next_check_us(const struct tcplinger *l, uint64_t now_us);
+
 /*
  * Returns the bytes that the kernel has not sent, or that the peer has not
  * acknowledged; 0 on errors.
--- a/packages/io/src/tcpsock_close.c
+++ b/packages/io/src/tcpsock_close.c
@@ -22,7 +22,8 @@
 		return;
 	}
 	s->linger_timer = tmr_at(evloop_timers(s->loop),
-				 now_us + TCPLINGER_CHECK_US, check_linger, s);
+				 tcplinger_next_check_us(&s->linger, now_us),
+				 check_linger, s);
 	if (!s->linger_timer)
 		tcpsock_close(s);
 }
--- a/packages/io/tests/test_close.c
+++ b/packages/io/tests/test_close.c
@@ -332,6 +332,30 @@
 	assert_true(tcplinger_is_over(&l, 0, t + 2000 * MS));
 }
 
+/* Guards against a crowd that does not read and costs processor time. */
+static void peers_without_progress_are_checked_less_often(void **state)
+{
+	const uint64_t t = 100 * US_PER_S;
+	uint64_t now = t;
+	uint32_t checks = 0;
+	struct tcplinger l;
+
+	(void)state;
+	tcplinger_begin(&l, false, t);
+	while (!tcplinger_is_over(&l, 10, now)) {
+		now = tcplinger_next_check_us(&l, now);
+		checks++;
+	}
+	assert_true(checks <= 60);
+	assert_true(now <= t + TCPLINGER_STALLED_US + US_PER_S);
+	/* With progress, the end of the output is seen early. */
+	tcplinger_begin(&l, false, t);
+	assert_false(tcplinger_is_over(&l, 10, t + US_PER_S));
+	now = t + 2 * US_PER_S;
+	assert_false(tcplinger_is_over(&l, 9, now));
+	assert_true(tcplinger_next_check_us(&l, now) <= now + 50 * MS);
+}
+
 #define CASE(fn) cmocka_unit_test_setup_teardown(fn, start, stop)
 
 int main(void)
@@ -347,6 +371,7 @@
 		CASE(crowd_that_does_not_read_gives_way),
 		cmocka_unit_test(
 			linger_ends_as_the_peer_makes_progress_or_none),
+		cmocka_unit_test(peers_without_progress_are_checked_less_often),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/net/src/websrv_conn.c
+++ b/packages/net/src/websrv_conn.c
@@ -325,7 +325,8 @@
 	if (!tcplinger_is_over(&c->linger, tcplinger_unacked(c->fd), now_us))
 		c->linger_timer =
 			tmr_at(lwsloop_timers(c->server->loop),
-			       now_us + TCPLINGER_CHECK_US, check_linger, c);
+			       tcplinger_next_check_us(&c->linger, now_us),
+			       check_linger, c);
 	if (!c->linger_timer)
 		websrv_conn_abort(c);
 }
